--- /dev/null
+++ b/internal/dispatch/call.go
@@ -0,0 +1,373 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"citronslip/internal/board"
+	"citronslip/internal/event"
+	"citronslip/internal/routing"
+	"citronslip/pkg/inventory"
+)
+
+const (
+	// wholeBytes is the longest body of a plain answer that is read whole before it is passed on. A shorter answer that
+	// breaks off is never shown to the caller in part.
+	wholeBytes = 256 << 10
+	// leastLeft is the shortest time for which an attempt is worth sending.
+	leastLeft = 20 * time.Millisecond
+	// retryAfter is the time told with a refusal whose cause gives no better one.
+	retryAfter = 300 * time.Millisecond
+	// prefixBlock is the number of prompt tokens for each prefix hash of the picker.
+	prefixBlock = 1024
+)
+
+type (
+	// Dispatcher serves requests. Set the fields before the first call of Serve.
+	Dispatcher struct {
+		Directory *board.Cell[inventory.Directory]
+		Pool      *Pool
+		Backend   Backend
+		Budgets   Budgets
+		Repeats   *Repeats
+		Logger    *zerolog.Logger
+		Metrics   tally.Scope
+	}
+
+	// call is a request in progress.
+	call struct {
+		*Dispatcher
+		request   *Request
+		response  Response
+		directory *inventory.Directory
+		route     *inventory.Route
+		account   *inventory.ClientAccount
+		service   string
+		hold      Hold
+		tried     []string // Servers that the request was sent to.
+		began     bool     // Whether the caller has a part of the answer.
+		ran       bool     // Whether a server may have begun to work on it.
+		lastEvent string
+		events    int64
+		first     time.Duration // From arrival to the first byte of the answer.
+		result    string
+		reason    Reason
+	}
+)
+
+// Serve answers one request. It returns when the answer has ended.
+func (d *Dispatcher) Serve(ctx context.Context, request *Request, response Response) {
+	c := &call{Dispatcher: d, request: request, response: response, directory: d.Directory.Load()}
+	defer c.log()
+	if reason := c.admit(); reason != "" {
+		c.refuse(reason, 0)
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.limit())
+	defer cancel()
+	if reason := c.reserve(ctx); reason != "" {
+		c.refuse(reason, 0)
+		return
+	}
+	defer c.settle()
+	c.Repeats.First(c.service)
+	c.run(ctx)
+}
+
+// admit finds route, account and service, or returns why there is none.
+func (c *call) admit() Reason {
+	if c.directory == nil {
+		return NotReady
+	}
+	c.route = c.directory.Route(c.request.Host, c.request.Path)
+	if c.route == nil {
+		return NoRoute
+	}
+	if !c.route.Public {
+		c.account = c.directory.Account(c.request.Key)
+		if c.account == nil {
+			return NoAccount
+		}
+	}
+	if c.route.Model && c.request.Prompt == nil {
+		return Malformed
+	}
+	c.service = c.route.Choose(rand.Float64())
+	return ""
+}
+
+// limit returns the time at which the request is given up.
+func (c *call) limit() time.Time {
+	patience := c.route.Timeout
+	if c.request.Patience > 0 {
+		patience = min(patience, c.request.Patience)
+	}
+	return c.request.Arrived.Add(patience)
+}
+
+func (c *call) reserve(ctx context.Context) Reason {
+	if !c.route.Model || c.account == nil || c.Budgets == nil {
+		return ""
+	}
+	total, limited := c.directory.Budget(c.account.Name)
+	if !limited {
+		return ""
+	}
+	hold, reason := c.Budgets.Reserve(ctx, c.account.Name, total, c.request.Prompt.Size())
+	c.hold = hold
+	return reason
+}
+
+// settle charges the prompt if it may have been read, and the tokens that the caller got.
+func (c *call) settle() {
+	if c.hold == nil {
+		return
+	}
+	var used int64
+	if c.ran {
+		used = c.request.Prompt.Tokens + min(c.events*c.stride(), c.request.Prompt.Most)
+	}
+	c.hold.Settle(inventory.Tokens(used))
+}
+
+func (c *call) stride() int64 {
+	service := c.directory.Service(c.service)
+	if service == nil || service.Engine == nil {
+		return 1
+	}
+	return int64(service.Engine.Stride)
+}
+
+// run makes attempts until the request has an answer.
+func (c *call) run(ctx context.Context) {
+	c.lastEvent = c.request.LastEvent
+	for {
+		server, choice, err := c.Pool.Pick(c.want())
+		if err != nil {
+			c.fail(ctx, NoServer)
+			return
+		}
+		if time.Until(c.limit()) < leastLeft {
+			choice.Done(routing.Cancelled{})
+			c.fail(ctx, Late)
+			return
+		}
+		again, reason := c.attempt(ctx, server, choice)
+		if reason == "" {
+			return
+		}
+		if !again || !c.Repeats.Again(c.service) {
+			c.fail(ctx, reason)
+			return
+		}
+		c.line(event.AttemptRepeated).Str("server", server.Name).Str("reason", string(reason)).Int("attempts", len(c.tried)).Send()
+	}
+}
+
+// want describes the request to the picker.
+func (c *call) want() *routing.Request {
+	r := &routing.Request{
+		Service:    c.service,
+		Tried:      c.tried,
+		Idempotent: c.route.Repeat != inventory.RunOnce,
+	}
+	if p := c.request.Prompt; p != nil {
+		r.Prompt = p.Tokens
+		r.Prefix = p.prefix()
+	}
+	return r
+}
+
+// attempt sends the request to a server and passes the answer on. It returns why the request has no answer yet, and
+// whether another server may get it.
+func (c *call) attempt(ctx context.Context, server *Server, choice *routing.Choice) (again bool, reason Reason) {
+	choice.Started()
+	outcome := c.Backend.Send(ctx, c.describe(server))
+	switch o := outcome.(type) {
+	case Unreached:
+		choice.Done(c.broken(ctx, routing.ConnectionRefused{}))
+		c.lost(server, false, o.Err)
+		return ctx.Err() == nil, NoServer
+	case Refused:
+		c.tried = append(c.tried, server.Name)
+		c.Pool.Report(server, o.Load)
+		choice.Done(routing.Refused{Reason: o.Reason, After: o.After})
+		c.line(event.AttemptRefused).Str("server", server.Name).Int("reason", int(o.Reason)).Send()
+		return c.more(), Busy
+	case Lost:
+		c.tried = append(c.tried, server.Name)
+		c.ran = true
+		choice.Done(c.broken(ctx, routing.Broken{Reset: o.Reset}))
+		c.lost(server, o.Reset, o.Err)
+		return c.repeatable(ctx), c.late(ctx)
+	case Answered:
+		c.tried = append(c.tried, server.Name)
+		c.ran = true
+		defer func() { _ = o.Body.Close() }()
+		c.Pool.Report(server, o.Load)
+		if o.Success && c.route.Stream {
+			return c.stream(ctx, server, choice, o)
+		}
+		return c.plain(ctx, server, choice, o)
+	}
+	return false, Broken
+}
+
+func (c *call) describe(server *Server) Attempt {
+	a := Attempt{Request: c.request, Server: server, Left: time.Until(c.limit()), Rank: c.route.Priority, LastEvent: c.lastEvent}
+	if c.account != nil {
+		a.Account = c.account.Name
+		if c.account.Rank != nil {
+			a.Rank = *c.account.Rank
+		}
+	}
+	return a
+}
+
+// plain passes on an answer that is no stream of events.
+func (c *call) plain(ctx context.Context, server *Server, choice *routing.Choice, o Answered) (bool, Reason) {
+	whole, err := io.ReadAll(io.LimitReader(o.Body, wholeBytes))
+	if err != nil {
+		choice.Done(c.broken(ctx, routing.Broken{}))
+		c.lost(server, false, err)
+		return c.repeatable(ctx), c.late(ctx)
+	}
+	if !o.Success && c.repeatable(ctx) && c.Repeats.Again(c.service) {
+		choice.Done(routing.Broken{})
+		c.line(event.AttemptRepeated).Str("server", server.Name).Str("reason", "server error").Send()
+		return c.again(ctx)
+	}
+	choice.First()
+	c.first = time.Since(c.request.Arrived)
+	c.began = true
+	if err := c.response.Begin(o.Head, o.Length); err != nil {
+		choice.Done(routing.Cancelled{})
+		c.end("caller left", "")
+		return false, ""
+	}
+	if err := c.copy(whole, o.Body); err != nil {
+		choice.Done(c.broken(ctx, routing.Broken{}))
+		c.response.Abort()
+		c.end("aborted", Broken)
+		return false, ""
+	}
+	choice.Done(routing.Finished{Cached: -1})
+	c.finish(o.Success)
+	return false, ""
+}
+
+// copy passes on the part of a body that was read and the rest.
+func (c *call) copy(whole []byte, rest io.Reader) error {
+	if err := c.response.Write(whole); err != nil {
+		return err
+	}
+	if len(whole) < wholeBytes {
+		return nil
+	}
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := rest.Read(buffer)
+		if n > 0 {
+			if err := c.response.Write(buffer[:n]); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// finish ends an answer that is complete.
+func (c *call) finish(success bool) {
+	if err := c.response.End(); err != nil {
+		c.end("caller left", "")
+		return
+	}
+	if success {
+		c.end("answered", "")
+		return
+	}
+	c.end("server error", "")
+}
+
+// more reports whether the route allows another server.
+func (c *call) more() bool { return len(c.tried) < max(c.route.Attempts, 1) }
+
+// repeatable reports whether a request that may have run may be sent again.
+func (c *call) repeatable(ctx context.Context) bool {
+	return ctx.Err() == nil && c.more() && c.route.Repeat != inventory.RunOnce
+}
+
+// late returns the reason of a failure: the time limit if it has passed.
+func (c *call) late(ctx context.Context) Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return Late
+	}
+	return Broken
+}
+
+// broken returns the outcome for the picker. A failure after the caller left or the time limit says nothing of the server.
+func (c *call) broken(ctx context.Context, o routing.Outcome) routing.Outcome {
+	if ctx.Err() != nil {
+		return routing.Cancelled{}
+	}
+	return o
+}
+
+// fail ends a request without an answer of a server.
+func (c *call) fail(ctx context.Context, reason Reason) {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		if c.began {
+			c.response.Abort()
+		}
+		c.end("caller left", "")
+	case c.began:
+		c.response.Abort()
+		c.end("aborted", reason)
+	case c.ran && reason.NotRun():
+		c.refuse(Broken, 0)
+	case !c.ran && !reason.NotRun():
+		c.refuse(Overload, retryAfter)
+	default:
+		c.refuse(reason, 0)
+	}
+}
+
+func (c *call) refuse(reason Reason, after time.Duration) {
+	if after == 0 {
+		after = retryAfter
+	}
+	c.response.Refuse(Refusal{Reason: reason, After: after})
+	c.end("refused", reason)
+}
+
+// prefix returns the cumulative hashes of the prompt's blocks. Parts are hashed once for each block that they fill, so
+// that two prompts share as many hashes as they share blocks.
+func (p *Prompt) prefix() []uint64 {
+	var result []uint64
+	hash := uint64(14695981039346656037)
+	tokens := int64(0)
+	for i, part := range p.Parts {
+		if i == len(p.Parts)-1 {
+			break // The last part belongs to this request alone.
+		}
+		hash = (hash ^ part.ID) * 1099511628211
+		tokens += part.Tokens
+		for int64(len(result)) < (tokens+prefixBlock/2)/prefixBlock {
+			hash = (hash ^ uint64(len(result))) * 1099511628211
+			result = append(result, hash)
+		}
+	}
+	return result
+}
--- /dev/null
+++ b/internal/dispatch/stream.go
@@ -0,0 +1,94 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"citronslip/internal/event"
+	"citronslip/internal/routing"
+	"citronslip/internal/sse"
+)
+
+var (
+	idField = []byte("id:")
+)
+
+// stream passes on a stream of events. Only whole events reach the caller, so that a stream that breaks off can be
+// resumed behind its last event.
+func (c *call) stream(ctx context.Context, server *Server, choice *routing.Choice, o Answered) (bool, Reason) {
+	reader := &sse.Reader{Source: o.Body}
+	begin := time.Now()
+	for {
+		data, err := reader.Next()
+		if errors.Is(err, io.EOF) {
+			return c.complete(choice, o, begin)
+		}
+		if err != nil {
+			choice.Done(c.broken(ctx, routing.Broken{Reset: true}))
+			c.lost(server, true, err)
+			return c.again(ctx)
+		}
+		if !c.forward(choice, o, data) {
+			choice.Done(routing.Cancelled{})
+			c.end("caller left", "")
+			return false, ""
+		}
+	}
+}
+
+// complete ends a stream behind its last event.
+func (c *call) complete(choice *routing.Choice, o Answered, begin time.Time) (bool, Reason) {
+	choice.Done(routing.Finished{Cached: -1, Output: c.events * c.stride(), Duration: time.Since(begin)})
+	if !c.began {
+		if err := c.response.Begin(o.Head, o.Length); err != nil {
+			c.end("caller left", "")
+			return false, ""
+		}
+	}
+	c.finish(true)
+	return false, ""
+}
+
+// forward passes on one event and reports whether the caller is still there.
+func (c *call) forward(choice *routing.Choice, o Answered, data []byte) bool {
+	if !c.began {
+		c.first = time.Since(c.request.Arrived)
+		c.began = true
+		if c.response.Begin(o.Head, -1) != nil {
+			return false
+		}
+	}
+	choice.First()
+	if c.response.Write(data) != nil {
+		return false
+	}
+	if id := eventID(data); id != "" {
+		c.lastEvent = id
+	}
+	c.events++
+	return true
+}
+
+// again returns whether a stream that broke off may continue at another server.
+func (c *call) again(ctx context.Context) (bool, Reason) {
+	if !c.repeatable(ctx) {
+		return false, c.late(ctx)
+	}
+	if c.began {
+		c.line(event.StreamMoved).Str("last", c.lastEvent).Int64("events", c.events).Send()
+	}
+	return true, Broken
+}
+
+// eventID returns the identity of an event, or nothing if it has none.
+func eventID(data []byte) string {
+	for line := range bytes.Lines(data) {
+		if value, ok := bytes.CutPrefix(line, idField); ok {
+			return string(bytes.TrimSpace(value))
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/entry/router.go
@@ -0,0 +1,292 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"citronslip/internal/board"
+	"citronslip/internal/dial"
+	"citronslip/internal/dispatch"
+	"citronslip/internal/event"
+	"citronslip/internal/metrics"
+	"citronslip/internal/routing"
+	"citronslip/internal/store"
+	"citronslip/pkg/inventory"
+)
+
+const (
+	// bodyShare is the part of the memory that request bodies may take.
+	bodyShare = 0.25
+	// settingsInterval is the time between two looks at the settings file.
+	settingsInterval = time.Second
+	// leaveTime is how long a stopping router still takes new connections, until the platform's balancer has noticed.
+	leaveTime = 2200 * time.Millisecond
+	// exitMargin is the time left before the kill for the last writes to the store.
+	exitMargin = 350 * time.Millisecond
+	// defaultGrace is the time from the stop signal to the kill if the settings do not say.
+	defaultGrace = 8 * time.Second
+)
+
+type (
+	// Router is one router on an entry host. Set the fields before Run.
+	Router struct {
+		Settings Settings
+		Reload   func() (Settings, error) // Reads the settings again.
+		Path     string                   // Settings file, watched for changes.
+
+		Store           store.Store
+		Backend         dispatch.Backend
+		DecodeDirectory func(data []byte) (*inventory.Directory, error)
+		DecodeServer    func(name string, data []byte) (dispatch.Server, error)
+		DirectoryKey    store.Key
+		ServerTable     string
+		// Callers returns the handler for callers, Readiness the one of the readiness check.
+		Callers   func(d *dispatch.Dispatcher, bodies *dispatch.Bodies) http.Handler
+		Readiness func(ready func() bool) http.Handler
+		Logger    *zerolog.Logger
+
+		scope      tally.Scope
+		directory  board.Cell[inventory.Directory]
+		pool       *dispatch.Pool
+		roster     *dispatch.Roster
+		dispatcher *dispatch.Dispatcher
+		stopping   atomic.Bool
+		wasReady   atomic.Bool
+	}
+)
+
+// Run serves until the context ends, and then until the requests in flight have ended or the grace period is over.
+func (r *Router) Run(ctx context.Context) error {
+	scope, scrape, closer := metrics.New()
+	defer func() { _ = closer.Close() }()
+	r.scope = scope
+	r.build()
+	event.RouterStarted.Log(r.Logger).Str("node", r.Settings.Node).Str("place", r.Settings.Place).
+		Str("address", r.Settings.Caller).Str("store", r.Settings.Store).Send()
+	// Controllers outlive the stop signal: a stopping router still learns what changes.
+	serving, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	group, serving := errgroup.WithContext(serving)
+	for _, run := range r.controllers(scrape) {
+		group.Go(func() error { return run(serving) })
+	}
+	group.Go(func() error {
+		defer cancel()
+		return r.serve(ctx, serving)
+	})
+	err := group.Wait()
+	event.StopFinished.Log(r.Logger).Err(err).Send()
+	return err
+}
+
+func (r *Router) build() {
+	r.pool = &dispatch.Pool{Picker: &routing.Picker{
+		Router:  r.Settings.Node,
+		Block:   1024,
+		Metrics: r.scope.SubScope("routing"),
+		Logger:  r.Logger,
+	}}
+	r.roster = &dispatch.Roster{Pool: r.pool, Decode: r.DecodeServer, Logger: r.Logger, Now: time.Now}
+	r.dispatcher = &dispatch.Dispatcher{
+		Directory: &r.directory,
+		Pool:      r.pool,
+		Backend:   r.Backend,
+		Repeats: &dispatch.Repeats{
+			Ratio:   r.Settings.RetryRatio,
+			Slack:   r.Settings.RetrySlack,
+			Window:  r.Settings.RetrySpan,
+			Routers: func() int { return 6 },
+			Now:     time.Now,
+		},
+		Logger:  r.Logger,
+		Metrics: r.scope,
+	}
+}
+
+// controllers returns what runs beside the requests.
+func (r *Router) controllers(scrape http.Handler) []func(context.Context) error {
+	directory := &store.Follower{
+		Store: r.Store, Table: r.DirectoryKey.Table, Part: r.DirectoryKey.Part, Apply: r.takeDirectory, Logger: r.Logger,
+	}
+	servers := &store.Follower{Store: r.Store, Table: r.ServerTable, Apply: r.roster.Apply, Logger: r.Logger}
+	list := []func(context.Context) error{
+		directory.Run,
+		servers.Run,
+		r.sweep,
+		r.watchSettings,
+		func(ctx context.Context) error {
+			return serveHTTP(ctx, r.Settings.Ready, &http.Server{Handler: r.Readiness(r.ready)})
+		},
+	}
+	if r.Settings.Metrics != "" {
+		list = append(list, func(ctx context.Context) error {
+			return serveHTTP(ctx, r.Settings.Metrics, &http.Server{Handler: scrape})
+		})
+	}
+	return list
+}
+
+// takeDirectory puts a configuration in force if it is newer.
+func (r *Router) takeDirectory(change store.Change) {
+	for _, row := range change.Rows {
+		if row.Key != r.DirectoryKey || row.Deleted {
+			continue
+		}
+		directory, err := r.DecodeDirectory(row.Value)
+		if err != nil {
+			event.DirectoryFault.Log(r.Logger).Int64("row", row.Version).Err(err).Send()
+			continue
+		}
+		r.putDirectory(directory, "store")
+	}
+}
+
+func (r *Router) putDirectory(next *inventory.Directory, source string) {
+	r.directory.Update(func(old *inventory.Directory) *inventory.Directory {
+		if old != nil && old.Version >= next.Version {
+			return nil
+		}
+		var before int64
+		if old != nil {
+			before = old.Version
+		}
+		event.DirectoryTaken.Log(r.Logger).Int64("version", next.Version).Int64("before", before).Str("source", source).
+			Int("routes", len(next.Routes)).Int("accounts", len(next.Accounts)).Send()
+		return next
+	})
+}
+
+// ready reports whether the router can serve and is not about to stop.
+func (r *Router) ready() bool {
+	ready := r.directory.Load() != nil && r.roster.Filled() && !r.stopping.Load()
+	if r.wasReady.Swap(ready) != ready {
+		event.ReadinessTurned.Log(r.Logger).Bool("ready", ready).Bool("stopping", r.stopping.Load()).Send()
+	}
+	return ready
+}
+
+func (r *Router) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(250 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			r.roster.Sweep()
+		}
+	}
+}
+
+// watchSettings reads the settings again after SIGHUP and when the file has changed.
+func (r *Router) watchSettings(ctx context.Context) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	last := modified(r.Path)
+	for {
+		cause := "signal"
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-signals:
+		case <-ticker.C:
+			if now := modified(r.Path); now.Equal(last) {
+				continue
+			}
+			cause = "file"
+		}
+		last = modified(r.Path)
+		settings, err := r.Reload()
+		if err != nil {
+			event.SettingsFault.Log(r.Logger).Str("cause", cause).Err(err).Send()
+			continue
+		}
+		event.SettingsRead.Log(r.Logger).Str("cause", cause).Str("node", settings.Node).Send()
+	}
+}
+
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+// serve answers callers. After the stop signal it takes connections until the balancer has noticed, and then waits for
+// the requests in flight.
+func (r *Router) serve(stop, ctx context.Context) error {
+	bodies := &dispatch.Bodies{Most: int64(bodyShare * float64(r.Settings.Memory)), Limit: r.bodyLimit}
+	handler := r.Callers(r.dispatcher, bodies)
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: 3 * time.Second,
+		IdleTimeout:       15 * time.Second,
+		MaxHeaderBytes:    16 << 10,
+	}
+	listener, err := dial.Listen(ctx, r.Settings.Caller)
+	if err != nil {
+		return err
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-stop.Done():
+	}
+	return r.stop(ctx, server)
+}
+
+func (r *Router) stop(ctx context.Context, server *http.Server) error {
+	begin := time.Now()
+	grace := r.Settings.Grace
+	if grace == 0 {
+		grace = defaultGrace
+	}
+	r.stopping.Store(true)
+	event.StopRequested.Log(r.Logger).Dur("grace", grace).Send()
+	server.SetKeepAlivesEnabled(false)
+	time.Sleep(leaveTime)
+	ctx, cancel := context.WithDeadline(ctx, begin.Add(grace-exitMargin))
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		event.StopTimeout.Log(r.Logger).Err(err).Send()
+		return server.Close()
+	}
+	return nil
+}
+
+func (r *Router) bodyLimit() int64 {
+	if d := r.directory.Load(); d != nil {
+		return d.Limits.BodyBytes
+	}
+	return 0
+}
+
+// serveHTTP serves one of the router's own addresses until the context ends.
+func serveHTTP(ctx context.Context, address string, server *http.Server) error {
+	server.ReadHeaderTimeout = 3 * time.Second
+	listener, err := dial.Listen(ctx, address)
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/settings.go
@@ -0,0 +1,27 @@
+// Package entry runs a router on an entry host whose platform gives it a store, settings and a list of backend servers.
+package entry
+
+import "time"
+
+type (
+	// Settings are what the platform tells a router.
+	Settings struct {
+		Node       string
+		Place      string
+		Caller     string // Address for callers.
+		Ready      string // Address of the readiness check.
+		Peer       string // Address for other routers.
+		Metrics    string // Address of the metrics; none if empty.
+		Seeds      []string
+		Store      string
+		Memory     int64   // Bytes that the process may use.
+		Processor  float64 // Part of a core.
+		Drain      time.Duration
+		Grace      time.Duration // From the stop signal to the kill.
+		Apply      time.Duration // Time in which a configuration has to be in force.
+		Settle     time.Duration
+		RetryRatio float64
+		RetrySlack float64
+		RetrySpan  time.Duration
+	}
+)
--- a/internal/event/caller.go
+++ b/internal/event/caller.go
@@ -12,4 +12,8 @@
 	StreamBroken     = register(105, zerolog.WarnLevel, "stream broke off and could not be resumed", "Check the backend server named.")
 	ReservedRemotely = register(106, zerolog.DebugLevel, "tokens reserved at another router", "None.")
 	StreamMoved      = register(107, zerolog.InfoLevel, "stream continues on another backend server", "Check the backend server named, which broke the stream off.")
+	AttemptRepeated  = register(108, zerolog.InfoLevel, "request sent to another backend server", "None. The field reason tells what the attempt before ended with.")
+	AttemptRefused   = register(109, zerolog.InfoLevel, "backend server did not run the attempt", "None unless it continues: then add backend servers.")
+	RequestMalformed = register(111, zerolog.WarnLevel, "request refused before it was routed", "None. The caller's request is not well-formed, or too large.")
+	AttemptLost      = register(110, zerolog.InfoLevel, "attempt without a usable answer", "Check the backend server named if it repeats.")
 )
--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -10,4 +10,5 @@
 	StopFinished   = register(903, zerolog.InfoLevel, "planned stop finished", "None.")
 	StopTimeout    = register(904, zerolog.WarnLevel, "planned stop reached its time limit with requests in flight", "Raise the setting grace if requests run longer than it.")
 	RecoveryFailed = register(905, zerolog.WarnLevel, "bills of a dead router not recovered yet", "Check the engines named in the error; the router tries again.")
+	LinesDropped   = register(906, zerolog.WarnLevel, "log lines dropped, the reader is too slow", "Read the log faster, or look for what floods it.")
 )
--- a/internal/router/metrics.go
+++ b/internal/metrics/metrics.go
@@ -1,7 +1,9 @@
-package router
+// Package metrics makes the root of a process's metrics.
+package metrics
 
 import (
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -10,22 +12,20 @@
 )
 
 const (
-	metricsInterval = time.Second
-	metricsPrefix   = "citronslip"
+	interval = time.Second
+	prefix   = "citronslip"
 )
 
-// buildMetrics makes the root scope and its scrape handler. Each router has a registry of its own, so that several may
-// run in one process.
-func (r *Router) buildMetrics() io.Closer {
+// New makes a root scope and its scrape handler. Each has a registry of its own, so that several routers may run in one
+// process.
+func New() (tally.Scope, http.Handler, io.Closer) {
 	reporter := tallyprometheus.NewReporter(tallyprometheus.Options{Registerer: prometheus.NewRegistry()})
 	options := tally.ScopeOptions{
-		Prefix:          metricsPrefix,
+		Prefix:          prefix,
 		CachedReporter:  reporter,
 		Separator:       tallyprometheus.DefaultSeparator,
 		SanitizeOptions: &tallyprometheus.DefaultSanitizerOpts,
 	}
-	scope, closer := tally.NewRootScope(options, metricsInterval)
-	r.scope = scope
-	r.metrics = reporter.HTTPHandler()
-	return closer
+	scope, closer := tally.NewRootScope(options, interval)
+	return scope, reporter.HTTPHandler(), closer
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -25,6 +25,7 @@
 	"citronslip/internal/event"
 	"citronslip/internal/explain"
 	"citronslip/internal/hosts"
+	"citronslip/internal/metrics"
 	"citronslip/internal/object"
 	"citronslip/internal/operator"
 	"citronslip/internal/peer"
@@ -235,7 +236,8 @@
 	if r.Settings.Name == "" {
 		r.Settings.Name = r.Settings.Listen
 	}
-	closer := r.buildMetrics()
+	scope, scrape, closer := metrics.New()
+	r.scope, r.metrics = scope, scrape
 	r.buildPlatform()
 	r.buildDecisions()
 	r.buildPeers()
--- /dev/null
+++ b/internal/store/follow.go
@@ -0,0 +1,124 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"citronslip/internal/delay"
+	"citronslip/internal/event"
+)
+
+const (
+	// feedWait is how long the store may hold a call until something changes. A connection that falls silent is noticed
+	// after this time and feedMargin.
+	feedWait = time.Second
+	// feedMargin is the time for the answer beyond the wait.
+	feedMargin = 800 * time.Millisecond
+	// listTime bounds a listing.
+	listTime = 2 * time.Second
+	// leastBackoff and mostBackoff bound the wait after a failed call.
+	leastBackoff = 50 * time.Millisecond
+	mostBackoff  = 400 * time.Millisecond
+)
+
+type (
+	// Follower keeps up with the rows of a table. Set the fields before Run.
+	Follower struct {
+		Store  Store
+		Table  string
+		Part   string
+		Apply  func(Change)
+		Logger *zerolog.Logger
+
+		seen atomic.Int64 // Time of the last answer in Unix nanoseconds of the monotonic base.
+		lost atomic.Int64 // Time of the last failure.
+		base time.Time
+	}
+
+	// Change is what a follower learned.
+	Change struct {
+		Whole   bool // Rows are all rows of the table, not those that changed.
+		Rows    []Row
+		Version int64
+		// Outage is the time since the last failed call, so that rows that went while the store was away can be told
+		// from those that were removed.
+		Outage time.Duration
+	}
+)
+
+// Run follows the table until the context ends.
+func (f *Follower) Run(ctx context.Context) error {
+	f.base = time.Now()
+	version := int64(-1)
+	wait := leastBackoff
+	down := false
+	for ctx.Err() == nil {
+		next, err := f.step(ctx, version)
+		if errors.Is(err, ErrHistory) {
+			event.StoreHistory.Log(f.Logger).Str("table", f.Table).Int64("version", version).Send()
+			version = -1
+			continue
+		}
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			f.lost.Store(int64(time.Since(f.base)))
+			if !down {
+				down = true
+				event.StoreLost.Log(f.Logger).Str("table", f.Table).Int64("version", version).Err(err).Send()
+			}
+			delay.For(ctx, wait)
+			wait = min(2*wait, mostBackoff)
+			continue
+		}
+		if down {
+			down = false
+			event.StoreRegained.Log(f.Logger).Str("table", f.Table).Int64("version", next).Send()
+		}
+		wait = leastBackoff
+		version = next
+	}
+	return nil
+}
+
+// step makes one call and returns the version up to which the table is known.
+func (f *Follower) step(ctx context.Context, version int64) (int64, error) {
+	if version < 0 {
+		ctx, cancel := context.WithTimeout(ctx, listTime)
+		defer cancel()
+		result, err := f.Store.List(ctx, f.Table, f.Part)
+		if err != nil {
+			return version, err
+		}
+		f.take(result, true)
+		return result.Version, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, feedWait+feedMargin)
+	defer cancel()
+	result, err := f.Store.Feed(ctx, f.Table, version, feedWait)
+	if err != nil {
+		return version, err
+	}
+	f.take(result, false)
+	return max(result.Version, version), nil
+}
+
+func (f *Follower) take(result Result, whole bool) {
+	f.seen.Store(int64(time.Since(f.base)))
+	if !whole && len(result.Rows) == 0 {
+		return
+	}
+	outage := time.Duration(1<<62 - 1)
+	if lost := f.lost.Load(); lost > 0 {
+		outage = time.Since(f.base) - time.Duration(lost)
+	}
+	f.Apply(Change{Whole: whole, Rows: result.Rows, Version: result.Version, Outage: outage})
+}
+
+// Age returns the time since the last answer of the store.
+func (f *Follower) Age() time.Duration { return time.Since(f.base) - time.Duration(f.seen.Load()) }
--- a/pkg/inventory/inventory.go
+++ b/pkg/inventory/inventory.go
@@ -100,6 +100,7 @@
 		Weight   int      `toml:"weight" json:"weight,omitempty"` // Fair share, 1 if unset.
 		Priority int      `toml:"priority" json:"priority,omitempty"`
 		Weigh    Weigh    `toml:"weigh" json:"weigh,omitempty"`
+		Rank     *int     `toml:"-" json:"-"` // Goes before the priority of a route; 0 is the most urgent.
 	}
 
 	// Budget is a prepaid amount of tokens of one account.
