Keep prepaid budgets by grants in the store, and relay rows between routers

Each router now holds a grant of each account; what it opens is written ahead, the rest of the grant is spent only after 3 s without the store, and routers lend to each other.

--- a/internal/dispatch/roster.go
+++ b/internal/dispatch/roster.go
@@ -52,7 +52,9 @@
 	for _, row := range change.Rows {
 		listed[row.Name] = true
 		if row.Deleted {
-			r.remove(row.Name, change.Outage)
+			if e := r.entries[row.Name]; e == nil || e.version < row.Version {
+				r.remove(row.Name, change.Outage)
+			}
 			continue
 		}
 		r.put(row)
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -5,10 +5,12 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
@@ -18,6 +20,8 @@
 	"citronslip/internal/dispatch"
 	"citronslip/internal/event"
 	"citronslip/internal/metrics"
+	"citronslip/internal/peer"
+	"citronslip/internal/prepaid"
 	"citronslip/internal/routing"
 	"citronslip/internal/store"
 	"citronslip/pkg/inventory"
@@ -59,6 +63,10 @@
 		pool       *dispatch.Pool
 		roster     *dispatch.Roster
 		dispatcher *dispatch.Dispatcher
+		ledger     *prepaid.Ledger
+		relay      relay
+		peers      *peer.Client
+		started    time.Time
 		stopping   atomic.Bool
 		wasReady   atomic.Bool
 	}
@@ -69,6 +77,7 @@
 	scope, scrape, closer := metrics.New()
 	defer func() { _ = closer.Close() }()
 	r.scope = scope
+	r.started = time.Now()
 	r.build()
 	event.RouterStarted.Log(r.Logger).Str("node", r.Settings.Node).Str("place", r.Settings.Place).
 		Str("address", r.Settings.Caller).Str("store", r.Settings.Store).Send()
@@ -96,15 +105,29 @@
 		Logger:  r.Logger,
 	}}
 	r.roster = &dispatch.Roster{Pool: r.pool, Decode: r.DecodeServer, Logger: r.Logger, Now: time.Now}
+	r.peers = &peer.Client{Dial: dialPeer, Logger: r.Logger, Timeout: peerTimeout}
+	r.ledger = &prepaid.Ledger{
+		Node:      r.Settings.Node,
+		Instance:  r.Settings.Node + "/" + uuid.NewString(),
+		Address:   r.Settings.Peer,
+		Seeds:     slices.DeleteFunc(slices.Clone(r.Settings.Seeds), func(s string) bool { return s == r.Settings.Peer }),
+		Store:     r.Store,
+		Peers:     &lenders{r.peers},
+		Started:   r.started,
+		Now:       time.Now,
+		Logger:    r.Logger,
+		Directory: r.directory.Load,
+	}
 	r.dispatcher = &dispatch.Dispatcher{
 		Directory: &r.directory,
 		Pool:      r.pool,
 		Backend:   r.Backend,
+		Budgets:   r.ledger,
 		Repeats: &dispatch.Repeats{
 			Ratio:   r.Settings.RetryRatio,
 			Slack:   r.Settings.RetrySlack,
 			Window:  r.Settings.RetrySpan,
-			Routers: func() int { return 6 },
+			Routers: r.ledger.Routers,
 			Now:     time.Now,
 		},
 		Logger:  r.Logger,
@@ -117,10 +140,15 @@
 	directory := &store.Follower{
 		Store: r.Store, Table: r.DirectoryKey.Table, Part: r.DirectoryKey.Part, Apply: r.takeDirectory, Logger: r.Logger,
 	}
-	servers := &store.Follower{Store: r.Store, Table: r.ServerTable, Apply: r.roster.Apply, Logger: r.Logger}
+	servers := &store.Follower{Store: r.Store, Table: r.ServerTable, Apply: r.takeServers, Logger: r.Logger}
+	r.relay.age = servers.Age
 	list := []func(context.Context) error{
 		directory.Run,
 		servers.Run,
+		r.ledger.Run,
+		r.peers.Run,
+		r.fetch,
+		r.servePeers,
 		r.sweep,
 		r.watchSettings,
 		func(ctx context.Context) error {
@@ -146,10 +174,17 @@
 			event.DirectoryFault.Log(r.Logger).Int64("row", row.Version).Err(err).Send()
 			continue
 		}
-		r.putDirectory(directory, "store")
+		r.relay.putDirectory(row)
+		r.putDirectory(directory, change.Source)
 	}
 }
 
+// takeServers takes changed entries of backend servers.
+func (r *Router) takeServers(change store.Change) {
+	r.relay.putServers(change)
+	r.roster.Apply(change)
+}
+
 func (r *Router) putDirectory(next *inventory.Directory, source string) {
 	r.directory.Update(func(old *inventory.Directory) *inventory.Directory {
 		if old != nil && old.Version >= next.Version {
@@ -245,6 +280,8 @@
 	select {
 	case err := <-failed:
 		return err
+	case <-ctx.Done():
+		return server.Close() // A controller failed.
 	case <-stop.Done():
 	}
 	return r.stop(ctx, server)
@@ -264,7 +301,14 @@
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
 		event.StopTimeout.Log(r.Logger).Err(err).Send()
-		return server.Close()
+		if err := server.Close(); err != nil {
+			return err
+		}
+	}
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), exitMargin)
+	defer cancel()
+	if err := r.ledger.Close(last); err != nil {
+		event.GrantsLate.Log(r.Logger).Err(err).Send()
 	}
 	return nil
 }
--- a/internal/event/store.go
+++ b/internal/event/store.go
@@ -14,4 +14,5 @@
 	SettingsRead    = register(757, zerolog.InfoLevel, "settings read", "None.")
 	SettingsFault   = register(758, zerolog.ErrorLevel, "settings unreadable, those before stay in force", "Correct the settings file.")
 	ReadinessTurned = register(759, zerolog.InfoLevel, "readiness changed", "None.")
+	RelayFailed     = register(760, zerolog.InfoLevel, "another router did not tell what it has of the store", "Check the router named if it repeats.")
 )
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -134,6 +134,11 @@
 	return call[wire.QuarantineAnswer](ctx, c, address, MethodDone, params)
 }
 
+// Relay asks for rows of the store.
+func (c *Client) Relay(ctx context.Context, address string, params wire.RelayQuery) (wire.RelayAnswer, error) {
+	return call[wire.RelayAnswer](ctx, c, address, MethodRelay, params)
+}
+
 // call makes one call. Its errors wrap ErrNotSent, ErrUnknown or a *Refusal.
 func call[R any](ctx context.Context, c *Client, address, method string, params any) (R, error) {
 	var result R
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -39,6 +39,8 @@
 	MethodFree = "quarantine.reserve"
 	// MethodDone tells the home router that a copy of a request ended.
 	MethodDone = "quarantine.done"
+	// MethodRelay asks for rows of the store that the sender cannot reach.
+	MethodRelay = "store.relay"
 
 	// CodeBusy refuses a call because too many are running. The handler was not called.
 	CodeBusy = -32001
@@ -86,6 +88,7 @@
 		Report  Handler[wire.QuarantineReport, wire.QuarantineAnswer]
 		Free    Handler[wire.QuarantineReserve, wire.QuarantineGrant]
 		Done    Handler[wire.QuarantineDone, wire.QuarantineAnswer]
+		Relay   Handler[wire.RelayQuery, wire.RelayAnswer]
 	}
 
 	// Traffic counts the bytes on all connections that share it, TLS included.
@@ -153,6 +156,8 @@
 		return answer(ctx, m.Free, params)
 	case MethodDone:
 		return answer(ctx, m.Done, params)
+	case MethodRelay:
+		return answer(ctx, m.Relay, params)
 	default:
 		return nil, &Refusal{Code: jsonrpc2.CodeMethodNotFound, Text: "no such method"}
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -31,6 +31,8 @@
 		Listener net.Listener
 		// TLS is required outside loopback.
 		TLS *TLS
+		// Plain allows connections without TLS outside loopback, where the network itself keeps others out.
+		Plain bool
 		// Methods are the handlers.
 		Methods *Methods
 		// Client, if set, reuses accepted connections for its own calls.
@@ -133,7 +135,7 @@
 	if s.Listener != nil {
 		address = s.Listener.Addr().String()
 	}
-	if s.TLS == nil && !loopback(address) {
+	if s.TLS == nil && !s.Plain && !loopback(address) {
 		return nil, trace.Wrap(ErrInsecure, "address %s", address)
 	}
 	if s.Listener != nil {
--- /dev/null
+++ b/internal/prepaid/alive.go
@@ -0,0 +1,314 @@
+package prepaid
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"citronslip/internal/delay"
+	"citronslip/internal/event"
+	"citronslip/internal/store"
+	"citronslip/internal/wire"
+)
+
+const (
+	// heartbeat is the time between two writes of the row that shows this router alive.
+	heartbeat = 500 * time.Millisecond
+	// memberInterval is the time between two readings of the other routers' rows.
+	memberInterval = 2 * time.Second
+	// memberLife is the age of a row's last change at which its router no longer counts.
+	memberLife = 8 * time.Second
+)
+
+type (
+	// contact is what is known of the connection to the store.
+	contact struct {
+		heard   time.Time     // When the newest answer came.
+		clock   time.Duration // Store's clock in it.
+		started time.Duration // Store's clock at the start of this process, at the latest.
+		proof   time.Duration // Store's clock up to which nothing beyond the opened parts was spent.
+		before  wire.PrepaidAlive
+		ready   bool // Whether the row of the process before this one was read.
+	}
+
+	// members are the routers that the store shows alive.
+	members struct {
+		rows  map[string]member
+		whole bool
+	}
+
+	member struct {
+		wire.PrepaidAlive
+		version int64
+		changed time.Time
+	}
+)
+
+// answered notes an answer of the store. The caller holds the lock.
+func (c *contact) answered(sent, now time.Time, clock time.Duration, started time.Time) {
+	if c.heard.IsZero() {
+		// The store read its clock after the call was sent, so that this is no earlier than the real start.
+		c.started = clock - sent.Sub(started)
+	}
+	c.heard = now
+	c.clock = max(c.clock, clock)
+}
+
+// age returns the time since the last answer.
+func (c *contact) age(now time.Time) time.Duration {
+	if c.heard.IsZero() {
+		return AutonomyDelay
+	}
+	return now.Sub(c.heard)
+}
+
+// autonomous reports whether this router may spend its whole grants.
+func (c *contact) autonomous(now time.Time) bool {
+	return !c.heard.IsZero() && now.Sub(c.heard) >= AutonomyDelay
+}
+
+// openedOnly reports whether the process before this one certainly died before it could have become autonomous. Its row
+// holds a clock value that it had received, and it becomes autonomous AutonomyDelay after its last one.
+func (c *contact) openedOnly(holder string) bool {
+	if c.before.Holder == "" || c.before.Holder != holder {
+		return false
+	}
+	return c.started < time.Duration(c.before.Clock)*time.Millisecond+AutonomyDelay
+}
+
+// count returns the number of routers, at least one.
+func (m *members) count() int { return max(len(m.rows), 1) }
+
+// Run keeps the grants until the context ends.
+func (l *Ledger) Run(ctx context.Context) error {
+	l.await(ctx)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { l.every(ctx, heartbeat, l.beat); return nil })
+	group.Go(func() error { l.every(ctx, memberInterval, l.readMembers); return nil })
+	group.Go(func() error { l.every(ctx, stepInterval, l.step); return nil })
+	sums := &store.Follower{Store: l.Store, Table: sumTable, Apply: l.takeSums, Pause: stepInterval, Logger: l.Logger}
+	group.Go(func() error { return sums.Run(ctx) })
+	return group.Wait()
+}
+
+// await reads the members until that succeeds. Before that no grant is taken, because the row of the process before
+// this one is the evidence of what it can have spent.
+func (l *Ledger) await(ctx context.Context) {
+	for ctx.Err() == nil {
+		l.readMembers(ctx)
+		l.mu.Lock()
+		if l.members.whole {
+			l.contact.before = l.members.rows[l.Node].PrepaidAlive
+			l.contact.ready = true
+		}
+		ready := l.contact.ready
+		l.mu.Unlock()
+		if ready {
+			return
+		}
+		delay.For(ctx, 100*time.Millisecond)
+	}
+}
+
+func (l *Ledger) every(ctx context.Context, interval time.Duration, do func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		do(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// beat writes the row of this router.
+func (l *Ledger) beat(ctx context.Context) {
+	l.mu.Lock()
+	if l.covered() {
+		l.contact.proof = l.contact.clock
+	}
+	row := wire.PrepaidAlive{Holder: l.Instance, Address: l.Address, Clock: int(l.contact.proof.Milliseconds())}
+	l.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, writeTime)
+	defer cancel()
+	sent := l.Now()
+	result, err := l.Store.Write(ctx, store.Write{Puts: []store.Put{{Key: aliveKey(l.Node), Value: encode(row)}}})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.note(false)
+		return
+	}
+	l.contact.answered(sent, l.Now(), result.Clock, l.Started)
+	l.note(true)
+}
+
+// covered reports whether no account has spent more than it has opened, as it may have while the store was away.
+func (l *Ledger) covered() bool {
+	for _, a := range l.accounts {
+		if a.own.Holder == l.Instance && a.used() > int64(a.own.Opened) {
+			return false
+		}
+	}
+	return true
+}
+
+// note logs when this router becomes autonomous and when it no longer is.
+func (l *Ledger) note(answered bool) {
+	autonomous := !answered && l.contact.autonomous(l.Now())
+	if autonomous == l.autonomous {
+		return
+	}
+	l.autonomous = autonomous
+	e := event.AutonomyEnded
+	if autonomous {
+		e = event.AutonomyStarted
+	}
+	e.Log(l.Logger).Dur("age", l.contact.age(l.Now())).Send()
+}
+
+// readMembers reads the rows of all routers.
+func (l *Ledger) readMembers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, writeTime)
+	defer cancel()
+	sent := l.Now()
+	result, err := l.Store.List(ctx, aliveTable, "")
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		return // The heartbeat logs a store that is away.
+	}
+	now := l.Now()
+	l.contact.answered(sent, now, result.Clock, l.Started)
+	rows := make(map[string]member)
+	for _, row := range result.Rows {
+		m := member{version: row.Version, changed: now}
+		if err := decode(row, &m.PrepaidAlive); err != nil {
+			event.PrepaidRow.Log(l.Logger).Err(err).Send()
+			continue
+		}
+		if old, ok := l.members.rows[row.Name]; ok && old.version == row.Version {
+			m.changed = old.changed
+		}
+		if m.Address != "" && now.Sub(m.changed) < memberLife {
+			rows[row.Name] = m
+		}
+	}
+	if len(rows) != len(l.members.rows) {
+		event.MembersRead.Log(l.Logger).Int("before", len(l.members.rows)).Int("routers", len(rows)).Send()
+	}
+	l.members.rows = rows
+	l.members.whole = true
+}
+
+// step looks at the grants of all accounts, so that what a dead process of this router left is free soon.
+func (l *Ledger) step(context.Context) {
+	l.expire()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.contact.age(l.Now()) > AutonomyDelay {
+		return // No write would succeed; each request tries on its own.
+	}
+	if d := l.Directory(); d != nil {
+		for _, b := range d.Budgets {
+			l.declare(l.account(b.Account), b.Tokens)
+		}
+	}
+	for _, a := range l.accounts {
+		l.kick(a)
+	}
+}
+
+// takeSums takes over the accounts' rows that other routers have written.
+func (l *Ledger) takeSums(change store.Change) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, row := range change.Rows {
+		a := l.accounts[row.Part]
+		if a == nil || !a.loaded || row.Deleted || row.Version <= a.sum.version {
+			continue
+		}
+		next := sumState{version: row.Version}
+		if err := decode(row, &next.PrepaidSum); err != nil {
+			event.PrepaidRow.Log(l.Logger).Str("account", row.Part).Err(err).Send()
+			continue
+		}
+		a.sum = next
+	}
+}
+
+// Routers returns the number of routers that the store shows alive.
+func (l *Ledger) Routers() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.members.count()
+}
+
+// Addresses returns the addresses of the other routers.
+func (l *Ledger) Addresses() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.addresses()
+}
+
+func (l *Ledger) addresses() []string {
+	var result []string
+	for node, m := range l.members.rows {
+		if node != l.Node {
+			result = append(result, m.Address)
+		}
+	}
+	if !l.members.whole {
+		return slices.Clone(l.Seeds)
+	}
+	return result
+}
+
+// Close gives the unspent parts of all grants back. It is called after the last request has ended.
+func (l *Ledger) Close(ctx context.Context) error {
+	l.mu.Lock()
+	l.stopped = true
+	accounts := make([]*account, 0, len(l.accounts))
+	for _, a := range l.accounts {
+		accounts = append(accounts, a)
+	}
+	l.mu.Unlock()
+	group, ctx := errgroup.WithContext(ctx)
+	for _, a := range accounts {
+		group.Go(func() error { return l.closeGrant(ctx, a) })
+	}
+	return group.Wait()
+}
+
+// closeGrant ends one grant. Requests that still run are charged at what they may consume.
+func (l *Ledger) closeGrant(ctx context.Context, a *account) error {
+	for {
+		l.mu.Lock()
+		if !a.loaded || a.own.Holder != l.Instance || a.own.version == 0 {
+			l.mu.Unlock()
+			return nil
+		}
+		next := planned{sum: a.sum}
+		next.sum.Granted -= a.own.Amount
+		next.sum.Closed += int(min(a.used(), int64(a.own.Amount)))
+		own, sum := grantKey(a.name, l.Node), sumKey(a.name)
+		w := store.Write{
+			Expect: []store.Expect{{Key: own, Version: a.own.version}, {Key: sum, Version: a.sum.version}},
+			Puts:   []store.Put{{Key: sum, Value: encode(next.sum.PrepaidSum)}},
+			Remove: []store.Key{own},
+		}
+		a.cap = a.used()
+		l.mu.Unlock()
+		err := l.commit(a, w, next)
+		if err == nil {
+			return nil
+		}
+		if !delay.For(ctx, writeBackoff) {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/prepaid/borrow.go
@@ -0,0 +1,156 @@
+package prepaid
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"citronslip/internal/event"
+	"citronslip/pkg/inventory"
+)
+
+const (
+	// borrowTime bounds one question to another router.
+	borrowTime = 300 * time.Millisecond
+	// settleTime bounds the report of what a request consumed, with repeats.
+	settleTime = 5 * time.Second
+	// remoteLife is how long tokens stay reserved for another router. Those of a router that does not report in time are
+	// counted as consumed.
+	remoteLife = 60 * time.Second
+	// exactLife is how long a router knows that nothing is free.
+	exactLife = 300 * time.Millisecond
+	// mostRemote bounds the reservations of other routers.
+	mostRemote = 4096
+)
+
+type (
+	// Peers asks other routers for tokens.
+	Peers interface {
+		// Reserve returns whether the router reserved the tokens under the name.
+		Reserve(ctx context.Context, address, name, account string, tokens int64) (bool, error)
+		// Settle replaces the reservation by what was used.
+		Settle(ctx context.Context, address, name, account string, used int64) error
+	}
+
+	// loan is a reservation at another router.
+	loan struct {
+		ledger  *Ledger
+		address string
+		name    string
+		account string
+	}
+
+	// remoteHolds are the reservations that this router made for others.
+	remoteHolds struct {
+		holds map[string]*remoteHold
+		count int
+	}
+
+	remoteHold struct {
+		hold *hold
+		made time.Time
+	}
+)
+
+// borrow reserves at another router.
+func (l *Ledger) borrow(ctx context.Context, account string, tokens inventory.Tokens) *loan {
+	if l.Peers == nil {
+		return nil
+	}
+	l.mu.Lock()
+	addresses := l.addresses()
+	l.remote.count++
+	name := fmt.Sprintf("%s/%d", l.Instance, l.remote.count)
+	l.mu.Unlock()
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	for _, address := range addresses[:min(len(addresses), peerTries)] {
+		h := &loan{l, address, name, account}
+		attempt, cancel := context.WithTimeout(ctx, borrowTime)
+		ok, err := l.Peers.Reserve(attempt, address, name, account, int64(tokens))
+		cancel()
+		if ok {
+			event.PrepaidBorrowed.Log(l.Logger).Str("account", account).Str("peer", address).Int64("tokens", int64(tokens)).Send()
+			return h
+		}
+		if err != nil {
+			event.PrepaidUnlent.Log(l.Logger).Str("account", account).Str("peer", address).Err(err).Send()
+			h.Settle(0) // The tokens may be reserved there.
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+// Settle reports what was used. A report that does not arrive leaves the reservation counted as consumed.
+func (h *loan) Settle(used inventory.Tokens) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), settleTime)
+		defer cancel()
+		if err := h.ledger.Peers.Settle(ctx, h.address, h.name, h.account, int64(used)); err != nil {
+			event.PrepaidUnsettled.Log(h.ledger.Logger).Str("account", h.account).Str("peer", h.address).
+				Int64("used", int64(used)).Err(err).Send()
+		}
+	}()
+}
+
+// Lend reserves tokens for another router, out of the own grant or the store.
+func (l *Ledger) Lend(ctx context.Context, name, account string, tokens int64) bool {
+	d := l.Directory()
+	if d == nil {
+		return false
+	}
+	total, ok := d.Budget(account)
+	if !ok {
+		return false
+	}
+	l.mu.Lock()
+	a := l.account(account)
+	short := a.used()+tokens > int64(a.own.Amount)
+	if l.remote.holds[name] != nil || len(l.remote.holds) >= mostRemote || short && l.Now().Sub(a.exact) < exactLife {
+		l.mu.Unlock()
+		return false
+	}
+	l.mu.Unlock()
+	h, _ := l.reserve(ctx, account, total, inventory.Tokens(tokens))
+	if h == nil {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.remote.holds == nil {
+		l.remote.holds = make(map[string]*remoteHold)
+	}
+	l.remote.holds[name] = &remoteHold{hold: h, made: l.Now()}
+	return true
+}
+
+// Repay ends a reservation of another router. A name that is not known is no error: the report is repeated.
+func (l *Ledger) Repay(name string, used int64) {
+	l.mu.Lock()
+	r := l.remote.holds[name]
+	delete(l.remote.holds, name)
+	l.mu.Unlock()
+	if r != nil {
+		r.hold.Settle(inventory.Tokens(min(max(used, 0), r.hold.tokens)))
+	}
+}
+
+// expire counts the reservations of routers that have not reported in time as consumed.
+func (l *Ledger) expire() {
+	l.mu.Lock()
+	var late []*remoteHold
+	for name, r := range l.remote.holds {
+		if l.Now().Sub(r.made) > remoteLife {
+			late = append(late, r)
+			delete(l.remote.holds, name)
+			event.RemoteCharged.Log(l.Logger).Str("name", name).Int64("tokens", r.hold.tokens).Send()
+		}
+	}
+	l.mu.Unlock()
+	for _, r := range late {
+		r.hold.Settle(inventory.Tokens(r.hold.tokens))
+	}
+}
--- /dev/null
+++ b/internal/prepaid/ledger.go
@@ -0,0 +1,235 @@
+package prepaid
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"citronslip/internal/dispatch"
+	"citronslip/internal/event"
+	"citronslip/internal/store"
+	"citronslip/pkg/inventory"
+)
+
+const (
+	// peerTries is the number of other routers that are asked for one request.
+	peerTries = 6
+	// storeWait is how long a request waits for the store before other routers are asked.
+	storeWait = 250 * time.Millisecond
+	// awayAge is the age of the store's last answer at which it is taken to be away.
+	awayAge = 1200 * time.Millisecond
+)
+
+type (
+	// Ledger is a router's view of all budgets. Set the fields before Run.
+	Ledger struct {
+		Node     string
+		Instance string
+		Address  string   // Address for other routers, told in the row of this router.
+		Seeds    []string // Addresses of other routers until the store has told them.
+		Store    store.Store
+		Peers    Peers
+		Started  time.Time
+		Now      func() time.Time
+		Logger   *zerolog.Logger
+		// Directory returns the configuration version in force.
+		Directory func() *inventory.Directory
+
+		mu       sync.Mutex
+		accounts map[string]*account
+		contact  contact
+		members  members
+		remote   remoteHolds
+
+		autonomous bool // As last logged.
+		stopped    bool
+	}
+
+	// account is this router's part of one budget.
+	account struct {
+		name    string
+		total   inventory.Tokens
+		version int64 // Configuration version of the total.
+		sum     sumState
+		own     grantState
+		loaded  bool  // Whether the rows were read.
+		spent   int64 // Settled by this instance.
+		held    int64 // Reserved by requests in progress.
+		cap     int64 // Lowered limit while a smaller grant is being written; -1 if there is none.
+		meter   meter
+		waiting []*waiter
+		writing bool
+		read    time.Time // When the account's row was last read or written.
+		exact   time.Time // When the store last said that nothing is free.
+		checked time.Time // When the size was last looked at.
+	}
+
+	// waiter is a request that waits for the store.
+	waiter struct {
+		tokens int64
+		done   chan bool // True if the tokens were reserved, false if the budget does not cover them.
+	}
+
+	// hold is a reservation in this router's own grant.
+	hold struct {
+		ledger  *Ledger
+		account *account
+		tokens  int64
+	}
+)
+
+// Reserve reserves tokens in the own grant, at the store or at another router.
+func (l *Ledger) Reserve(ctx context.Context, name string, total, tokens inventory.Tokens) (dispatch.Hold, dispatch.Reason) {
+	own, exhausted := l.reserve(ctx, name, total, tokens)
+	if own != nil {
+		return own, ""
+	}
+	if other := l.borrow(ctx, name, tokens); other != nil {
+		return other, ""
+	}
+	if exhausted {
+		event.PrepaidShort.Log(l.Logger).Str("account", name).Int64("tokens", int64(tokens)).Int64("total", int64(total)).Send()
+		return nil, dispatch.NoBudget
+	}
+	return nil, dispatch.BudgetUnknown
+}
+
+// reserve reserves tokens in the own grant or at the store. Without a hold it returns whether the store says that
+// nothing is free.
+func (l *Ledger) reserve(ctx context.Context, name string, total, tokens inventory.Tokens) (h *hold, exhausted bool) {
+	n := int64(tokens)
+	l.mu.Lock()
+	a := l.account(name)
+	l.declare(a, total)
+	a.meter.add(float64(n), l.Now())
+	if a.used()+n <= l.limit(a) {
+		a.held += n
+		l.mu.Unlock()
+		return &hold{l, a, n}, false
+	}
+	w := &waiter{tokens: n, done: make(chan bool, 1)}
+	a.waiting = append(a.waiting, w)
+	l.kick(a)
+	patience := storeWait
+	if l.contact.age(l.Now()) > awayAge {
+		patience = 0 // The store is away; other routers may help.
+	}
+	l.mu.Unlock()
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case ok := <-w.done:
+		if ok {
+			return &hold{l, a, n}, false
+		}
+		a.meterBack(l, n)
+		return nil, true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	ok, waiting := l.abandon(a, w)
+	if ok {
+		return &hold{l, a, n}, false
+	}
+	a.meterBack(l, n)
+	return nil, !waiting
+}
+
+// meterBack takes a request that was not granted out of the demand.
+func (a *account) meterBack(l *Ledger, tokens int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a.meter.add(-float64(tokens), l.Now())
+}
+
+// Settle replaces the reservation by what was used.
+func (h *hold) Settle(used inventory.Tokens) {
+	h.ledger.mu.Lock()
+	defer h.ledger.mu.Unlock()
+	h.account.held -= h.tokens
+	h.account.spent += int64(used)
+	h.account.meter.add(float64(int64(used)-h.tokens), h.ledger.Now())
+}
+
+// abandon takes a waiting request out. It returns whether the request was granted in the meantime, and whether it still
+// waited.
+func (l *Ledger) abandon(a *account, w *waiter) (ok, waiting bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, other := range a.waiting {
+		if other == w {
+			a.waiting = append(a.waiting[:i], a.waiting[i+1:]...)
+			return false, true
+		}
+	}
+	return <-w.done, false
+}
+
+func (l *Ledger) account(name string) *account {
+	if l.accounts == nil {
+		l.accounts = make(map[string]*account)
+	}
+	a := l.accounts[name]
+	if a == nil {
+		a = &account{name: name, cap: -1}
+		l.accounts[name] = a
+	}
+	return a
+}
+
+// declare takes the total of the configuration in force over.
+func (l *Ledger) declare(a *account, total inventory.Tokens) {
+	if d := l.Directory(); d != nil && d.Version > a.version {
+		a.version = d.Version
+		a.total = total
+	}
+}
+
+func (a *account) used() int64 { return a.spent + a.held }
+
+// limit returns what this router may have spent and reserved now: what it has opened, or its whole grant once it is cut
+// off from the store for so long that another router will not take its grant for unused.
+func (l *Ledger) limit(a *account) int64 {
+	if a.own.Holder != l.Instance {
+		return 0
+	}
+	limit := int64(a.own.Opened)
+	if l.contact.autonomous(l.Now()) && !l.stopped {
+		limit = int64(a.own.Amount)
+	}
+	if a.cap >= 0 {
+		limit = min(limit, a.cap)
+	}
+	return limit
+}
+
+// grant reserves for the waiting requests what fits, in the order of their arrival.
+func (l *Ledger) grant(a *account) {
+	limit := l.limit(a)
+	for len(a.waiting) > 0 && a.used()+a.waiting[0].tokens <= limit {
+		a.held += a.waiting[0].tokens
+		a.waiting[0].done <- true
+		a.waiting = a.waiting[1:]
+	}
+}
+
+// refuse tells the waiting requests that the budget does not cover them. Smaller ones behind them may fit.
+func (l *Ledger) refuse(a *account) {
+	limit := l.limit(a)
+	var kept []*waiter
+	for _, w := range a.waiting {
+		if a.used()+w.tokens <= limit {
+			a.held += w.tokens
+			w.done <- true
+			continue
+		}
+		if a.used()+w.tokens <= limit+a.sum.free() {
+			kept = append(kept, w)
+			continue
+		}
+		w.done <- false
+	}
+	a.waiting = kept
+}
--- /dev/null
+++ b/internal/prepaid/size.go
@@ -0,0 +1,77 @@
+package prepaid
+
+import "time"
+
+const (
+	// reserveTime is the demand that a grant covers while the store is away.
+	reserveTime = 12 * time.Second
+	// openShare and reserveShare bound what a router has opened and reserved, as parts of what is left. Shares are not
+	// equal: the balancer may send most of an account's requests to one router.
+	openShare    = 0.15
+	reserveShare = 0.45
+	// firstShare is the part of what is left that a router reserves before it knows its demand, divided by the routers.
+	firstShare = 0.1
+	// scarceShare is the part of the total below which nothing is reserved, so that the rest can be used to the end.
+	scarceShare = 0.06
+	// leastOpened is the smallest amount that is worth opening ahead, in tokens.
+	leastOpened = 3000
+	// demandTime is the time over which demand is averaged.
+	demandTime = 5 * time.Second
+)
+
+type (
+	// Need is what the size of a grant depends on.
+	Need struct {
+		Demand  float64 // Tokens a second that this router spends.
+		Rest    int64   // Tokens of the budget that nobody has spent or reserved, own grant included.
+		Total   int64
+		Routers int
+	}
+
+	// Size is how far a grant goes beyond what is spent and reserved.
+	Size struct {
+		Open    int64 // Opened ahead of demand. What a killed router has opened counts as spent.
+		Reserve int64 // Granted beyond that, for the time in which the store is away.
+	}
+
+	// meter averages a rate.
+	meter struct {
+		rate float64 // Tokens a second.
+		last time.Time
+	}
+)
+
+// Size returns the size of a grant. Ample budgets go on for reserveTime without the store. As a budget runs out, grants
+// shrink until each request is written on its own and nothing is left in a router that does not need it.
+func (n Need) Size() Size {
+	if float64(n.Rest) < scarceShare*float64(n.Total) {
+		return Size{}
+	}
+	rest := float64(n.Rest)
+	open := min(n.Demand*AutonomyDelay.Seconds(), openShare*rest)
+	if open < leastOpened {
+		open = 0
+	}
+	first := firstShare * rest / float64(max(n.Routers, 1))
+	reserve := min(max(n.Demand*reserveTime.Seconds(), first), reserveShare*rest)
+	return Size{Open: int64(open), Reserve: int64(reserve)}
+}
+
+// add counts tokens at a time.
+func (m *meter) add(tokens float64, now time.Time) {
+	m.decay(now)
+	m.rate += tokens / demandTime.Seconds()
+}
+
+// at returns the rate at a time.
+func (m *meter) at(now time.Time) float64 {
+	m.decay(now)
+	return max(m.rate, 0)
+}
+
+func (m *meter) decay(now time.Time) {
+	if passed := now.Sub(m.last); passed > 0 && !m.last.IsZero() {
+		m.rate *= float64(demandTime) / float64(demandTime+passed)
+	}
+	m.last = now
+}
--- /dev/null
+++ b/internal/prepaid/write.go
@@ -0,0 +1,281 @@
+package prepaid
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"citronslip/internal/delay"
+	"citronslip/internal/event"
+	"citronslip/internal/store"
+)
+
+const (
+	// writeTime bounds one write to the store.
+	writeTime = 700 * time.Millisecond
+	// writeBackoff and writeLongest bound the wait after a failed write.
+	writeBackoff = 30 * time.Millisecond
+	writeLongest = 300 * time.Millisecond
+	// stepInterval is the time between two looks at all grants.
+	stepInterval = 500 * time.Millisecond
+	// resizeInterval is the time between two looks at the size of one grant.
+	resizeInterval = time.Second
+	// growPart and shrinkFactor are the parts of its size at which a grant is written anew.
+	growPart     = 0.6
+	shrinkFactor = 1.7
+	// freshRow is the age of an account's row at which it is read again before a request is refused.
+	freshRow = 150 * time.Millisecond
+	// neverVersion is a version that no row has.
+	neverVersion = int64(1) << 60
+	// shrinkLeast is the smallest surplus that is given back, in tokens.
+	shrinkLeast = 4000
+)
+
+// kick starts the writer of an account unless it runs. The caller holds the lock.
+func (l *Ledger) kick(a *account) {
+	if a.writing || !l.contact.ready {
+		return
+	}
+	a.writing = true
+	go l.write(a)
+}
+
+// write writes an account's rows until nothing is due.
+func (l *Ledger) write(a *account) {
+	wait := writeBackoff
+	for {
+		l.mu.Lock()
+		l.grant(a)
+		w, next, ok := l.plan(a)
+		if !ok {
+			a.writing = false
+			l.mu.Unlock()
+			return
+		}
+		l.mu.Unlock()
+		if err := l.commit(a, w, next); err == nil || errors.Is(err, store.ErrConflict) {
+			wait = writeBackoff
+			continue
+		}
+		l.mu.Lock()
+		idle := len(a.waiting) == 0
+		if idle {
+			a.writing = false
+		}
+		l.mu.Unlock()
+		if idle {
+			return // The next step tries again.
+		}
+		delay.For(context.Background(), wait)
+		wait = min(2*wait, writeLongest)
+	}
+}
+
+// planned is the state of the rows after a write.
+type planned struct {
+	sum sumState
+	own grantState
+}
+
+// plan returns the next write of an account, if one is due.
+func (l *Ledger) plan(a *account) (store.Write, planned, bool) {
+	if l.stopped {
+		return store.Write{}, planned{}, false
+	}
+	if !a.loaded {
+		return l.look(a)
+	}
+	if a.own.Holder != l.Instance {
+		return l.take(a)
+	}
+	size := l.size(a)
+	needed := int64(0)
+	for _, w := range a.waiting {
+		needed += w.tokens
+	}
+	next := planned{sum: a.sum, own: a.own}
+	next.sum.declare(a.version, a.total)
+	base := a.used() + needed
+	opened := max(base+size.Open, int64(a.own.Opened))
+	amount := int64(a.own.Amount)
+	low := base+int64(growPart*float64(size.Open+size.Reserve)) > amount
+	surplus := amount - base - size.Open - size.Reserve
+	switch {
+	case base > int64(a.own.Opened) && base <= amount:
+		// Only the own row changes; others do not compete for it.
+		next.own.Opened = int(min(opened, amount))
+		return l.single(a, next)
+	case needed > 0 || low && a.sum.free() > 0 && l.due(a):
+		amount = max(amount, min(base+size.Open+size.Reserve, amount+next.sum.free()))
+	case float64(amount-base) > shrinkFactor*float64(size.Open+size.Reserve) && surplus > shrinkLeast && l.due(a):
+		amount = base + size.Open + size.Reserve
+		opened = min(opened, base+size.Open)
+		a.cap = opened
+	case a.used()+size.Open/2 > int64(a.own.Opened) && a.own.Opened < a.own.Amount && l.due(a):
+		next.own.Opened = int(min(opened, amount))
+		return l.single(a, next)
+	case next.sum.Total != a.sum.Total && l.due(a):
+	default:
+		return store.Write{}, planned{}, false
+	}
+	if needed > 0 && base > amount && !l.fits(a, amount) {
+		if l.Now().Sub(a.read) > freshRow {
+			return l.look(a)
+		}
+		a.exact = l.Now()
+		l.refuse(a)
+		if len(a.waiting) > 0 {
+			return l.plan(a)
+		}
+		return store.Write{}, planned{}, false
+	}
+	next.sum.Granted += int(amount) - a.own.Amount
+	next.own.Amount = int(amount)
+	next.own.Opened = int(min(opened, amount))
+	return l.both(a, next)
+}
+
+// look returns a write whose conditions cannot hold, so that the store answers with the rows.
+func (l *Ledger) look(a *account) (store.Write, planned, bool) {
+	return store.Write{Expect: []store.Expect{
+		{Key: sumKey(a.name), Version: neverVersion},
+		{Key: grantKey(a.name, l.Node), Version: neverVersion},
+	}}, planned{}, true
+}
+
+// fits reports whether an amount covers the first waiting request.
+func (l *Ledger) fits(a *account, amount int64) bool {
+	return len(a.waiting) > 0 && a.used()+a.waiting[0].tokens <= amount
+}
+
+// due reports whether a write that no request waits for is due, and notes it.
+func (l *Ledger) due(a *account) bool {
+	now := l.Now()
+	if now.Sub(a.checked) < resizeInterval {
+		return false
+	}
+	a.checked = now
+	return true
+}
+
+func (l *Ledger) size(a *account) Size {
+	return Need{
+		Demand:  a.meter.at(l.Now()),
+		Rest:    a.sum.free() + int64(a.own.Amount) - a.used(),
+		Total:   int64(a.sum.Total),
+		Routers: l.members.count(),
+	}.Size()
+}
+
+// take opens this instance's grant. A grant of an earlier process of this router ends: that process is dead, since this
+// one has its name.
+func (l *Ledger) take(a *account) (store.Write, planned, bool) {
+	next := planned{sum: a.sum, own: grantState{version: a.own.version}}
+	next.own.Holder = l.Instance
+	next.sum.declare(a.version, a.total)
+	if a.own.version != 0 {
+		charge := a.own.Amount
+		if l.contact.openedOnly(a.own.Holder) {
+			charge = a.own.Opened
+		}
+		next.sum.Granted -= a.own.Amount
+		next.sum.Closed += charge
+	}
+	return l.both(a, next)
+}
+
+// single returns a write of the own row alone.
+func (l *Ledger) single(a *account, next planned) (store.Write, planned, bool) {
+	key := grantKey(a.name, l.Node)
+	return store.Write{
+		Expect: []store.Expect{{Key: key, Version: a.own.version}},
+		Puts:   []store.Put{{Key: key, Value: encode(next.own.PrepaidGrant)}},
+	}, next, true
+}
+
+// both returns a write of the own row and the account's row.
+func (l *Ledger) both(a *account, next planned) (store.Write, planned, bool) {
+	own, sum := grantKey(a.name, l.Node), sumKey(a.name)
+	return store.Write{
+		Expect: []store.Expect{{Key: own, Version: a.own.version}, {Key: sum, Version: a.sum.version}},
+		Puts: []store.Put{
+			{Key: own, Value: encode(next.own.PrepaidGrant)},
+			{Key: sum, Value: encode(next.sum.PrepaidSum)},
+		},
+	}, next, true
+}
+
+// commit makes a planned write and takes over what the store says of it. An unanswered write may still take effect; the
+// next write has the same conditions, so that at most one of the two does.
+func (l *Ledger) commit(a *account, w store.Write, next planned) error {
+	ctx, cancel := context.WithTimeout(context.Background(), writeTime)
+	defer cancel()
+	sent := l.Now()
+	result, err := l.Store.Write(ctx, w)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case err == nil:
+		l.contact.answered(sent, l.Now(), result.Clock, l.Started)
+		l.written(a, w, next, result.Version)
+	case errors.Is(err, store.ErrConflict):
+		l.contact.answered(sent, l.Now(), result.Clock, l.Started)
+		l.conflict(a, w, result.Rows)
+	default:
+		event.PrepaidWrite.Log(l.Logger).Str("account", a.name).Err(err).Send()
+	}
+	return err
+}
+
+func (l *Ledger) written(a *account, w store.Write, next planned, version int64) {
+	before := a.own
+	a.own = next.own
+	a.own.version = version
+	if len(w.Expect) > 1 {
+		a.sum = next.sum
+		a.sum.version = version
+		a.read = l.Now()
+	}
+	a.cap = -1
+	if before.Holder != a.own.Holder {
+		event.PrepaidTaken.Log(l.Logger).Str("account", a.name).Str("before", before.Holder).Int("amount", before.Amount).
+			Int("opened", before.Opened).Bool("opened_only", l.contact.openedOnly(before.Holder)).Send()
+	}
+	event.PrepaidSized.Log(l.Logger).Str("account", a.name).Int("amount", a.own.Amount).Int("opened", a.own.Opened).
+		Int64("used", a.used()).Int64("free", a.sum.free()).Int64("version", version).Send()
+	l.grant(a)
+}
+
+// conflict takes over the rows that did not have the expected versions.
+func (l *Ledger) conflict(a *account, w store.Write, rows []store.Row) {
+	sum, own := sumState{}, grantState{}
+	for _, row := range rows {
+		var err error
+		switch row.Table {
+		case sumTable:
+			sum.version = row.Version
+			if row.Version != 0 {
+				err = decode(row, &sum.PrepaidSum)
+			}
+		case grantTable:
+			own.version = row.Version
+			if row.Version != 0 {
+				err = decode(row, &own.PrepaidGrant)
+			}
+		}
+		if err != nil {
+			// Without the row nothing is known of what was spent: nothing more is granted.
+			event.PrepaidRow.Log(l.Logger).Str("account", a.name).Err(err).Send()
+			l.refuse(a)
+			return
+		}
+	}
+	a.own = own
+	if len(w.Expect) > 1 {
+		a.sum = sum
+		a.read = l.Now()
+		a.loaded = true
+	}
+	a.cap = -1
+	event.PrepaidConflict.Log(l.Logger).Str("account", a.name).Int64("own", own.version).Int64("sum", a.sum.version).Send()
+}
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -32,6 +32,7 @@
 		Table  string
 		Part   string
 		Apply  func(Change)
+		Pause  time.Duration // Time between two changes that are taken; changes in between come together.
 		Logger *zerolog.Logger
 
 		seen atomic.Int64 // Time of the last answer in Unix nanoseconds of the monotonic base.
@@ -47,6 +48,7 @@
 		// Outage is the time since the last failed call, so that rows that went while the store was away can be told
 		// from those that were removed.
 		Outage time.Duration
+		Source string // Where the rows come from, for the log.
 	}
 )
 
@@ -81,6 +83,9 @@
 			event.StoreRegained.Log(f.Logger).Str("table", f.Table).Int64("version", next).Send()
 		}
 		wait = leastBackoff
+		if version >= 0 && next > version && f.Pause > 0 {
+			delay.For(ctx, f.Pause)
+		}
 		version = next
 	}
 	return nil
@@ -117,7 +122,7 @@
 	if lost := f.lost.Load(); lost > 0 {
 		outage = time.Since(f.base) - time.Duration(lost)
 	}
-	f.Apply(Change{Whole: whole, Rows: result.Rows, Version: result.Version, Outage: outage})
+	f.Apply(Change{Whole: whole, Rows: result.Rows, Version: result.Version, Outage: outage, Source: "store"})
 }
 
 // Age returns the time since the last answer of the store.
