Charge a prepaid budget only for answers of which something reached the caller

Cause: requests whose caller left, or whose attempt was lost, before the first event were charged their whole prompt.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -124,13 +124,14 @@
 	return reason
 }
 
-// settle charges the prompt if it may have been read, and the tokens that the caller got.
+// settle charges the prompt and the output tokens that the caller got. An answer of which nothing was passed on consumes
+// nothing of a prepaid budget.
 func (c *call) settle() {
 	if c.hold == nil {
 		return
 	}
 	var used int64
-	if c.ran {
+	if c.began {
 		used = c.request.Prompt.Tokens + min(c.events*c.stride(), c.request.Prompt.Most)
 	}
 	c.hold.Settle(inventory.Tokens(used))
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -62,13 +62,13 @@
 		}
 	}
 	choice.First()
+	c.events++ // A write that fails may have arrived.
 	if c.response.Write(data) != nil {
 		return false
 	}
 	if id := eventID(data); id != "" {
 		c.lastEvent = id
 	}
-	c.events++
 	return true
 }
 
