Recall a part of the reserved tokens when a request finds nothing free

A router that cannot lend now shrinks its grant, and the store is asked again. Kept: a quarter stays, nothing is given back while the store is away.

--- a/internal/prepaid/borrow.go
+++ b/internal/prepaid/borrow.go
@@ -109,13 +109,19 @@
 	l.mu.Lock()
 	a := l.account(account)
 	short := a.used()+tokens > int64(a.own.Amount)
-	if l.remote.holds[name] != nil || len(l.remote.holds) >= mostRemote || short && l.Now().Sub(a.exact) < exactLife {
-		l.mu.Unlock()
+	busy := l.remote.holds[name] != nil || len(l.remote.holds) >= mostRemote
+	known := short && l.Now().Sub(a.exact) < exactLife
+	l.mu.Unlock()
+	if busy {
+		return false
+	}
+	if known {
+		l.recall(a)
 		return false
 	}
-	l.mu.Unlock()
 	h, _ := l.reserve(ctx, account, total, inventory.Tokens(tokens))
 	if h == nil {
+		l.recall(a)
 		return false
 	}
 	l.mu.Lock()
@@ -127,6 +133,17 @@
 	return true
 }
 
+// recall gives back to the store what is reserved of an account beyond its use, because another router is short of it.
+func (l *Ledger) recall(a *account) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.contact.age(l.Now()) > awayAge {
+		return // The store is away: what is reserved is for now.
+	}
+	a.scarce = l.Now()
+	l.kick(a)
+}
+
 // Repay ends a reservation of another router. A name that is not known is no error: the report is repeated.
 func (l *Ledger) Repay(name string, used int64) {
 	l.mu.Lock()
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"citronslip/internal/delay"
 	"citronslip/internal/dispatch"
 	"citronslip/internal/event"
 	"citronslip/internal/store"
@@ -18,6 +19,10 @@
 	peerTries = 6
 	// storeWait is how long a request waits for the store before other routers are asked.
 	storeWait = 250 * time.Millisecond
+	// recallWait is the time in which other routers give back what they do not use, recallTries how often the store is
+	// asked for it.
+	recallWait  = 25 * time.Millisecond
+	recallTries = 2
 	// awayAge is the age of the store's last answer at which it is taken to be away.
 	awayAge = 1200 * time.Millisecond
 )
@@ -64,6 +69,7 @@
 		read    time.Time // When the account's row was last read or written.
 		exact   time.Time // When the store last said that nothing is free.
 		checked time.Time // When the size was last looked at.
+		scarce  time.Time // When a request last found nothing free.
 	}
 
 	// waiter is a request that waits for the store.
@@ -89,6 +95,12 @@
 	if other := l.borrow(ctx, name, tokens); other != nil {
 		return other, ""
 	}
+	// The routers that could not lend have given back what they do not use.
+	for try := 0; exhausted && try < recallTries && delay.For(ctx, recallWait); try++ {
+		if own, exhausted = l.reserve(ctx, name, total, tokens); own != nil {
+			return own, ""
+		}
+	}
 	if exhausted {
 		event.PrepaidShort.Log(l.Logger).Str("account", name).Int64("tokens", int64(tokens)).Int64("total", int64(total)).Send()
 		return nil, dispatch.NoBudget
--- a/internal/prepaid/write.go
+++ b/internal/prepaid/write.go
@@ -27,6 +27,9 @@
 	freshRow = 150 * time.Millisecond
 	// neverVersion is a version that no row has.
 	neverVersion = int64(1) << 60
+	// scarceTime is how long grants of an account stay smaller by scarcePart after a request found nothing free.
+	scarceTime = 4 * time.Second
+	scarcePart = 4
 	// shrinkLeast is the smallest surplus that is given back, in tokens.
 	shrinkLeast = 4000
 )
@@ -107,7 +110,7 @@
 		return l.single(a, next)
 	case needed > 0 || low && a.sum.free() > 0 && l.due(a):
 		amount = max(amount, min(base+size.Open+size.Reserve, amount+next.sum.free()))
-	case float64(amount-base) > shrinkFactor*float64(size.Open+size.Reserve) && surplus > shrinkLeast && l.due(a):
+	case float64(amount-base) > shrinkFactor*float64(size.Open+size.Reserve) && l.surplus(a, surplus):
 		amount = base + size.Open + size.Reserve
 		opened = min(opened, base+size.Open)
 		a.cap = opened
@@ -122,7 +125,7 @@
 		if l.Now().Sub(a.read) > freshRow {
 			return l.look(a)
 		}
-		a.exact = l.Now()
+		a.exact, a.scarce = l.Now(), l.Now()
 		l.refuse(a)
 		if len(a.waiting) > 0 {
 			return l.plan(a)
@@ -148,6 +151,15 @@
 	return len(a.waiting) > 0 && a.used()+a.waiting[0].tokens <= amount
 }
 
+// surplus reports whether tokens beyond the size of a grant are to be given back now: all of them while another request
+// lacks them.
+func (l *Ledger) surplus(a *account, tokens int64) bool {
+	if l.scarce(a) {
+		return tokens > 0
+	}
+	return tokens > shrinkLeast && l.due(a)
+}
+
 // due reports whether a write that no request waits for is due, and notes it.
 func (l *Ledger) due(a *account) bool {
 	now := l.Now()
@@ -159,12 +171,22 @@
 }
 
 func (l *Ledger) size(a *account) Size {
-	return Need{
+	size := Need{
 		Demand:  a.meter.at(l.Now()),
 		Rest:    a.sum.free() + int64(a.own.Amount) - a.used(),
 		Total:   int64(a.sum.Total),
 		Routers: l.members.count(),
 	}.Size()
+	if l.scarce(a) {
+		size.Open /= scarcePart
+		size.Reserve /= scarcePart
+	}
+	return size
+}
+
+// scarce reports whether a request found nothing free shortly before.
+func (l *Ledger) scarce(a *account) bool {
+	return !a.scarce.IsZero() && l.Now().Sub(a.scarce) < scarceTime
 }
 
 // take opens this instance's grant. A grant of an earlier process of this router ends: that process is dead, since this
