--- a/internal/prepaid/size.go
+++ b/internal/prepaid/size.go
@@ -9,14 +9,16 @@
 	// equal: the balancer may send most of an account's requests to one router.
 	openShare    = 0.15
 	reserveShare = 0.45
-	// firstShare is the part of what is left that a router reserves before it knows its demand, divided by the routers.
-	firstShare = 0.1
+	// firstShare is the part of what is left that all routers reserve together whatever their demand.
+	firstShare = 0.35
 	// scarceShare is the part of the total below which nothing is reserved, so that the rest can be used to the end.
 	scarceShare = 0.06
 	// leastOpened is the smallest amount that is worth opening ahead, in tokens.
 	leastOpened = 3000
 	// demandTime is the time over which demand is averaged.
 	demandTime = 5 * time.Second
+	// leastDemandTime is the shortest time from which demand is worked out.
+	leastDemandTime = 2 * time.Second
 )
 
 type (
@@ -36,8 +38,9 @@
 
 	// meter averages a rate.
 	meter struct {
-		rate float64 // Tokens a second.
-		last time.Time
+		sum   float64 // Tokens, older ones in smaller parts.
+		first time.Time
+		last  time.Time
 	}
 )
 
@@ -60,18 +63,26 @@
 // add counts tokens at a time.
 func (m *meter) add(tokens float64, now time.Time) {
 	m.decay(now)
-	m.rate += tokens / demandTime.Seconds()
+	m.sum += tokens
 }
 
 // at returns the rate at a time.
 func (m *meter) at(now time.Time) float64 {
+	if m.first.IsZero() {
+		return 0
+	}
 	m.decay(now)
-	return max(m.rate, 0)
+	// A meter that is younger than its mean has seen less than that time.
+	span := min(max(now.Sub(m.first), leastDemandTime), demandTime)
+	return max(m.sum/span.Seconds(), 0)
 }
 
 func (m *meter) decay(now time.Time) {
+	if m.first.IsZero() {
+		m.first = now
+	}
 	if passed := now.Sub(m.last); passed > 0 && !m.last.IsZero() {
-		m.rate *= float64(demandTime) / float64(demandTime+passed)
+		m.sum *= float64(demandTime) / float64(demandTime+passed)
 	}
 	m.last = now
 }
