--- a/internal/prepaid/size.go
+++ b/internal/prepaid/size.go
@@ -13,6 +13,9 @@
 	firstShare = 0.35
 	// scarceShare is the part of the total below which nothing is reserved, so that the rest can be used to the end.
 	scarceShare = 0.06
+	// ampleShare is the part of the total above which more is opened than the demand, because a killed router's loss is
+	// not missed then.
+	ampleShare = 0.3
 	// leastOpened is the smallest amount that is worth opening ahead, in tokens.
 	leastOpened = 3000
 	// demandTime is the time over which demand is averaged.
@@ -52,6 +55,8 @@
 	}
 	rest := float64(n.Rest)
 	open := min(n.Demand*AutonomyDelay.Seconds(), openShare*rest)
+	ample := openShare * (rest - ampleShare*float64(n.Total)) / float64(max(n.Routers, 1))
+	open = max(open, ample)
 	if open < leastOpened {
 		open = 0
 	}
@@ -60,6 +65,12 @@
 	return Size{Open: int64(open), Reserve: int64(reserve)}
 }
 
+// Growth returns how much of what is free a grant with an unspent part may take beyond the requests that wait. Half as much
+// as the router holds stays free for the others.
+func Growth(free, unspent int64) int64 {
+	return max(0, (2*free-unspent)/3)
+}
+
 // add counts tokens at a time.
 func (m *meter) add(tokens float64, now time.Time) {
 	m.decay(now)
--- a/internal/prepaid/write.go
+++ b/internal/prepaid/write.go
@@ -102,14 +102,16 @@
 	opened := max(base+size.Open, int64(a.own.Opened))
 	amount := int64(a.own.Amount)
 	low := base+int64(growPart*float64(size.Open+size.Reserve)) > amount
+	spare := Growth(next.sum.free()-max(0, base-amount), max(0, amount-base))
 	surplus := amount - base - size.Open - size.Reserve
 	switch {
 	case base > int64(a.own.Opened) && base <= amount:
 		// Only the own row changes; others do not compete for it.
 		next.own.Opened = int(min(opened, amount))
 		return l.single(a, next)
-	case needed > 0 || low && a.sum.free() > 0 && l.due(a):
-		amount = max(amount, min(base+size.Open+size.Reserve, amount+next.sum.free()))
+	case needed > 0 || low && spare > 0 && l.due(a):
+		grown := min(base+size.Open+size.Reserve, max(base, amount)+spare)
+		amount = max(amount, min(grown, amount+next.sum.free()))
 	case float64(amount-base) > shrinkFactor*float64(size.Open+size.Reserve) && l.surplus(a, surplus):
 		amount = base + size.Open + size.Reserve
 		opened = min(opened, base+size.Open)
