--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -181,6 +181,10 @@
 	if p := c.request.Prompt; p != nil {
 		r.Prompt = p.Tokens
 		r.Prefix = p.prefix()
+		if len(r.Prefix) > 0 {
+			// Many prompts begin with the same few parts; the last shared part spreads them over the servers.
+			r.Home = r.Prefix[len(r.Prefix)-1]
+		}
 	}
 	return r
 }
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -314,7 +314,7 @@
 		if s.leaving || s.circuit.state != closed || s.conf.Leaving {
 			continue
 		}
-		hash := mix(s.hash ^ r.Prefix[0])
+		hash := mix(s.hash ^ or(r.Home, r.Prefix[0]))
 		if found == nil || hash > most {
 			found, most = s, hash
 		}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -55,6 +55,7 @@
 		Priority   int
 		Prompt     int64    // Prompt tokens.
 		Prefix     []uint64 // Cumulative hashes of the prompt's blocks of Picker.Block tokens.
+		Home       uint64   // Selects the server that holds the prefix if no hint says so; the first hash if zero.
 		Tried      []string // Servers that were already tried.
 		Exclude    []string // Servers that must not be used.
 		Prefer     string   // Server that is used whatever its score if it takes new work.
