--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"citronslip/internal/board"
+	"citronslip/internal/crash"
 	"citronslip/internal/event"
 	"citronslip/internal/routing"
 	"citronslip/pkg/inventory"
@@ -36,6 +37,7 @@
 		Backend   Backend
 		Budgets   Budgets
 		Repeats   *Repeats
+		Crashes   *crash.List
 		Logger    *zerolog.Logger
 		Metrics   tally.Scope
 	}
@@ -98,6 +100,9 @@
 	if c.route.Model && c.request.Prompt == nil {
 		return Malformed
 	}
+	if c.Crashes.Blocked(c.request.Print) {
+		return Crashing
+	}
 	c.service = c.route.Choose(rand.Float64())
 	return ""
 }
@@ -197,7 +202,10 @@
 	switch o := outcome.(type) {
 	case Unreached:
 		choice.Done(c.broken(ctx, routing.ConnectionRefused{}))
-		c.lost(server, false, o.Err)
+		c.unreached(server, o.Err)
+		if ctx.Err() == nil {
+			c.Crashes.Down(context.WithoutCancel(ctx), server.Name)
+		}
 		return ctx.Err() == nil, NoServer
 	case Refused:
 		c.tried = append(c.tried, server.Name)
@@ -209,6 +217,7 @@
 		c.tried = append(c.tried, server.Name)
 		c.ran = true
 		choice.Done(c.broken(ctx, routing.Broken{Reset: o.Reset}))
+		c.suspect(ctx, server)
 		c.lost(server, o.Reset, o.Err)
 		return c.repeatable(ctx), c.late(ctx)
 	case Answered:
@@ -240,6 +249,7 @@
 	whole, err := io.ReadAll(io.LimitReader(o.Body, wholeBytes))
 	if err != nil {
 		choice.Done(c.broken(ctx, routing.Broken{}))
+		c.suspect(ctx, server)
 		c.lost(server, false, err)
 		return c.repeatable(ctx), c.late(ctx)
 	}
@@ -329,6 +339,13 @@
 	return o
 }
 
+// suspect notes that the request may have brought the server down.
+func (c *call) suspect(ctx context.Context, server *Server) {
+	if ctx.Err() == nil {
+		c.Crashes.Suspect(c.request.Print, server.Name, server.process())
+	}
+}
+
 // fail ends a request without an answer of a server.
 func (c *call) fail(ctx context.Context, reason Reason) {
 	switch {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"strconv"
 	"time"
 
 	"citronslip/internal/routing"
@@ -172,5 +173,8 @@
 // NotRun reports whether a refusal for the reason promises that the request has not run and will not run.
 func (r Reason) NotRun() bool { return r != Late && r != Broken }
 
+// process names one process of the server.
+func (s *Server) process() string { return s.Name + "/" + strconv.FormatInt(s.Born, 10) }
+
 // Size returns the most tokens that the request can consume.
 func (p *Prompt) Size() inventory.Tokens { return inventory.Tokens(p.Tokens + p.Most) }
--- a/internal/dispatch/log.go
+++ b/internal/dispatch/log.go
@@ -18,9 +18,14 @@
 	return e.Log(c.Logger).Str("request", c.request.ID)
 }
 
-// lost logs a send without a usable answer.
+// unreached logs a send of which nothing reached the server.
+func (c *call) unreached(server *Server, err error) {
+	c.line(event.AttemptLost).Str("server", server.Name).Str("address", server.Address).Bool("sent", false).Err(err).Send()
+}
+
+// lost logs a send that may have run without a usable answer.
 func (c *call) lost(server *Server, reset bool, err error) {
-	c.line(event.AttemptLost).Str("server", server.Name).Str("address", server.Address).Bool("reset", reset).
+	c.line(event.AttemptLost).Str("server", server.Name).Str("address", server.Address).Bool("sent", true).Bool("reset", reset).
 		Int64("events", c.events).Err(err).Send()
 }
 
--- a/internal/dispatch/roster.go
+++ b/internal/dispatch/roster.go
@@ -25,6 +25,7 @@
 	Roster struct {
 		Pool   *Pool
 		Decode func(name string, data []byte) (Server, error)
+		Down   func(server string) // Called when a server's process is gone without a planned stop; optional.
 		Logger *zerolog.Logger
 		Now    func() time.Time
 
@@ -106,15 +107,27 @@
 	if old != nil && old.version > row.Version {
 		return
 	}
+	if old != nil && old.server.Born != server.Born {
+		r.down(row.Name)
+	}
 	r.entries[row.Name] = &rosterEntry{server: server, version: row.Version}
 }
 
+func (r *Roster) down(name string) {
+	if r.Down != nil {
+		r.Down(name)
+	}
+}
+
 // remove takes a server out, at once unless its entry may have lapsed while the store was away.
 func (r *Roster) remove(name string, outage time.Duration) {
 	e := r.entries[name]
 	if e == nil || !e.lapsed.IsZero() {
 		return
 	}
+	if !e.server.Leaving {
+		r.down(name)
+	}
 	if e.server.Leaving || outage > lapseOutage {
 		delete(r.entries, name)
 		return
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -28,6 +28,7 @@
 		}
 		if err != nil {
 			choice.Done(c.broken(ctx, routing.Broken{Reset: true}))
+			c.suspect(ctx, server)
 			c.lost(server, true, err)
 			return c.again(ctx)
 		}
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"citronslip/internal/board"
+	"citronslip/internal/crash"
 	"citronslip/internal/dial"
 	"citronslip/internal/dispatch"
 	"citronslip/internal/event"
@@ -32,14 +33,10 @@
 	bodyShare = 0.25
 	// settingsInterval is the time between two looks at the settings file.
 	settingsInterval = time.Second
-	// leaveTime is how long a stopping router still takes new connections, until the platform's balancer has noticed.
-	leaveTime = 2200 * time.Millisecond
 	// scoreNoise is the random part of a server's score. A prompt that is spilled is read again, so that it is small.
 	scoreNoise = 0.01
-	// exitMargin is the time left before the kill for the last writes to the store.
-	exitMargin = 350 * time.Millisecond
-	// defaultGrace is the time from the stop signal to the kill if the settings do not say.
-	defaultGrace = 8 * time.Second
+	// crashPause is the time between two changes of the recorded crashes that are taken.
+	crashPause = 500 * time.Millisecond
 )
 
 type (
@@ -65,6 +62,7 @@
 		pool       *dispatch.Pool
 		roster     *dispatch.Roster
 		dispatcher *dispatch.Dispatcher
+		crashes    *crash.List
 		ledger     *prepaid.Ledger
 		relay      relay
 		peers      *peer.Client
@@ -108,7 +106,14 @@
 		Metrics: r.scope.SubScope("routing"),
 		Logger:  r.Logger,
 	}}
-	r.roster = &dispatch.Roster{Pool: r.pool, Decode: r.DecodeServer, Logger: r.Logger, Now: time.Now}
+	r.crashes = &crash.List{Store: r.Store, Now: time.Now, Logger: r.Logger}
+	r.roster = &dispatch.Roster{
+		Pool:   r.pool,
+		Decode: r.DecodeServer,
+		Down:   func(server string) { r.crashes.Down(context.Background(), server) },
+		Logger: r.Logger,
+		Now:    time.Now,
+	}
 	r.peers = &peer.Client{Dial: dialPeer, Logger: r.Logger, Timeout: peerTimeout}
 	r.ledger = &prepaid.Ledger{
 		Node:      r.Settings.Node,
@@ -127,6 +132,7 @@
 		Pool:      r.pool,
 		Backend:   r.Backend,
 		Budgets:   r.ledger,
+		Crashes:   r.crashes,
 		Repeats: &dispatch.Repeats{
 			Ratio:   r.Settings.RetryRatio,
 			Slack:   r.Settings.RetrySlack,
@@ -146,9 +152,11 @@
 	}
 	servers := &store.Follower{Store: r.Store, Table: r.ServerTable, Apply: r.takeServers, Logger: r.Logger}
 	r.relay.age = servers.Age
+	crashes := &store.Follower{Store: r.Store, Table: crash.Table, Apply: r.crashes.Apply, Pause: crashPause, Logger: r.Logger}
 	list := []func(context.Context) error{
 		directory.Run,
 		servers.Run,
+		crashes.Run,
 		r.ledger.Run,
 		r.peers.Run,
 		r.fetch,
@@ -264,59 +272,6 @@
 	return info.ModTime()
 }
 
-// serve answers callers. After the stop signal it takes connections until the balancer has noticed, and then waits for
-// the requests in flight.
-func (r *Router) serve(stop, ctx context.Context) error {
-	bodies := &dispatch.Bodies{Most: int64(bodyShare * float64(r.Settings.Memory)), Limit: r.bodyLimit}
-	handler := r.Callers(r.dispatcher, bodies)
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: 3 * time.Second,
-		IdleTimeout:       15 * time.Second,
-		MaxHeaderBytes:    16 << 10,
-	}
-	listener, err := dial.Listen(ctx, r.Settings.Caller)
-	if err != nil {
-		return err
-	}
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
-	select {
-	case err := <-failed:
-		return err
-	case <-ctx.Done():
-		return server.Close() // A controller failed.
-	case <-stop.Done():
-	}
-	return r.stop(ctx, server)
-}
-
-func (r *Router) stop(ctx context.Context, server *http.Server) error {
-	begin := time.Now()
-	grace := r.Settings.Grace
-	if grace == 0 {
-		grace = defaultGrace
-	}
-	r.stopping.Store(true)
-	event.StopRequested.Log(r.Logger).Dur("grace", grace).Send()
-	server.SetKeepAlivesEnabled(false)
-	time.Sleep(leaveTime)
-	ctx, cancel := context.WithDeadline(ctx, begin.Add(grace-exitMargin))
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		event.StopTimeout.Log(r.Logger).Err(err).Send()
-		if err := server.Close(); err != nil {
-			return err
-		}
-	}
-	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), exitMargin)
-	defer cancel()
-	if err := r.ledger.Close(last); err != nil {
-		event.GrantsLate.Log(r.Logger).Err(err).Send()
-	}
-	return nil
-}
-
 func (r *Router) bodyLimit() int64 {
 	if d := r.directory.Load(); d != nil {
 		return d.Limits.BodyBytes
