--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -53,7 +53,7 @@
 
 	// suspect is a request that lost its answer.
 	suspect struct {
-		print   string
+		mark    string
 		process string // Name and start of the server process.
 		time    time.Time
 	}
@@ -65,14 +65,14 @@
 )
 
 // Blocked reports whether the request with the fingerprint has crashed too many server processes.
-func (l *List) Blocked(print string) bool {
+func (l *List) Blocked(mark string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.records[print]) >= blockAt
+	return len(l.records[mark]) >= blockAt
 }
 
 // Suspect notes that a request was running on a server when the connection broke.
-func (l *List) Suspect(print, server, process string) {
+func (l *List) Suspect(mark, server, process string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.suspects == nil {
@@ -82,7 +82,7 @@
 	if l.count >= mostSuspects {
 		return
 	}
-	l.suspects[server] = append(l.suspects[server], suspect{print, process, l.Now()})
+	l.suspects[server] = append(l.suspects[server], suspect{mark, process, l.Now()})
 	l.count++
 }
 
@@ -94,11 +94,11 @@
 	l.count -= len(found)
 	delete(l.suspects, server)
 	for _, s := range found {
-		l.record(s.print, s.process, l.clock)
+		l.record(s.mark, s.process, l.clock)
 	}
 	l.mu.Unlock()
 	for _, s := range found {
-		event.CrashRecorded.Log(l.Logger).Str("print", s.print).Str("process", s.process).Send()
+		event.CrashRecorded.Log(l.Logger).Str("print", s.mark).Str("process", s.process).Send()
 		go l.write(ctx, s)
 	}
 }
@@ -108,30 +108,30 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, row := range change.Rows {
-		print, process, ok := strings.Cut(row.Name, separator)
+		mark, process, ok := strings.Cut(row.Name, separator)
 		var value crashRow
 		if !ok || row.Deleted || json.Unmarshal(row.Value, &value) != nil {
 			continue // Rows of other writers name no crash.
 		}
 		clock := time.Duration(value.Clock) * time.Millisecond
 		l.clock = max(l.clock, clock)
-		before := len(l.records[print])
-		l.record(print, process, clock)
-		if len(l.records[print]) == blockAt && before < blockAt {
-			event.CrashBlocked.Log(l.Logger).Str("print", print).Int64("version", row.Version).Send()
+		before := len(l.records[mark])
+		l.record(mark, process, clock)
+		if len(l.records[mark]) == blockAt && before < blockAt {
+			event.CrashBlocked.Log(l.Logger).Str("print", mark).Int64("version", row.Version).Send()
 		}
 	}
 }
 
 // record counts a crash once for each server process. The caller holds the lock.
-func (l *List) record(print, process string, clock time.Duration) {
+func (l *List) record(mark, process string, clock time.Duration) {
 	if l.records == nil || len(l.records) >= mostRecords {
 		l.records = make(map[string]map[string]time.Duration)
 	}
-	if l.records[print] == nil {
-		l.records[print] = make(map[string]time.Duration)
+	if l.records[mark] == nil {
+		l.records[mark] = make(map[string]time.Duration)
 	}
-	l.records[print][process] = clock
+	l.records[mark][process] = clock
 }
 
 // prune forgets the suspects of a server that are too old. The caller holds the lock.
@@ -152,13 +152,13 @@
 
 // write records a crash in the store.
 func (l *List) write(ctx context.Context, s suspect) {
-	key := store.Key{Table: Table, Name: s.print + separator + s.process}
+	key := store.Key{Table: Table, Name: s.mark + separator + s.process}
 	for range writeTries {
 		l.mu.Lock()
 		value, err := json.Marshal(crashRow{Clock: l.clock.Milliseconds()})
 		l.mu.Unlock()
 		if err != nil {
-			event.CrashUnwritten.Log(l.Logger).Str("print", s.print).Err(err).Send()
+			event.CrashUnwritten.Log(l.Logger).Str("print", s.mark).Err(err).Send()
 			return
 		}
 		attempt, cancel := context.WithTimeout(ctx, writeTime)
@@ -171,7 +171,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		event.CrashUnwritten.Log(l.Logger).Str("print", s.print).Err(err).Send()
+		event.CrashUnwritten.Log(l.Logger).Str("print", s.mark).Err(err).Send()
 		time.Sleep(retryWait)
 	}
 }
@@ -181,15 +181,15 @@
 	l.mu.Lock()
 	l.clock = max(l.clock, clock)
 	var old []store.Key
-	for print, processes := range l.records {
+	for mark, processes := range l.records {
 		for process, at := range processes {
 			if clock-at > recordLife {
-				old = append(old, store.Key{Table: Table, Name: print + separator + process})
+				old = append(old, store.Key{Table: Table, Name: mark + separator + process})
 				delete(processes, process)
 			}
 		}
 		if len(processes) == 0 {
-			delete(l.records, print)
+			delete(l.records, mark)
 		}
 	}
 	l.mu.Unlock()
--- a/internal/dispatch/roster.go
+++ b/internal/dispatch/roster.go
@@ -1,11 +1,13 @@
 package dispatch
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"citronslip/internal/delay"
 	"citronslip/internal/event"
 	"citronslip/internal/store"
 )
@@ -80,6 +82,14 @@
 	return r.filled
 }
 
+// Run sweeps until the context ends.
+func (r *Roster) Run(ctx context.Context) error {
+	for delay.For(ctx, sweepInterval) {
+		r.Sweep()
+	}
+	return nil
+}
+
 // Sweep removes the servers whose entries are missing for too long.
 func (r *Roster) Sweep() {
 	r.mu.Lock()
--- /dev/null
+++ b/internal/dispatch/roster_test.go
@@ -0,0 +1,104 @@
+package dispatch_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"citronslip/internal/dispatch"
+	"citronslip/internal/routing"
+	"citronslip/internal/store"
+)
+
+const (
+	noOutage = time.Hour
+)
+
+// newRoster returns a roster whose entries hold the state of the server of their name.
+func newRoster(now *time.Time) *dispatch.Roster {
+	logger := zerolog.Nop()
+	return &dispatch.Roster{
+		Pool:   &dispatch.Pool{Picker: &routing.Picker{Now: func() time.Time { return *now }}},
+		Logger: &logger,
+		Now:    func() time.Time { return *now },
+		Decode: func(name string, data []byte) (dispatch.Server, error) {
+			if string(data) == "bad" {
+				return dispatch.Server{}, errors.New("bad entry")
+			}
+			return dispatch.Server{Name: name, Service: "s", Leaving: string(data) == "leaving", Born: int64(len(data))}, nil
+		},
+	}
+}
+
+func row(name, value string, version int64) store.Row {
+	return store.Row{Key: store.Key{Name: name}, Value: []byte(value), Version: version, Deleted: value == ""}
+}
+
+func picked(r *dispatch.Roster) string {
+	server, choice, err := r.Pool.Pick(&routing.Request{Service: "s"})
+	if err != nil {
+		return ""
+	}
+	choice.Done(routing.Cancelled{})
+	return server.Name
+}
+
+// Guards against new work for a server that is leaving or gone, and for one whose entry cannot be read.
+func TestLeavingServersGetNoWork(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	r := newRoster(&now)
+	is.True(!r.Filled())
+	r.Apply(store.Change{Whole: true, Rows: []store.Row{row("a", "ready", 1), row("b", "bad", 1)}, Outage: noOutage})
+	is.True(r.Filled())
+	is.Equal(picked(r), "a")
+	r.Apply(store.Change{Rows: []store.Row{row("a", "leaving", 2)}, Outage: noOutage})
+	is.Equal(picked(r), "")
+	r.Apply(store.Change{Rows: []store.Row{row("c", "ready", 3)}, Outage: noOutage})
+	is.Equal(picked(r), "c")
+	r.Apply(store.Change{Rows: []store.Row{row("c", "", 4)}, Outage: noOutage})
+	is.Equal(picked(r), "")
+}
+
+// Guards against a fleet without servers after an outage of the store in which all entries lapsed, and against a server
+// that stays in use although its entry does not come back.
+func TestLapsedEntriesStayInUseForAWhile(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	r := newRoster(&now)
+	r.Apply(store.Change{Whole: true, Rows: []store.Row{row("a", "ready", 1), row("b", "ready", 1)}, Outage: noOutage})
+	r.Apply(store.Change{Whole: true, Outage: 100 * time.Millisecond})
+	is.True(picked(r) != "")
+	now = now.Add(time.Second)
+	r.Apply(store.Change{Rows: []store.Row{row("a", "ready", 7)}, Outage: noOutage})
+	now = now.Add(time.Second)
+	r.Sweep()
+	for range 10 {
+		is.Equal(picked(r), "a")
+	}
+}
+
+// Guards against an old row that a relayed list has overtaken.
+func TestOlderRowsDoNotReplaceNewerOnes(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	r := newRoster(&now)
+	r.Apply(store.Change{Whole: true, Rows: []store.Row{row("a", "leaving", 9)}, Outage: noOutage})
+	r.Apply(store.Change{Rows: []store.Row{row("a", "ready", 4)}, Outage: noOutage})
+	is.Equal(picked(r), "")
+}
+
+// Guards against a server process that ends unseen: its requests are held against it only if it is reported.
+func TestRestartIsReported(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	r := newRoster(&now)
+	var down []string
+	r.Down = func(server string) { down = append(down, server) }
+	r.Apply(store.Change{Whole: true, Rows: []store.Row{row("a", "ready", 1), row("b", "leaving", 1)}, Outage: noOutage})
+	r.Apply(store.Change{Rows: []store.Row{row("a", "ready again", 2), row("b", "", 3)}, Outage: noOutage})
+	is.Equal(down, []string{"a"}) // A planned leave is no crash.
+}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -71,7 +71,7 @@
 func (y *relay) answer(_ context.Context, query wire.RelayQuery) (wire.RelayAnswer, error) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	answer := wire.RelayAnswer{Age: int(y.age().Milliseconds()), Version: int(y.version)}
+	answer := wire.RelayAnswer{Age: int(min(y.age(), time.Hour).Milliseconds()), Version: int(y.version)}
 	if y.directory.Version > int64(query.Directory) {
 		answer.Directory = relayRow(y.directory)
 	}
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -161,7 +161,7 @@
 		r.peers.Run,
 		r.fetch,
 		r.servePeers,
-		r.sweep,
+		r.roster.Run,
 		r.watchSettings,
 		func(ctx context.Context) error {
 			return serveHTTP(ctx, r.Settings.Ready, &http.Server{Handler: r.Readiness(r.ready)})
@@ -221,19 +221,6 @@
 	return ready
 }
 
-func (r *Router) sweep(ctx context.Context) error {
-	ticker := time.NewTicker(250 * time.Millisecond)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			r.roster.Sweep()
-		}
-	}
-}
-
 // watchSettings reads the settings again after SIGHUP and when the file has changed.
 func (r *Router) watchSettings(ctx context.Context) error {
 	signals := make(chan os.Signal, 1)
--- a/internal/prepaid/prepaid_test.go
+++ b/internal/prepaid/prepaid_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,7 +31,8 @@
 	// fleet is a number of ledgers over one store.
 	fleet struct {
 		store     *store.Memory
-		directory *inventory.Directory
+		away      atomic.Bool // Whether all calls of the store are lost.
+		directory atomic.Pointer[inventory.Directory]
 		routers   []*router
 	}
 
@@ -38,9 +40,9 @@
 	router struct {
 		fleet  *fleet
 		name   string
-		number int
-		cut    bool // Whether this router does not reach the store.
-		ledger *prepaid.Ledger
+		number atomic.Int32
+		cut    atomic.Bool // Whether this router does not reach the store.
+		ledger atomic.Pointer[prepaid.Ledger]
 		cancel context.CancelFunc
 		done   chan struct{}
 	}
@@ -49,7 +51,7 @@
 	cutStore struct {
 		store.Store
 		router  *router
-		process int // Number of the process; one that was killed does not reach the store.
+		process int32 // Number of the process; one that was killed does not reach the store.
 	}
 
 	// peers calls the other ledgers directly.
@@ -59,7 +61,14 @@
 )
 
 func newFleet(count int, total inventory.Tokens) *fleet {
-	f := &fleet{store: &store.Memory{}, directory: directory(1, total)}
+	f := &fleet{}
+	f.store = &store.Memory{Fault: func(bool) store.Fault {
+		if f.away.Load() {
+			return store.LoseCall
+		}
+		return store.NoFault
+	}}
+	f.directory.Store(directory(1, total))
 	for i := range count {
 		f.routers = append(f.routers, &router{fleet: f, name: fmt.Sprintf("router-%d", i)})
 	}
@@ -73,7 +82,7 @@
 }
 
 func (c cutStore) Write(ctx context.Context, w store.Write) (store.Result, error) {
-	if c.router.cut || c.process != c.router.number {
+	if c.router.cut.Load() || c.process != c.router.number.Load() {
 		<-ctx.Done()
 		return store.Result{}, store.ErrUnknown
 	}
@@ -81,14 +90,14 @@
 }
 
 func (c cutStore) List(ctx context.Context, table, part string) (store.Result, error) {
-	if c.router.cut {
+	if c.router.cut.Load() {
 		return store.Result{}, store.ErrUnavailable
 	}
 	return c.Store.List(ctx, table, part)
 }
 
 func (c cutStore) Feed(ctx context.Context, table string, after int64, wait time.Duration) (store.Result, error) {
-	if c.router.cut {
+	if c.router.cut.Load() {
 		return store.Result{}, store.ErrUnavailable
 	}
 	return c.Store.Feed(ctx, table, after, wait)
@@ -96,8 +105,8 @@
 
 func (p peers) Reserve(ctx context.Context, address, name, account string, tokens int64) (bool, error) {
 	for _, r := range p.fleet.routers {
-		if r.name == address && r.ledger != nil {
-			return r.ledger.Lend(ctx, name, account, tokens), nil
+		if l := r.ledger.Load(); r.name == address && l != nil {
+			return l.Lend(ctx, name, account, tokens), nil
 		}
 	}
 	return false, context.DeadlineExceeded
@@ -105,8 +114,8 @@
 
 func (p peers) Settle(_ context.Context, address, name, _ string, used int64) error {
 	for _, r := range p.fleet.routers {
-		if r.name == address && r.ledger != nil {
-			r.ledger.Repay(name, used)
+		if l := r.ledger.Load(); r.name == address && l != nil {
+			l.Repay(name, used)
 		}
 	}
 	return nil
@@ -115,21 +124,22 @@
 // start runs the next process of the router.
 func (r *router) start(ctx context.Context) {
 	logger := zerolog.Nop()
-	r.number++
-	r.ledger = &prepaid.Ledger{
+	number := r.number.Add(1)
+	ledger := &prepaid.Ledger{
 		Node:      r.name,
-		Instance:  fmt.Sprintf("%s/%d", r.name, r.number),
+		Instance:  fmt.Sprintf("%s/%d", r.name, number),
 		Address:   r.name,
-		Store:     cutStore{r.fleet.store, r, r.number},
+		Store:     cutStore{r.fleet.store, r, number},
 		Peers:     peers{r.fleet},
 		Started:   time.Now(),
 		Now:       time.Now,
 		Logger:    &logger,
-		Directory: func() *inventory.Directory { return r.fleet.directory },
+		Directory: r.fleet.directory.Load,
 	}
 	ctx, r.cancel = context.WithCancel(ctx)
 	r.done = make(chan struct{})
-	ledger, done := r.ledger, r.done
+	r.ledger.Store(ledger)
+	done := r.done
 	go func() {
 		defer close(done)
 		_ = ledger.Run(ctx)
@@ -138,10 +148,10 @@
 
 // kill ends the process without a word. What it does afterwards no longer reaches the store.
 func (r *router) kill() {
-	r.number++
+	r.number.Add(1)
+	r.ledger.Store(nil)
 	r.cancel()
 	<-r.done
-	r.ledger = nil
 }
 
 func (f *fleet) start(ctx context.Context) {
@@ -153,7 +163,7 @@
 
 func (f *fleet) stop() {
 	for _, r := range f.routers {
-		if r.ledger != nil {
+		if r.ledger.Load() != nil {
 			r.kill()
 		}
 	}
@@ -184,7 +194,7 @@
 		defer f.stop()
 		used := inventory.Tokens(0)
 		for i := 0; ; i++ {
-			h, reason := f.routers[i%6].ledger.Reserve(t.Context(), account, total, 8000)
+			h, reason := f.routers[i%6].ledger.Load().Reserve(t.Context(), account, total, 8000)
 			if h == nil {
 				is.Equal(reason, dispatch.NoBudget)
 				break
@@ -208,7 +218,7 @@
 		demand := func(d time.Duration) (refused, all int) {
 			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 				all++
-				h, _ := f.routers[all%2].ledger.Reserve(t.Context(), account, 10*total, 8000)
+				h, _ := f.routers[all%2].ledger.Load().Reserve(t.Context(), account, 10*total, 8000)
 				if h == nil {
 					refused++
 					continue
@@ -219,11 +229,11 @@
 		}
 		refused, _ := demand(8 * time.Second)
 		is.Equal(refused, 0)
-		f.store.Fault = func(bool) store.Fault { return store.LoseCall }
+		f.away.Store(true)
 		refused, all := demand(9 * time.Second)
 		t.Logf("%d of %d refused", refused, all)
 		is.Equal(refused, 0)
-		f.store.Fault = nil
+		f.away.Store(false)
 		refused, _ = demand(3 * time.Second)
 		is.Equal(refused, 0)
 	})
@@ -238,7 +248,7 @@
 		f.start(t.Context())
 		defer f.stop()
 		for range 20 {
-			h, _ := f.routers[0].ledger.Reserve(t.Context(), account, total, 5000)
+			h, _ := f.routers[0].ledger.Load().Reserve(t.Context(), account, total, 5000)
 			is.True(h != nil)
 			h.Settle(5000)
 			time.Sleep(200 * time.Millisecond)
@@ -266,7 +276,7 @@
 		r := f.routers[0]
 		spend := func(n int) (spent int) {
 			for range n {
-				if h, _ := r.ledger.Reserve(t.Context(), account, total, 5000); h != nil {
+				if h, _ := r.ledger.Load().Reserve(t.Context(), account, total, 5000); h != nil {
 					h.Settle(5000)
 					spent += 5000
 				}
@@ -275,10 +285,10 @@
 			return spent
 		}
 		spent := spend(30)
-		r.cut = true
+		r.cut.Store(true)
 		spent += spend(80) // The last five seconds of these are autonomous.
 		r.kill()
-		r.cut = false
+		r.cut.Store(false)
 		r.start(t.Context())
 		time.Sleep(3 * time.Second)
 		closed := f.sum(t).Closed
@@ -294,11 +304,11 @@
 		f := newFleet(2, 20_000)
 		f.start(t.Context())
 		defer f.stop()
-		l := f.routers[0].ledger
+		l := f.routers[0].ledger.Load()
 		h, reason := l.Reserve(t.Context(), account, 20_000, 30_000)
 		is.True(h == nil)
 		is.Equal(reason, dispatch.NoBudget)
-		f.directory = directory(2, 50_000)
+		f.directory.Store(directory(2, 50_000))
 		h, _ = l.Reserve(t.Context(), account, 50_000, 30_000)
 		is.True(h != nil)
 	})
@@ -311,7 +321,7 @@
 		f := newFleet(2, total)
 		f.start(t.Context())
 		defer f.stop()
-		l := f.routers[0].ledger
+		l := f.routers[0].ledger.Load()
 		h, _ := l.Reserve(t.Context(), account, total, 7000)
 		is.True(h != nil)
 		h.Settle(6500)
@@ -320,7 +330,7 @@
 		f.routers[1].kill()
 		f.routers[1].start(t.Context())
 		time.Sleep(3 * time.Second)
-		is.NoErr(f.routers[1].ledger.Close(t.Context()))
+		is.NoErr(f.routers[1].ledger.Load().Close(t.Context()))
 		sum := f.sum(t)
 		is.Equal(sum.Granted, 0)
 		is.True(sum.Closed >= 6500)
@@ -352,9 +362,8 @@
 	}
 	f := newFleet(4, total)
 	f.store.Delay = 2 * time.Second
-	away := false
 	f.store.Fault = func(bool) store.Fault {
-		if away {
+		if f.away.Load() {
 			return store.Refuse
 		}
 		if number(100) < faults {
@@ -375,17 +384,17 @@
 			r.start(t.Context())
 		}
 		if number(100) < cuts {
-			f.routers[number(4)].cut = number(2) == 0
+			f.routers[number(4)].cut.Store(number(2) == 0)
 		}
 		if number(100) < 3 {
-			away = !away
+			f.away.Store(!f.away.Load())
 		}
 		if number(100) < 1 {
 			limit += 100_000
-			f.directory = directory(f.directory.Version+1, limit)
+			f.directory.Store(directory(f.directory.Load().Version+1, limit))
 		}
 		tokens := inventory.Tokens(1 + number(size))
-		h, _ := f.routers[number(4)].ledger.Reserve(t.Context(), account, limit, tokens)
+		h, _ := f.routers[number(4)].ledger.Load().Reserve(t.Context(), account, limit, tokens)
 		if h != nil {
 			used := tokens * inventory.Tokens(number(3)) / 2
 			spent += used
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +24,8 @@
 	// leastBackoff and mostBackoff bound the wait after a failed call.
 	leastBackoff = 50 * time.Millisecond
 	mostBackoff  = 400 * time.Millisecond
+	// never is the age of what has not happened.
+	never = time.Duration(math.MaxInt64)
 )
 
 type (
@@ -35,9 +38,8 @@
 		Pause  time.Duration // Time between two changes that are taken; changes in between come together.
 		Logger *zerolog.Logger
 
-		seen atomic.Int64 // Time of the last answer in Unix nanoseconds of the monotonic base.
-		lost atomic.Int64 // Time of the last failure.
-		base time.Time
+		seen atomic.Pointer[time.Time] // Time of the last answer.
+		lost time.Time                 // Time of the last failure.
 	}
 
 	// Change is what a follower learned.
@@ -54,7 +56,6 @@
 
 // Run follows the table until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
-	f.base = time.Now()
 	version := int64(-1)
 	wait := leastBackoff
 	down := false
@@ -69,7 +70,7 @@
 			if ctx.Err() != nil {
 				return nil
 			}
-			f.lost.Store(int64(time.Since(f.base)))
+			f.lost = time.Now()
 			if !down {
 				down = true
 				event.StoreLost.Log(f.Logger).Str("table", f.Table).Int64("version", version).Err(err).Send()
@@ -114,16 +115,23 @@
 }
 
 func (f *Follower) take(result Result, whole bool) {
-	f.seen.Store(int64(time.Since(f.base)))
+	now := time.Now()
+	f.seen.Store(&now)
 	if !whole && len(result.Rows) == 0 {
 		return
 	}
-	outage := time.Duration(1<<62 - 1)
-	if lost := f.lost.Load(); lost > 0 {
-		outage = time.Since(f.base) - time.Duration(lost)
+	outage := never
+	if !f.lost.IsZero() {
+		outage = now.Sub(f.lost)
 	}
 	f.Apply(Change{Whole: whole, Rows: result.Rows, Version: result.Version, Outage: outage, Source: "store"})
 }
 
 // Age returns the time since the last answer of the store.
-func (f *Follower) Age() time.Duration { return time.Since(f.base) - time.Duration(f.seen.Load()) }
+func (f *Follower) Age() time.Duration {
+	seen := f.seen.Load()
+	if seen == nil {
+		return never
+	}
+	return time.Since(*seen)
+}
--- a/internal/store/memory.go
+++ b/internal/store/memory.go
@@ -62,6 +62,12 @@
 	return m.apply(w)
 }
 
+// Force applies a write without faults, as another client of the store does.
+func (m *Memory) Force(w Write) error {
+	_, err := m.apply(w)
+	return err
+}
+
 // List returns the rows of a part.
 func (m *Memory) List(ctx context.Context, table, part string) (Result, error) {
 	if err := m.read(ctx); err != nil {
