Leave the balancer while the host's link is full

Its link fills, connections to backend servers time out, all circuits open, and callers leave. Change: the bytes of callers' and backend servers' connections are measured; above 0.75 of the link the router is not ready and closes connections behind their answers, until the rate falls below 0.4.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -10,7 +10,6 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"citronslip/internal/dial"
 	"citronslip/internal/dispatch"
 	"citronslip/internal/event"
 	"citronslip/pkg/inventory"
@@ -62,7 +61,7 @@
 // the requests in flight.
 func (r *Router) serve(stop, ctx context.Context) error {
 	bodies := &dispatch.Bodies{Most: int64(bodyShare * float64(r.Settings.Memory)), Limit: r.bodyLimit}
-	listener, err := dial.Listen(ctx, r.Settings.Caller)
+	listener, err := r.Meter.Listen(ctx, r.Settings.Caller)
 	if err != nil {
 		return err
 	}
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -55,6 +55,7 @@
 		// Callers returns the handler for callers, Readiness the one of the readiness check.
 		Callers   func(d *dispatch.Dispatcher, bodies *dispatch.Bodies) http.Handler
 		Readiness func(ready func() bool) http.Handler
+		Meter     *dial.Meter
 		Logger    *zerolog.Logger
 
 		scope      tally.Scope
@@ -212,11 +213,14 @@
 	})
 }
 
-// ready reports whether the router can serve and is not about to stop.
+// ready reports whether the router can serve, is not about to stop, and has room on its host's link.
 func (r *Router) ready() bool {
-	ready := r.directory.Load() != nil && r.roster.Filled() && !r.stopping.Load()
+	full := r.Meter.Full()
+	ready := r.directory.Load() != nil && r.roster.Filled() && !r.stopping.Load() && !full
 	if r.wasReady.Swap(ready) != ready {
-		event.ReadinessTurned.Log(r.Logger).Bool("ready", ready).Bool("stopping", r.stopping.Load()).Send()
+		in, out := r.Meter.Rates()
+		event.ReadinessTurned.Log(r.Logger).Bool("ready", ready).Bool("stopping", r.stopping.Load()).Bool("full", full).
+			Float64("in", in).Float64("out", out).Send()
 	}
 	return ready
 }
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -16,6 +16,7 @@
 		Store      string
 		Memory     int64   // Bytes that the process may use.
 		Processor  float64 // Part of a core.
+		Bandwidth  float64 // Bytes a second of the host's link; zero if unknown.
 		Drain      time.Duration
 		Grace      time.Duration // From the stop signal to the kill.
 		Apply      time.Duration // Time in which a configuration has to be in force.
