--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -33,6 +33,8 @@
 	bodyShare = 0.25
 	// settingsInterval is the time between two looks at the settings file.
 	settingsInterval = time.Second
+	// allServers makes every router choose among all servers, so that a prompt has the same home on each of them.
+	allServers = 1 << 16
 	// scoreNoise is the random part of a server's score. A prompt that is spilled is read again, so that it is small.
 	scoreNoise = 0.01
 	// crashPause is the time between two changes of the recorded crashes that are taken.
@@ -103,6 +105,7 @@
 		Router:  r.Settings.Node,
 		Block:   dispatch.PrefixBlock,
 		Home:    1,
+		Subset:  allServers,
 		Noise:   scoreNoise,
 		Metrics: r.scope.SubScope("routing"),
 		Logger:  r.Logger,
