Make fewer calls to the store

Change: feeds wait 4 s, a router without demand holds nothing, grants are resized rarer with many routers, and cover 16 s so that nine seconds remain when they are grown.

--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -155,7 +155,7 @@
 		Store: r.Store, Table: r.DirectoryKey.Table, Part: r.DirectoryKey.Part, Apply: r.takeDirectory, Logger: r.Logger,
 	}
 	servers := &store.Follower{Store: r.Store, Table: r.ServerTable, Apply: r.takeServers, Logger: r.Logger}
-	r.relay.age = servers.Age
+	r.relay.age = r.ledger.Age
 	crashes := &store.Follower{Store: r.Store, Table: crash.Table, Apply: r.crashes.Apply, Pause: crashPause, Logger: r.Logger}
 	list := []func(context.Context) error{
 		directory.Run,
--- a/internal/prepaid/alive.go
+++ b/internal/prepaid/alive.go
@@ -16,6 +16,8 @@
 const (
 	// heartbeat is the time between two writes of the row that shows this router alive.
 	heartbeat = 500 * time.Millisecond
+	// sumPause is the time between two changes of the accounts' rows that are taken.
+	sumPause = time.Second
 	// memberInterval is the time between two readings of the other routers' rows.
 	memberInterval = 2 * time.Second
 	// memberLife is the age of a row's last change at which its router no longer counts.
@@ -88,7 +90,7 @@
 	group.Go(func() error { l.every(ctx, heartbeat, l.beat); return nil })
 	group.Go(func() error { l.every(ctx, memberInterval, l.readMembers); return nil })
 	group.Go(func() error { l.every(ctx, stepInterval, l.step); return nil })
-	sums := &store.Follower{Store: l.Store, Table: sumTable, Apply: l.takeSums, Pause: stepInterval, Logger: l.Logger}
+	sums := &store.Follower{Store: l.Store, Table: sumTable, Apply: l.takeSums, Pause: sumPause, Logger: l.Logger}
 	group.Go(func() error { return sums.Run(ctx) })
 	return group.Wait()
 }
@@ -248,6 +250,13 @@
 	return l.members.count()
 }
 
+// Age returns the time since the last answer of the store.
+func (l *Ledger) Age() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.contact.age(l.Now())
+}
+
 // Addresses returns the addresses of the other routers.
 func (l *Ledger) Addresses() []string {
 	l.mu.Lock()
--- a/internal/prepaid/size.go
+++ b/internal/prepaid/size.go
@@ -4,12 +4,14 @@
 
 const (
 	// reserveTime is the demand that a grant covers while the store is away.
-	reserveTime = 12 * time.Second
+	reserveTime = 16 * time.Second
 	// openShare and reserveShare bound what a router has opened and reserved, as parts of what is left. Shares are not
 	// equal: the balancer may send most of an account's requests to one router.
 	openShare    = 0.15
 	reserveShare = 0.45
-	// firstShare is the part of what is left that all routers reserve together whatever their demand.
+	// leastDemand is the demand in tokens a second below which a router holds nothing of an account.
+	leastDemand = 1
+	// firstShare is the part of what is left that all routers with any demand reserve together.
 	firstShare = 0.35
 	// scarceShare is the part of the total below which nothing is reserved, so that the rest can be used to the end.
 	scarceShare = 0.06
@@ -50,7 +52,7 @@
 // Size returns the size of a grant. Ample budgets go on for reserveTime without the store. As a budget runs out, grants
 // shrink until each request is written on its own and nothing is left in a router that does not need it.
 func (n Need) Size() Size {
-	if float64(n.Rest) < scarceShare*float64(n.Total) {
+	if n.Demand < leastDemand || float64(n.Rest) < scarceShare*float64(n.Total) {
 		return Size{}
 	}
 	rest := float64(n.Rest)
--- a/internal/prepaid/write.go
+++ b/internal/prepaid/write.go
@@ -18,11 +18,13 @@
 	writeLongest = 300 * time.Millisecond
 	// stepInterval is the time between two looks at all grants.
 	stepInterval = 500 * time.Millisecond
-	// resizeInterval is the time between two looks at the size of one grant.
+	// resizeInterval is the time between two looks at the size of one grant. It grows with the number of routers beyond
+	// resizeRouters, because all of them write the account's row.
 	resizeInterval = time.Second
+	resizeRouters  = 12
 	// growPart and shrinkFactor are the parts of its size at which a grant is written anew.
 	growPart     = 0.6
-	shrinkFactor = 1.7
+	shrinkFactor = 2
 	// freshRow is the age of an account's row at which it is read again before a request is refused.
 	freshRow = 150 * time.Millisecond
 	// neverVersion is a version that no row has.
@@ -165,7 +167,8 @@
 // due reports whether a write that no request waits for is due, and notes it.
 func (l *Ledger) due(a *account) bool {
 	now := l.Now()
-	if now.Sub(a.checked) < resizeInterval {
+	interval := resizeInterval * time.Duration(max(l.members.count(), resizeRouters)) / resizeRouters
+	if now.Sub(a.checked) < interval {
 		return false
 	}
 	a.checked = now
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -15,8 +15,8 @@
 
 const (
 	// feedWait is how long the store may hold a call until something changes. A connection that falls silent is noticed
-	// after this time and feedMargin.
-	feedWait = time.Second
+	// sooner, by its keep-alive probes.
+	feedWait = 4 * time.Second
 	// feedMargin is the time for the answer beyond the wait.
 	feedMargin = 800 * time.Millisecond
 	// listTime bounds a listing.
