Log the choice of each attempt, refusals with their inputs, and histograms; open five seconds ahead while ample

Cause: TestAmpleBudgetLastsThroughAnOutage failed in 3 of about 400 runs: what was opened could be used up 2.9 s after the store went away, because it was written once a second and the demand of a young meter was too low.

--- a/internal/dial/meter.go
+++ b/internal/dial/meter.go
@@ -16,10 +16,10 @@
 	// packetBytes is what the headers of one packet take of a link beyond its data, packetData the data in one packet.
 	packetBytes = 78
 	packetData  = 1448
-	// FullShare is the part of a link's bandwidth from which on it counts as full, FreeShare the one below which it no
+	// fullShare is the part of a link's bandwidth from which on it counts as full, freeShare the one below which it no
 	// longer does.
-	FullShare = 0.75
-	FreeShare = 0.4
+	fullShare = 0.75
+	freeShare = 0.4
 	// fullTime is the shortest time for which a link counts as full.
 	fullTime = 3 * time.Second
 )
@@ -86,9 +86,9 @@
 	switch {
 	case m.Bandwidth <= 0:
 		return false
-	case most > FullShare*m.Bandwidth:
+	case most > fullShare*m.Bandwidth:
 		m.full = now
-	case !m.full.IsZero() && now.Sub(m.full) > fullTime && most < FreeShare*m.Bandwidth:
+	case !m.full.IsZero() && now.Sub(m.full) > fullTime && most < freeShare*m.Bandwidth:
 		m.full = time.Time{}
 	}
 	return !m.full.IsZero()
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -117,14 +117,16 @@
 }
 
 func (c *call) reserve(ctx context.Context) Reason {
-	if !c.route.Model || c.account == nil || c.Budgets == nil {
+	if !c.route.Model || c.account == nil {
 		return ""
 	}
 	total, limited := c.directory.Budget(c.account.Name)
 	if !limited {
 		return ""
 	}
-	hold, reason := c.Budgets.Reserve(ctx, c.account.Name, total, c.request.Prompt.Size())
+	hold, reason := c.Budgets.Reserve(ctx, Claim{
+		Request: c.request.ID, Account: c.account.Name, Total: total, Tokens: c.request.Prompt.Size(),
+	})
 	c.hold = hold
 	return reason
 }
@@ -156,6 +158,7 @@
 	for {
 		server, choice, err := c.Pool.Pick(c.want())
 		if err != nil {
+			c.unplaced()
 			c.fail(ctx, NoServer)
 			return
 		}
@@ -198,6 +201,7 @@
 // whether another server may get it.
 func (c *call) attempt(ctx context.Context, server *Server, choice *routing.Choice) (again bool, reason Reason) {
 	choice.Started()
+	c.sent(server, choice)
 	outcome := c.Backend.Send(ctx, c.describe(server))
 	switch o := outcome.(type) {
 	case Unreached:
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -154,9 +154,17 @@
 		Err   error
 	}
 
+	// Claim is what a request may consume of its account's budget.
+	Claim struct {
+		Request string // Identity of the request, for the log.
+		Account string
+		Total   inventory.Tokens // Of the budget, by the configuration that the request is served with.
+		Tokens  inventory.Tokens
+	}
+
 	// Budgets reserves tokens before a request is sent.
 	Budgets interface {
-		Reserve(ctx context.Context, account string, total, tokens inventory.Tokens) (Hold, Reason)
+		Reserve(ctx context.Context, c Claim) (Hold, Reason)
 	}
 
 	// Hold is a reservation. Settle ends it with what was used.
--- a/internal/dispatch/log.go
+++ b/internal/dispatch/log.go
@@ -4,8 +4,22 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"citronslip/internal/event"
+	"citronslip/internal/routing"
+)
+
+const (
+	// mostReasons is the number of servers of which a log line tells why they do not take a request.
+	mostReasons = 8
+	// firstLatency is the upper bound of the first bucket of the latency histograms, which double up to about 16 s.
+	firstLatency   = 4 * time.Millisecond
+	latencyBuckets = 13
+)
+
+var (
+	latencies = tally.MustMakeExponentialDurationBuckets(firstLatency, 2, latencyBuckets)
 )
 
 // end notes the result of the call.
@@ -18,6 +32,31 @@
 	return e.Log(c.Logger).Str("request", c.request.ID)
 }
 
+// sent logs the choice of a server and what decided it.
+func (c *call) sent(server *Server, choice *routing.Choice) {
+	x := choice.Expected
+	c.line(event.AttemptSent).Str("server", server.Name).Int64("cached", x.Cached).Int64("ahead", x.Ahead).
+		Int("batch", x.Batch).Dur("load_age", x.Age).Dur("left", time.Until(c.limit())).Send()
+}
+
+// unplaced logs why no server takes the request.
+func (c *call) unplaced() {
+	want := c.want()
+	want.Explain = &routing.Explanation{}
+	if _, choice, err := c.Pool.Pick(want); err == nil {
+		choice.Done(routing.Cancelled{}) // A server has come back just now; the request has its answer already.
+	}
+	reasons := zerolog.Arr()
+	for i, candidate := range want.Explain.Candidates {
+		if i == mostReasons {
+			break
+		}
+		reasons.Str(candidate.Server + ": " + candidate.Out)
+	}
+	c.line(event.RequestUnplaced).Str("service", c.service).Int("candidates", len(want.Explain.Candidates)).
+		Array("reasons", reasons).Send()
+}
+
 // unreached logs a send of which nothing reached the server.
 func (c *call) unreached(server *Server, err error) {
 	c.line(event.AttemptLost).Str("server", server.Name).Str("address", server.Address).Bool("sent", false).Err(err).Send()
@@ -49,5 +88,15 @@
 		line.Dur("first", c.first)
 	}
 	line.Send()
-	c.Metrics.Tagged(map[string]string{"result": c.result}).Counter("requests").Inc(1)
+	c.count()
+}
+
+// count adds the request to the metrics.
+func (c *call) count() {
+	scope := c.Metrics.Tagged(map[string]string{"result": c.result, "reason": string(c.reason)})
+	scope.Counter("requests").Inc(1)
+	scope.Histogram("took", latencies).RecordDuration(time.Since(c.request.Arrived))
+	if c.began {
+		scope.Histogram("first", latencies).RecordDuration(c.first)
+	}
 }
--- a/internal/event/caller.go
+++ b/internal/event/caller.go
@@ -16,4 +16,6 @@
 	AttemptRefused   = register(121, zerolog.InfoLevel, "backend server did not run the attempt", "None unless it continues: then add backend servers.")
 	RequestMalformed = register(123, zerolog.WarnLevel, "request refused before it was routed", "None. The caller's request is not well-formed, or too large.")
 	AttemptLost      = register(122, zerolog.InfoLevel, "attempt without a usable answer", "Check the backend server named if it repeats.")
+	AttemptSent      = register(124, zerolog.InfoLevel, "attempt sent to a backend server", "None. Cached, ahead, batch and load_age are what the choice was based on.")
+	RequestUnplaced  = register(125, zerolog.WarnLevel, "no backend server takes the request", "See the field reasons. With no candidates, check the entries of the service's servers.")
 )
--- a/internal/event/prepaid.go
+++ b/internal/event/prepaid.go
@@ -4,7 +4,7 @@
 
 // Events of prepaid grants on the users' platform, 240 to 259.
 var (
-	PrepaidShort     = register(240, zerolog.InfoLevel, "what is left of the budget does not cover the request", "Top the budget up if the account is to continue.")
+	PrepaidShort     = register(240, zerolog.InfoLevel, "request gets no tokens", "With exhausted, top the budget up if the account is to continue; without, check the store and the network to it.")
 	PrepaidWrite     = register(241, zerolog.WarnLevel, "write of a grant failed or was not answered", "Check the store if it continues; the router tries again.")
 	PrepaidTaken     = register(242, zerolog.InfoLevel, "grant of this router opened", "None. The field amount tells what an earlier process of the router held; without opened_only all of it counts as spent.")
 	PrepaidSized     = register(243, zerolog.InfoLevel, "grant written", "None.")
--- a/internal/prepaid/borrow.go
+++ b/internal/prepaid/borrow.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"citronslip/internal/dispatch"
 	"citronslip/internal/event"
 	"citronslip/pkg/inventory"
 )
@@ -54,7 +55,7 @@
 )
 
 // borrow reserves at another router.
-func (l *Ledger) borrow(ctx context.Context, account string, tokens inventory.Tokens) *loan {
+func (l *Ledger) borrow(ctx context.Context, c dispatch.Claim) *loan {
 	if l.Peers == nil {
 		return nil
 	}
@@ -65,16 +66,17 @@
 	l.mu.Unlock()
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	for _, address := range addresses[:min(len(addresses), peerTries)] {
-		h := &loan{l, address, name, account}
+		h := &loan{l, address, name, c.Account}
 		attempt, cancel := context.WithTimeout(ctx, borrowTime)
-		ok, err := l.Peers.Reserve(attempt, address, name, account, int64(tokens))
+		ok, err := l.Peers.Reserve(attempt, address, name, c.Account, int64(c.Tokens))
 		cancel()
 		if ok {
-			event.PrepaidBorrowed.Log(l.Logger).Str("account", account).Str("peer", address).Int64("tokens", int64(tokens)).Send()
+			event.PrepaidBorrowed.Log(l.Logger).Str("request", c.Request).Str("account", c.Account).Str("peer", address).
+				Int64("tokens", int64(c.Tokens)).Send()
 			return h
 		}
 		if err != nil {
-			event.PrepaidUnlent.Log(l.Logger).Str("account", account).Str("peer", address).Err(err).Send()
+			event.PrepaidUnlent.Log(l.Logger).Str("request", c.Request).Str("account", c.Account).Str("peer", address).Err(err).Send()
 			h.Settle(0) // The tokens may be reserved there.
 		}
 		if ctx.Err() != nil {
@@ -119,7 +121,7 @@
 		l.recall(a)
 		return false
 	}
-	h, _ := l.reserve(ctx, account, total, inventory.Tokens(tokens))
+	h, _ := l.reserve(ctx, dispatch.Claim{Request: name, Account: account, Total: total, Tokens: inventory.Tokens(tokens)})
 	if h == nil {
 		l.recall(a)
 		return false
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -87,34 +87,45 @@
 )
 
 // Reserve reserves tokens in the own grant, at the store or at another router.
-func (l *Ledger) Reserve(ctx context.Context, name string, total, tokens inventory.Tokens) (dispatch.Hold, dispatch.Reason) {
-	own, exhausted := l.reserve(ctx, name, total, tokens)
+func (l *Ledger) Reserve(ctx context.Context, c dispatch.Claim) (dispatch.Hold, dispatch.Reason) {
+	own, exhausted := l.reserve(ctx, c)
 	if own != nil {
 		return own, ""
 	}
-	if other := l.borrow(ctx, name, tokens); other != nil {
+	if other := l.borrow(ctx, c); other != nil {
 		return other, ""
 	}
 	// The routers that could not lend have given back what they do not use.
 	for try := 0; exhausted && try < recallTries && delay.For(ctx, recallWait); try++ {
-		if own, exhausted = l.reserve(ctx, name, total, tokens); own != nil {
+		if own, exhausted = l.reserve(ctx, c); own != nil {
 			return own, ""
 		}
 	}
+	l.short(c, exhausted)
 	if exhausted {
-		event.PrepaidShort.Log(l.Logger).Str("account", name).Int64("tokens", int64(tokens)).Int64("total", int64(total)).Send()
 		return nil, dispatch.NoBudget
 	}
 	return nil, dispatch.BudgetUnknown
 }
 
+// short logs why a request gets no tokens.
+func (l *Ledger) short(c dispatch.Claim, exhausted bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(c.Account)
+	event.PrepaidShort.Log(l.Logger).Str("request", c.Request).Str("account", c.Account).Int64("tokens", int64(c.Tokens)).
+		Int64("total", int64(c.Total)).Int64("used", a.used()).Int("opened", a.own.Opened).Int("amount", a.own.Amount).
+		Int64("free", a.sum.free()).Bool("exhausted", exhausted).Dur("row_age", l.Now().Sub(a.read)).
+		Dur("store_age", l.contact.age(l.Now())).Send()
+}
+
 // reserve reserves tokens in the own grant or at the store. Without a hold it returns whether the store says that
 // nothing is free.
-func (l *Ledger) reserve(ctx context.Context, name string, total, tokens inventory.Tokens) (h *hold, exhausted bool) {
-	n := int64(tokens)
+func (l *Ledger) reserve(ctx context.Context, c dispatch.Claim) (h *hold, exhausted bool) {
+	n := int64(c.Tokens)
 	l.mu.Lock()
-	a := l.account(name)
-	l.declare(a, total)
+	a := l.account(c.Account)
+	l.declare(a, c.Total)
 	a.meter.add(float64(n), l.Now())
 	if a.used()+n <= l.limit(a) {
 		a.held += n
--- a/internal/prepaid/size.go
+++ b/internal/prepaid/size.go
@@ -1,13 +1,19 @@
 package prepaid
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// reserveTime is the demand that a grant covers while the store is away.
 	reserveTime = 16 * time.Second
+	// openTime is the demand that is opened ahead while a budget is ample. More than AutonomyDelay is left of it when more
+	// is opened.
+	openTime = 5 * time.Second
 	// openShare and reserveShare bound what a router has opened and reserved, as parts of what is left. Shares are not
 	// equal: the balancer may send most of an account's requests to one router.
-	openShare    = 0.15
+	openShare    = 0.1
 	reserveShare = 0.45
 	// leastDemand is the demand in tokens a second below which a router holds nothing of an account.
 	leastDemand = 1
@@ -56,7 +62,11 @@
 		return Size{}
 	}
 	rest := float64(n.Rest)
-	open := min(n.Demand*AutonomyDelay.Seconds(), openShare*rest)
+	span := AutonomyDelay
+	if rest > ampleShare*float64(n.Total) {
+		span = openTime
+	}
+	open := min(n.Demand*span.Seconds(), openShare*rest)
 	ample := openShare * (rest - ampleShare*float64(n.Total)) / float64(max(n.Routers, 1))
 	open = max(open, ample)
 	if open < leastOpened {
@@ -85,9 +95,10 @@
 		return 0
 	}
 	m.decay(now)
-	// A meter that is younger than its mean has seen less than that time.
-	span := min(max(now.Sub(m.first), leastDemandTime), demandTime)
-	return max(m.sum/span.Seconds(), 0)
+	// A young meter has seen less than the whole of its mean.
+	age := max(now.Sub(m.first), leastDemandTime)
+	span := demandTime.Seconds() * (1 - math.Exp(-float64(age)/float64(demandTime)))
+	return max(m.sum/span, 0)
 }
 
 func (m *meter) decay(now time.Time) {
--- a/internal/prepaid/write.go
+++ b/internal/prepaid/write.go
@@ -22,6 +22,8 @@
 	// resizeRouters, because all of them write the account's row.
 	resizeInterval = time.Second
 	resizeRouters  = 12
+	// reopenPart is the part of what is opened ahead at which more is opened.
+	reopenPart = 0.8
 	// growPart and shrinkFactor are the parts of its size at which a grant is written anew.
 	growPart     = 0.6
 	shrinkFactor = 2
@@ -118,7 +120,7 @@
 		amount = base + size.Open + size.Reserve
 		opened = min(opened, base+size.Open)
 		a.cap = opened
-	case a.used()+size.Open/2 > int64(a.own.Opened) && a.own.Opened < a.own.Amount && l.due(a):
+	case a.used()+int64(reopenPart*float64(size.Open)) > int64(a.own.Opened) && a.own.Opened < a.own.Amount:
 		next.own.Opened = int(min(opened, amount))
 		return l.single(a, next)
 	case next.sum.Total != a.sum.Total && l.due(a):
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -14,6 +14,8 @@
 		Server *inventory.BackendServer
 		// Sample says whether the router wants a load report with the response. At high rates it asks for some only.
 		Sample bool
+		// Expected is what the choice was based on.
+		Expected Expectation
 
 		picker  *Picker
 		server  *server
@@ -30,6 +32,14 @@
 		last    time.Time // Time of the last progress.
 		tokens  int64     // Tokens at the last progress.
 	}
+
+	// Expectation is what a picker expects of the server that it chose.
+	Expectation struct {
+		Cached int64         // Prompt tokens in the server's cache.
+		Ahead  int64         // Prompt tokens up to and including those of the request.
+		Batch  int           // Requests that run there.
+		Age    time.Duration // Age of the load report; zero if there is none.
+	}
 )
 
 // Started notes that the request is being sent.
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -424,6 +424,10 @@
 	}
 	c.batch, c.ahead = p.expect(s, p.share.scale(), now, c.urgent)
 	s.note(now)
+	c.Expected = Expectation{Cached: c.cached, Ahead: int64(c.ahead), Batch: int(c.batch)}
+	if s.loaded {
+		c.Expected.Age = now.Sub(s.load.Time)
+	}
 	return c
 }
 
