Pause writes after the store has turned one away, and take only grants that were left

Change: the row of a router names the accounts of which it holds a grant; only those are taken after a start. After a failure all writes of a router pause, conflicts in a row are spread.

--- a/internal/prepaid/alive.go
+++ b/internal/prepaid/alive.go
@@ -104,6 +104,9 @@
 		if l.members.whole {
 			l.contact.before = l.members.rows[l.Node].PrepaidAlive
 			l.contact.ready = true
+			for _, name := range l.contact.before.Accounts {
+				l.account(name).inherited = true
+			}
 		}
 		ready := l.contact.ready
 		l.mu.Unlock()
@@ -133,7 +136,9 @@
 	if l.covered() {
 		l.contact.proof = l.contact.clock
 	}
-	row := wire.PrepaidAlive{Holder: l.Instance, Address: l.Address, Clock: int(l.contact.proof.Milliseconds())}
+	row := wire.PrepaidAlive{
+		Holder: l.Instance, Address: l.Address, Clock: int(l.contact.proof.Milliseconds()), Accounts: l.holdings(),
+	}
 	l.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, writeTime)
 	defer cancel()
@@ -149,6 +154,18 @@
 	l.note(true)
 }
 
+// holdings returns the accounts of which this router holds a grant, or of which the process before it may have left one.
+func (l *Ledger) holdings() []string {
+	var result []string
+	for _, a := range l.accounts {
+		if a.own.version != 0 || a.inherited && !a.loaded {
+			result = append(result, a.name)
+		}
+	}
+	slices.Sort(result)
+	return result
+}
+
 // covered reports whether no account has spent more than it has opened, as it may have while the store was away.
 func (l *Ledger) covered() bool {
 	for _, a := range l.accounts {
@@ -207,21 +224,26 @@
 	l.members.whole = true
 }
 
-// step looks at the grants of all accounts, so that what a dead process of this router left is free soon.
+// step looks at the grants that this router holds, and at those that a dead process of it has left.
 func (l *Ledger) step(context.Context) {
 	l.expire()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.contact.age(l.Now()) > AutonomyDelay {
+	now := l.Now()
+	if l.contact.age(now) > AutonomyDelay {
 		return // No write would succeed; each request tries on its own.
 	}
 	if d := l.Directory(); d != nil {
 		for _, b := range d.Budgets {
-			l.declare(l.account(b.Account), b.Tokens)
+			if a := l.accounts[b.Account]; a != nil {
+				l.declare(a, b.Tokens)
+			}
 		}
 	}
 	for _, a := range l.accounts {
-		l.kick(a)
+		if (a.loaded || a.inherited) && now.After(a.retry) {
+			l.kick(a)
+		}
 	}
 }
 
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -47,6 +47,7 @@
 		contact  contact
 		members  members
 		remote   remoteHolds
+		pause    pause
 
 		autonomous bool // As last logged.
 		stopped    bool
@@ -54,22 +55,24 @@
 
 	// account is this router's part of one budget.
 	account struct {
-		name    string
-		total   inventory.Tokens
-		version int64 // Configuration version of the total.
-		sum     sumState
-		own     grantState
-		loaded  bool  // Whether the rows were read.
-		spent   int64 // Settled by this instance.
-		held    int64 // Reserved by requests in progress.
-		cap     int64 // Lowered limit while a smaller grant is being written; -1 if there is none.
-		meter   meter
-		waiting []*waiter
-		writing bool
-		read    time.Time // When the account's row was last read or written.
-		exact   time.Time // When the store last said that nothing is free.
-		checked time.Time // When the size was last looked at.
-		scarce  time.Time // When a request last found nothing free.
+		name      string
+		total     inventory.Tokens
+		version   int64 // Configuration version of the total.
+		sum       sumState
+		own       grantState
+		loaded    bool  // Whether the rows were read.
+		inherited bool  // Whether the process before this one may have left a grant.
+		spent     int64 // Settled by this instance.
+		held      int64 // Reserved by requests in progress.
+		cap       int64 // Lowered limit while a smaller grant is being written; -1 if there is none.
+		meter     meter
+		waiting   []*waiter
+		writing   bool
+		read      time.Time // When the account's row was last read or written.
+		exact     time.Time // When the store last said that nothing is free.
+		checked   time.Time // When the size was last looked at.
+		scarce    time.Time // When a request last found nothing free.
+		retry     time.Time // No write that no request waits for before.
 	}
 
 	// waiter is a request that waits for the store.
--- a/internal/prepaid/write.go
+++ b/internal/prepaid/write.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"citronslip/internal/delay"
@@ -13,9 +14,15 @@
 const (
 	// writeTime bounds one write to the store.
 	writeTime = 700 * time.Millisecond
-	// writeBackoff and writeLongest bound the wait after a failed write.
-	writeBackoff = 30 * time.Millisecond
-	writeLongest = 300 * time.Millisecond
+	// writeBackoff and writeLongest bound the pause after a failed write.
+	writeBackoff = 40 * time.Millisecond
+	writeLongest = 400 * time.Millisecond
+	// Conflicts in a row beyond conflictsFree are followed by a wait that grows by conflictStep up to conflictsMost.
+	conflictsFree = 2
+	conflictsMost = 12
+	conflictStep  = 15 * time.Millisecond
+	// idleRetry is the time after which a failed write is tried again that no request waits for, at the latest.
+	idleRetry = 3 * time.Second
 	// stepInterval is the time between two looks at all grants.
 	stepInterval = 500 * time.Millisecond
 	// resizeInterval is the time between two looks at the size of one grant. It grows with the number of routers beyond
@@ -38,6 +45,20 @@
 	shrinkLeast = 4000
 )
 
+type (
+	// planned is the state of the rows after a write.
+	planned struct {
+		sum sumState
+		own grantState
+	}
+
+	// pause is the time for which this router writes no grants after a failure.
+	pause struct {
+		span  time.Duration
+		until time.Time
+	}
+)
+
 // kick starts the writer of an account unless it runs. The caller holds the lock.
 func (l *Ledger) kick(a *account) {
 	if a.writing || !l.contact.ready {
@@ -49,41 +70,58 @@
 
 // write writes an account's rows until nothing is due.
 func (l *Ledger) write(a *account) {
-	wait := writeBackoff
+	conflicts := 0
 	for {
 		l.mu.Lock()
 		l.grant(a)
-		w, next, ok := l.plan(a)
-		if !ok {
-			a.writing = false
+		wait := l.pause.wait(l.Now())
+		idle := len(a.waiting) == 0
+		if wait > 0 && idle {
+			a.writing = false // The next step tries again.
 			l.mu.Unlock()
 			return
 		}
 		l.mu.Unlock()
-		if err := l.commit(a, w, next); err == nil || errors.Is(err, store.ErrConflict) {
-			wait = writeBackoff
-			continue
+		if wait > 0 {
+			delay.For(context.Background(), wait)
 		}
 		l.mu.Lock()
-		idle := len(a.waiting) == 0
-		if idle {
+		w, next, ok := l.plan(a)
+		if !ok {
 			a.writing = false
+			l.mu.Unlock()
+			return
 		}
 		l.mu.Unlock()
-		if idle {
-			return // The next step tries again.
+		err := l.commit(a, w, next)
+		if errors.Is(err, store.ErrConflict) {
+			conflicts++
+			delay.For(context.Background(), conflictWait(conflicts))
 		}
-		delay.For(context.Background(), wait)
-		wait = min(2*wait, writeLongest)
 	}
 }
 
-// planned is the state of the rows after a write.
-type planned struct {
-	sum sumState
-	own grantState
+// conflictWait returns a random time that spreads the routers that write the same row.
+func conflictWait(conflicts int) time.Duration {
+	if conflicts < conflictsFree {
+		return 0
+	}
+	return time.Duration(rand.Int64N(int64(min(conflicts, conflictsMost)) * int64(conflictStep)))
 }
 
+// failed notes a call that the store did not do. All writes of this router pause, so that a store that turns calls away
+// is not asked again at once.
+func (p *pause) failed(now time.Time) {
+	p.span = min(max(2*p.span, writeBackoff), writeLongest)
+	p.until = now.Add(p.span/2 + time.Duration(rand.Int64N(int64(p.span))))
+}
+
+// done notes a call that the store did.
+func (p *pause) done() { p.span, p.until = 0, time.Time{} }
+
+// wait returns the time until the next write.
+func (p *pause) wait(now time.Time) time.Duration { return max(0, p.until.Sub(now)) }
+
 // plan returns the next write of an account, if one is due.
 func (l *Ledger) plan(a *account) (store.Write, planned, bool) {
 	if l.stopped {
@@ -245,12 +283,16 @@
 	defer l.mu.Unlock()
 	switch {
 	case err == nil:
+		l.pause.done()
 		l.contact.answered(sent, l.Now(), result.Clock, l.Started)
 		l.written(a, w, next, result.Version)
 	case errors.Is(err, store.ErrConflict):
+		l.pause.done()
 		l.contact.answered(sent, l.Now(), result.Clock, l.Started)
 		l.conflict(a, w, result.Rows)
 	default:
+		l.pause.failed(l.Now())
+		a.retry = l.Now().Add(time.Duration(rand.Int64N(int64(idleRetry))))
 		event.PrepaidWrite.Log(l.Logger).Str("account", a.name).Err(err).Send()
 	}
 	return err
--- a/internal/wire/prepaid.go
+++ b/internal/wire/prepaid.go
@@ -4,6 +4,9 @@
 
 // PrepaidAlive is the row of a running router.
 type PrepaidAlive struct {
+	// Accounts of which the router holds a grant.
+	Accounts []string `json:"accounts,omitempty,omitzero"`
+
 	// Address for other routers.
 	Address string `json:"address"`
 
@@ -30,16 +33,6 @@
 
 type PrepaidJson map[string]interface{}
 
-// PrepaidProof answers a PrepaidWitness.
-type PrepaidProof struct {
-	// Whether the receiver has no connection to the store either, or was told so by
-	// the instance.
-	Alone bool `json:"alone"`
-
-	// How long the receiver has been running, in milliseconds.
-	Since int `json:"since"`
-}
-
 // PrepaidSum is the row of an account's prepaid tokens. Closed plus granted never
 // exceeds the total.
 type PrepaidSum struct {
@@ -55,10 +48,3 @@
 	// Configuration version that declared the total.
 	Version int `json:"version"`
 }
-
-// PrepaidWitness asks whether a router reaches the store, or was told that another
-// one does not.
-type PrepaidWitness struct {
-	// Instance that asks, or that is asked about.
-	Holder string `json:"holder"`
-}
