--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -56,11 +56,18 @@
 		began     bool     // Whether the caller has a part of the answer.
 		ran       bool     // Whether a server may have begun to work on it.
 		lastEvent string
+		spare     *spare // Answer that is passed on if no better one comes.
 		events    int64
 		first     time.Duration // From arrival to the first byte of the answer.
 		result    string
 		reason    Reason
 	}
+
+	// spare is a whole answer in which a server reports an error of its own.
+	spare struct {
+		head any
+		body []byte
+	}
 )
 
 // Serve answers one request. It returns when the answer has ended.
@@ -171,7 +178,7 @@
 		if reason == "" {
 			return
 		}
-		if !again || !c.Repeats.Again(c.service) {
+		if !again {
 			c.fail(ctx, reason)
 			return
 		}
@@ -210,20 +217,20 @@
 		if ctx.Err() == nil {
 			c.Crashes.Down(context.WithoutCancel(ctx), server.Name)
 		}
-		return ctx.Err() == nil, NoServer
+		return ctx.Err() == nil && c.Repeats.Again(c.service), NoServer
 	case Refused:
 		c.tried = append(c.tried, server.Name)
 		c.Pool.Report(server, o.Load)
 		choice.Done(routing.Refused{Reason: o.Reason, After: o.After})
 		c.line(event.AttemptRefused).Str("server", server.Name).Int("reason", int(o.Reason)).Send()
-		return c.more(), Busy
+		return c.more() && c.Repeats.Again(c.service), Busy
 	case Lost:
 		c.tried = append(c.tried, server.Name)
 		c.ran = true
 		choice.Done(c.broken(ctx, routing.Broken{Reset: o.Reset}))
 		c.suspect(ctx, server)
 		c.lost(server, o.Reset, o.Err)
-		return c.repeatable(ctx), c.late(ctx)
+		return c.again(ctx)
 	case Answered:
 		c.tried = append(c.tried, server.Name)
 		c.ran = true
@@ -255,13 +262,15 @@
 		choice.Done(c.broken(ctx, routing.Broken{}))
 		c.suspect(ctx, server)
 		c.lost(server, false, err)
-		return c.repeatable(ctx), c.late(ctx)
-	}
-	if !o.Success && c.repeatable(ctx) && c.Repeats.Again(c.service) {
-		choice.Done(routing.Broken{})
-		c.line(event.AttemptRepeated).Str("server", server.Name).Str("reason", "server error").Send()
 		return c.again(ctx)
 	}
+	if !o.Success && len(whole) < wholeBytes {
+		if again, _ := c.again(ctx); again {
+			choice.Done(routing.Broken{})
+			c.spare = &spare{head: o.Head, body: whole}
+			return true, ServerError
+		}
+	}
 	choice.First()
 	c.first = time.Since(c.request.Arrived)
 	c.began = true
@@ -322,9 +331,29 @@
 // more reports whether the route allows another server.
 func (c *call) more() bool { return len(c.tried) < max(c.route.Attempts, 1) }
 
-// repeatable reports whether a request that may have run may be sent again.
-func (c *call) repeatable(ctx context.Context) bool {
-	return ctx.Err() == nil && c.more() && c.route.Repeat != inventory.RunOnce
+// again returns whether a request that may have run may be sent once more, and takes it out of the allowance.
+func (c *call) again(ctx context.Context) (bool, Reason) {
+	if ctx.Err() != nil || !c.more() || c.route.Repeat == inventory.RunOnce || !c.Repeats.Again(c.service) {
+		return false, c.late(ctx)
+	}
+	if c.began {
+		c.line(event.StreamMoved).Str("last", c.lastEvent).Int64("events", c.events).Send()
+	}
+	return true, Broken
+}
+
+// deliver passes on the answer of a server that was to be replaced by a better one.
+func (c *call) deliver() {
+	err := c.response.Begin(c.spare.head, int64(len(c.spare.body)))
+	if err == nil {
+		err = c.response.Write(c.spare.body)
+	}
+	if err != nil {
+		c.response.Abort()
+		c.end("caller left", "")
+		return
+	}
+	c.finish(false)
 }
 
 // late returns the reason of a failure: the time limit if it has passed.
@@ -361,6 +390,8 @@
 	case c.began:
 		c.response.Abort()
 		c.end("aborted", reason)
+	case c.spare != nil:
+		c.deliver()
 	case c.ran && reason.NotRun():
 		c.refuse(Broken, 0)
 	case !c.ran && !reason.NotRun():
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -39,6 +39,8 @@
 	Memory Reason = "router out of memory"
 	// Late says that the time limit was reached. The request may have run.
 	Late Reason = "time limit reached"
+	// ServerError says that a backend server answered with an error of its own. The request has run.
+	ServerError Reason = "server error"
 	// Broken says that a backend server broke off. The request may have run.
 	Broken Reason = "backend server broke off"
 )
@@ -179,7 +181,7 @@
 func (Lost) outcome()      {}
 
 // NotRun reports whether a refusal for the reason promises that the request has not run and will not run.
-func (r Reason) NotRun() bool { return r != Late && r != Broken }
+func (r Reason) NotRun() bool { return r != Late && r != Broken && r != ServerError }
 
 // process names one process of the server.
 func (s *Server) process() string { return s.Name + "/" + strconv.FormatInt(s.Born, 10) }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -231,6 +231,29 @@
 	is.Equal(a.refusal.Reason, dispatch.Broken)
 }
 
+// Guards against a server's own error that is replaced by a failure of the router, when no other server answers or no repeat
+// is left.
+func TestServersErrorIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	b := newBench(func(_ context.Context, number int, _ dispatch.Attempt) dispatch.Outcome {
+		if number > 1 {
+			return dispatch.Lost{Reset: true, Err: errReset}
+		}
+		failed, _ := whole("error of the server").(dispatch.Answered)
+		failed.Success = false
+		return failed
+	})
+	a := b.serve("/safe/1")
+	is.Equal(len(b.sends), 2)
+	is.Equal(a.body.String(), "error of the server")
+	is.True(a.ended)
+	b.sends = nil
+	b.Repeats = &dispatch.Repeats{Window: time.Second, Routers: func() int { return 1 }, Now: time.Now}
+	a = b.serve("/safe/1")
+	is.Equal(len(b.sends), 1)
+	is.Equal(a.body.String(), "error of the server")
+}
+
 // Guards against an event that is missing or comes twice when a stream moves, also when it broke off within an event.
 func TestResumableStreamContinuesBehindItsLastEvent(t *testing.T) {
 	is := is.New(t)
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -7,7 +7,6 @@
 	"io"
 	"time"
 
-	"citronslip/internal/event"
 	"citronslip/internal/routing"
 	"citronslip/internal/sse"
 )
@@ -73,17 +72,6 @@
 	return true
 }
 
-// again returns whether a stream that broke off may continue at another server.
-func (c *call) again(ctx context.Context) (bool, Reason) {
-	if !c.repeatable(ctx) {
-		return false, c.late(ctx)
-	}
-	if c.began {
-		c.line(event.StreamMoved).Str("last", c.lastEvent).Int64("events", c.events).Send()
-	}
-	return true, Broken
-}
-
 // eventID returns the identity of an event, or nothing if it has none.
 func eventID(data []byte) string {
 	for line := range bytes.Lines(data) {
--- a/internal/prepaid/borrow.go
+++ b/internal/prepaid/borrow.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// borrowTime bounds one question to another router.
-	borrowTime = 300 * time.Millisecond
+	// borrowTime bounds one question to another router, borrowAll all questions for one request.
+	borrowTime = 200 * time.Millisecond
+	borrowAll  = 400 * time.Millisecond
 	// settleTime bounds the report of what a request consumed, with repeats.
 	settleTime = 5 * time.Second
 	// remoteLife is how long tokens stay reserved for another router. Those of a router that does not report in time are
@@ -59,6 +60,8 @@
 	if l.Peers == nil {
 		return nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, borrowAll)
+	defer cancel()
 	l.mu.Lock()
 	addresses := l.addresses()
 	l.remote.count++
@@ -67,9 +70,9 @@
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	for _, address := range addresses[:min(len(addresses), peerTries)] {
 		h := &loan{l, address, name, c.Account}
-		attempt, cancel := context.WithTimeout(ctx, borrowTime)
+		attempt, end := context.WithTimeout(ctx, borrowTime)
 		ok, err := l.Peers.Reserve(attempt, address, name, c.Account, int64(c.Tokens))
-		cancel()
+		end()
 		if ok {
 			event.PrepaidBorrowed.Log(l.Logger).Str("request", c.Request).Str("account", c.Account).Str("peer", address).
 				Int64("tokens", int64(c.Tokens)).Send()
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -116,10 +116,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(c.Account)
-	event.PrepaidShort.Log(l.Logger).Str("request", c.Request).Str("account", c.Account).Int64("tokens", int64(c.Tokens)).
+	line := event.PrepaidShort.Log(l.Logger).Str("request", c.Request).Str("account", c.Account).Int64("tokens", int64(c.Tokens)).
 		Int64("total", int64(c.Total)).Int64("used", a.used()).Int("opened", a.own.Opened).Int("amount", a.own.Amount).
-		Int64("free", a.sum.free()).Bool("exhausted", exhausted).Dur("row_age", l.Now().Sub(a.read)).
-		Dur("store_age", l.contact.age(l.Now())).Send()
+		Int64("free", a.sum.free()).Bool("exhausted", exhausted).Dur("store_age", l.contact.age(l.Now()))
+	if !a.read.IsZero() {
+		line.Dur("row_age", l.Now().Sub(a.read))
+	}
+	line.Send()
 }
 
 // reserve reserves tokens in the own grant or at the store. Without a hold it returns whether the store says that
