--- a/internal/dial/meter.go
+++ b/internal/dial/meter.go
@@ -18,8 +18,10 @@
 	packetData  = 1448
 	// fullShare is the part of a link's bandwidth from which on it counts as full, freeShare the one below which it no
 	// longer does.
-	fullShare = 0.75
-	freeShare = 0.4
+	fullShare = 0.65
+	freeShare = 0.35
+	// chokedShare is the part from which on large requests are refused, because they would time out.
+	chokedShare = 0.85
 	// fullTime is the shortest time for which a link counts as full.
 	fullTime = 3 * time.Second
 )
@@ -94,6 +96,14 @@
 	return !m.full.IsZero()
 }
 
+// Choked reports whether the link is so full that a large request would time out on it.
+func (m *Meter) Choked() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.step(m.Now())
+	return m.Bandwidth > 0 && max(m.in.rate, m.out.rate) > chokedShare*m.Bandwidth
+}
+
 // Rates returns the bytes a second received and sent.
 func (m *Meter) Rates() (in, out float64) {
 	m.mu.Lock()
--- a/internal/dial/meter_test.go
+++ b/internal/dial/meter_test.go
@@ -24,7 +24,9 @@
 		return full
 	}
 	is.True(!play(500_000, 5*time.Second))
+	is.True(!m.Choked())
 	is.True(play(1_200_000, 3*time.Second))
+	is.True(m.Choked())
 	is.True(play(700_000, 10*time.Second)) // Not yet free.
 	is.True(!play(200_000, 6*time.Second))
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -29,6 +29,8 @@
 	Busy Reason = "backend servers full"
 	// Overload says that the request would not be served in time.
 	Overload Reason = "deadline cannot be met"
+	// LinkFull says that the router's host has no bandwidth left.
+	LinkFull Reason = "link of the host full"
 	// Crashing says that the same request has crashed backend servers.
 	Crashing Reason = "request crashes backend servers"
 	// Malformed says that the request lacks what it needs, or holds what it must not.
--- a/internal/event/caller.go
+++ b/internal/event/caller.go
@@ -14,7 +14,7 @@
 	StreamMoved      = register(107, zerolog.InfoLevel, "stream continues on another backend server", "Check the backend server named, which broke the stream off.")
 	AttemptRepeated  = register(120, zerolog.InfoLevel, "request sent to another backend server", "None. The field reason tells what the attempt before ended with.")
 	AttemptRefused   = register(121, zerolog.InfoLevel, "backend server did not run the attempt", "None unless it continues: then add backend servers.")
-	RequestMalformed = register(123, zerolog.WarnLevel, "request refused before it was routed", "None. The caller's request is not well-formed, or too large.")
+	RequestMalformed = register(123, zerolog.WarnLevel, "request refused before it was routed", "None if the field reason tells of the request; a full link asks for more or larger hosts.")
 	AttemptLost      = register(122, zerolog.InfoLevel, "attempt without a usable answer", "Check the backend server named if it repeats.")
 	AttemptSent      = register(124, zerolog.InfoLevel, "attempt sent to a backend server", "None. Cached, ahead, batch and load_age are what the choice was based on.")
 	RequestUnplaced  = register(125, zerolog.WarnLevel, "no backend server takes the request", "See the field reasons. With no candidates, check the entries of the service's servers.")
