--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -54,8 +54,9 @@
 		DecodeServer    func(name string, data []byte) (dispatch.Server, error)
 		DirectoryKey    store.Key
 		ServerTable     string
-		// Callers returns the handler for callers, Readiness the one of the readiness check.
-		Callers   func(d *dispatch.Dispatcher, bodies *dispatch.Bodies) http.Handler
+		// Callers returns the handler for callers, Readiness the one of the readiness check. Delay tells how long requests
+		// wait on the host's link before they are read.
+		Callers   func(d *dispatch.Dispatcher, bodies *dispatch.Bodies, delay func() time.Duration) http.Handler
 		Readiness func(ready func() bool) http.Handler
 		Meter     *dial.Meter
 		Logger    *zerolog.Logger
@@ -216,6 +217,15 @@
 	})
 }
 
+// delay returns how long requests wait on the host's link before they are read. While the link is full, packets queue on
+// it, and the heartbeats' answers wait there as well.
+func (r *Router) delay() time.Duration {
+	if !r.Meter.Full() {
+		return 0
+	}
+	return r.ledger.Trip()
+}
+
 // ready reports whether the router can serve, is not about to stop, and has room on its host's link.
 func (r *Router) ready() bool {
 	full := r.Meter.Full()
--- a/internal/prepaid/alive.go
+++ b/internal/prepaid/alive.go
@@ -29,6 +29,7 @@
 	contact struct {
 		heard   time.Time     // When the newest answer came.
 		clock   time.Duration // Store's clock in it.
+		trip    time.Duration // How long the last heartbeat took, answered or not.
 		started time.Duration // Store's clock at the start of this process, at the latest.
 		proof   time.Duration // Store's clock up to which nothing beyond the opened parts was spent.
 		before  wire.PrepaidAlive
@@ -146,6 +147,7 @@
 	result, err := l.Store.Write(ctx, store.Write{Puts: []store.Put{{Key: aliveKey(l.Node), Value: encode(row)}}})
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.contact.trip = l.Now().Sub(sent)
 	if err != nil {
 		l.note(false)
 		return
@@ -279,6 +281,13 @@
 	return l.contact.age(l.Now())
 }
 
+// Trip returns how long the last heartbeat to the store took.
+func (l *Ledger) Trip() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.contact.trip
+}
+
 // Addresses returns the addresses of the other routers.
 func (l *Ledger) Addresses() []string {
 	l.mu.Lock()
