--- /dev/null
+++ b/internal/crash/crash_test.go
@@ -0,0 +1,86 @@
+package crash_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"citronslip/internal/crash"
+	"citronslip/internal/store"
+)
+
+func newList(s store.Store) *crash.List {
+	logger := zerolog.Nop()
+	return &crash.List{Store: s, Now: time.Now, Logger: &logger}
+}
+
+// follow hands what the store has to a list.
+func follow(t *testing.T, s store.Store, l *crash.List) {
+	t.Helper()
+	rows, err := s.List(t.Context(), crash.Table, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Apply(store.Change{Whole: true, Rows: rows.Rows, Version: rows.Version})
+}
+
+// Guards against a request that goes on crashing servers through other routers, also when the store is away at first.
+func TestCrashesAreCountedOverTheFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		calls := 0
+		s := &store.Memory{Fault: func(bool) store.Fault {
+			calls++
+			if calls < 5 {
+				return store.Refuse
+			}
+			return store.NoFault
+		}}
+		routers := []*crash.List{newList(s), newList(s), newList(s), newList(s)}
+		for i, l := range routers[:3] {
+			server := fmt.Sprintf("i-%d", i)
+			l.Suspect("mark", server, server+"/1")
+			l.Down(t.Context(), server)
+			is.True(!l.Blocked("mark"))
+		}
+		time.Sleep(10 * time.Second)
+		for _, l := range routers {
+			follow(t, s, l)
+			is.True(l.Blocked("mark"))
+			is.True(!l.Blocked("another"))
+		}
+	})
+}
+
+// Guards against requests that are stopped although no server went down, or long after their answers were lost.
+func TestLostAnswersAreNoCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := newList(&store.Memory{})
+		for i := range 10 {
+			l.Suspect("mark", "i-1", fmt.Sprint("i-1/", i))
+		}
+		is.True(!l.Blocked("mark"))
+		time.Sleep(20 * time.Second)
+		l.Down(t.Context(), "i-1")
+		is.True(!l.Blocked("mark"))
+	})
+}
+
+// Guards against one crash that counts more than once.
+func TestOneProcessCountsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := newList(&store.Memory{})
+		for range 5 {
+			l.Suspect("mark", "i-1", "i-1/7")
+			l.Down(t.Context(), "i-1")
+		}
+		is.True(!l.Blocked("mark"))
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -105,10 +105,8 @@
 		Service string
 		Address string
 		Place   string
-		Slots   int
 		Leaving bool
-		Born    int64         // Start of its process; changes when it starts again under the same name.
-		Cold    time.Duration // How much longer it is slow after its start.
+		Born    int64 // Start of its process; changes when it starts again under the same name.
 	}
 
 	// Attempt is one send of a request to a backend server.
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -14,13 +14,9 @@
 		Metrics    string // Address of the metrics; none if empty.
 		Seeds      []string
 		Store      string
-		Memory     int64   // Bytes that the process may use.
-		Processor  float64 // Part of a core.
-		Bandwidth  float64 // Bytes a second of the host's link; zero if unknown.
-		Drain      time.Duration
+		Memory     int64         // Bytes that the process may use.
+		Bandwidth  float64       // Bytes a second of the host's link; zero if unknown.
 		Grace      time.Duration // From the stop signal to the kill.
-		Apply      time.Duration // Time in which a configuration has to be in force.
-		Settle     time.Duration
 		RetryRatio float64
 		RetrySlack float64
 		RetrySpan  time.Duration
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,87 @@
+package store_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"citronslip/internal/store"
+)
+
+var (
+	key = store.Key{Table: "t", Name: "a"}
+)
+
+// Guards against a write whose condition does not hold, and against a conflict that does not tell the row.
+func TestConditions(t *testing.T) {
+	is := is.New(t)
+	m := &store.Memory{}
+	first, err := m.Write(t.Context(), store.Write{Expect: []store.Expect{{Key: key}}, Puts: []store.Put{{Key: key, Value: []byte("1")}}})
+	is.NoErr(err)
+	again, err := m.Write(t.Context(), store.Write{Expect: []store.Expect{{Key: key}}, Puts: []store.Put{{Key: key, Value: []byte("2")}}})
+	is.True(errors.Is(err, store.ErrConflict))
+	is.Equal(again.Rows[0].Version, first.Version)
+	is.Equal(string(again.Rows[0].Value), "1")
+}
+
+// Guards against changes that a follower misses over outages, lost history and silence.
+func TestFollowerMissesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var fault atomic.Int32
+		m := &store.Memory{Fault: func(bool) store.Fault { return store.Fault(fault.Load()) }}
+		logger := zerolog.Nop()
+		seen := make(map[string]string)
+		f := &store.Follower{Store: m, Table: "t", Logger: &logger, Apply: func(c store.Change) {
+			if c.Whole {
+				clear(seen)
+			}
+			for _, row := range c.Rows {
+				if row.Deleted {
+					delete(seen, row.Name)
+					continue
+				}
+				seen[row.Name] = string(row.Value)
+			}
+		}}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- f.Run(ctx) }()
+		for i := range 40 {
+			switch i % 10 {
+			case 3:
+				fault.Store(int32(store.Refuse))
+			case 5:
+				fault.Store(int32(store.LoseCall))
+			case 7:
+				fault.Store(int32(store.NoFault))
+			case 8:
+				m.Forget()
+			}
+			name := store.Key{Table: "t", Name: fmt.Sprint(i % 7)}
+			write := store.Write{Puts: []store.Put{{Key: name, Value: []byte(fmt.Sprint(i))}}}
+			if i%5 == 4 {
+				write = store.Write{Remove: []store.Key{name}}
+			}
+			is.NoErr(m.Force(write))
+			time.Sleep(700 * time.Millisecond)
+		}
+		time.Sleep(10 * time.Second)
+		cancel()
+		is.NoErr(<-done)
+		rows, err := m.List(t.Context(), "t", "")
+		is.NoErr(err)
+		is.Equal(len(rows.Rows), len(seen))
+		for _, row := range rows.Rows {
+			is.Equal(seen[row.Name], string(row.Value))
+		}
+		is.True(f.Age() < 15*time.Second)
+	})
+}
