Tell callers when the tokens of an outage become free

Change: the refusal tells when the router may spend its reserve, if that covers the request; else that the outage lasts as long again. TestRefusalTellsWhenTheReserveOpens fails before.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -80,8 +80,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.limit())
 	defer cancel()
-	if reason := c.reserve(ctx); reason != "" {
-		c.refuse(reason, 0)
+	if refusal := c.reserve(ctx); refusal.Reason != "" {
+		c.refuse(refusal.Reason, refusal.After)
 		return
 	}
 	defer c.settle()
@@ -123,19 +123,19 @@
 	return c.request.Arrived.Add(patience)
 }
 
-func (c *call) reserve(ctx context.Context) Reason {
+func (c *call) reserve(ctx context.Context) Refusal {
 	if !c.route.Model || c.account == nil {
-		return ""
+		return Refusal{}
 	}
 	total, limited := c.directory.Budget(c.account.Name)
 	if !limited {
-		return ""
+		return Refusal{}
 	}
-	hold, reason := c.Budgets.Reserve(ctx, Claim{
+	hold, refusal := c.Budgets.Reserve(ctx, Claim{
 		Request: c.request.ID, Account: c.account.Name, Total: total, Tokens: c.request.Prompt.Size(),
 	})
 	c.hold = hold
-	return reason
+	return refusal
 }
 
 // settle charges the prompt and the output tokens that the caller got. An answer of which nothing was passed on consumes
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -164,9 +164,9 @@
 		Tokens  inventory.Tokens
 	}
 
-	// Budgets reserves tokens before a request is sent.
+	// Budgets reserves tokens before a request is sent. Without a hold the refusal tells why.
 	Budgets interface {
-		Reserve(ctx context.Context, c Claim) (Hold, Reason)
+		Reserve(ctx context.Context, c Claim) (Hold, Refusal)
 	}
 
 	// Hold is a reservation. Settle ends it with what was used.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -68,12 +68,12 @@
 	return n, err
 }
 
-func (b *budget) Reserve(_ context.Context, c dispatch.Claim) (dispatch.Hold, dispatch.Reason) {
+func (b *budget) Reserve(_ context.Context, c dispatch.Claim) (dispatch.Hold, dispatch.Refusal) {
 	if b.refuse != "" {
-		return nil, b.refuse
+		return nil, dispatch.Refusal{Reason: b.refuse}
 	}
 	b.held += c.Tokens
-	return b, ""
+	return b, dispatch.Refusal{}
 }
 
 func (b *budget) Settle(used inventory.Tokens) { b.settled = append(b.settled, used) }
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -23,6 +23,9 @@
 	// asked for it.
 	recallWait  = 25 * time.Millisecond
 	recallTries = 2
+	// leastAfter and mostAfter bound the time told to a caller while the store is away.
+	leastAfter = time.Second
+	mostAfter  = 5 * time.Second
 	// awayAge is the age of the store's last answer at which it is taken to be away.
 	awayAge = 1200 * time.Millisecond
 )
@@ -90,25 +93,41 @@
 )
 
 // Reserve reserves tokens in the own grant, at the store or at another router.
-func (l *Ledger) Reserve(ctx context.Context, c dispatch.Claim) (dispatch.Hold, dispatch.Reason) {
+func (l *Ledger) Reserve(ctx context.Context, c dispatch.Claim) (dispatch.Hold, dispatch.Refusal) {
 	own, exhausted := l.reserve(ctx, c)
 	if own != nil {
-		return own, ""
+		return own, dispatch.Refusal{}
 	}
 	if other := l.borrow(ctx, c); other != nil {
-		return other, ""
+		return other, dispatch.Refusal{}
 	}
 	// The routers that could not lend have given back what they do not use.
 	for try := 0; exhausted && try < recallTries && delay.For(ctx, recallWait); try++ {
 		if own, exhausted = l.reserve(ctx, c); own != nil {
-			return own, ""
+			return own, dispatch.Refusal{}
 		}
 	}
 	l.short(c, exhausted)
 	if exhausted {
-		return nil, dispatch.NoBudget
+		return nil, dispatch.Refusal{Reason: dispatch.NoBudget}
+	}
+	return nil, dispatch.Refusal{Reason: dispatch.BudgetUnknown, After: l.after(c)}
+}
+
+// after returns when a request that the store cannot be asked about may be granted: when this router may spend what it
+// has not opened, if that covers it, or else when the store may be back. An outage is expected to last as long again.
+func (l *Ledger) after(c dispatch.Claim) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a, age := l.account(c.Account), l.contact.age(l.Now())
+	switch {
+	case age < storeWait:
+		return 0
+	case age < AutonomyDelay && a.used()+int64(c.Tokens) <= int64(a.own.Amount):
+		return AutonomyDelay - age + recallWait
+	default:
+		return min(max(age, leastAfter), mostAfter)
 	}
-	return nil, dispatch.BudgetUnknown
 }
 
 // short logs why a request gets no tokens.
--- a/internal/prepaid/prepaid_test.go
+++ b/internal/prepaid/prepaid_test.go
@@ -194,9 +194,9 @@
 		defer f.stop()
 		used := inventory.Tokens(0)
 		for i := 0; ; i++ {
-			h, reason := f.routers[i%6].ledger.Load().Reserve(t.Context(), dispatch.Claim{Account: account, Total: total, Tokens: 8000})
+			h, refusal := f.routers[i%6].ledger.Load().Reserve(t.Context(), dispatch.Claim{Account: account, Total: total, Tokens: 8000})
 			if h == nil {
-				is.Equal(reason, dispatch.NoBudget)
+				is.Equal(refusal.Reason, dispatch.NoBudget)
 				break
 			}
 			h.Settle(8000)
@@ -334,6 +334,36 @@
 	})
 }
 
+// Guards against callers that come back too early: in the first seconds of an outage the refusal tells when the router may
+// spend what it has reserved.
+func TestRefusalTellsWhenTheReserveOpens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, total)
+		f.start(t.Context())
+		defer f.stop()
+		l := f.routers[0].ledger.Load()
+		claim := dispatch.Claim{Account: account, Total: total, Tokens: 5000}
+		for range 40 {
+			h, _ := l.Reserve(t.Context(), claim)
+			is.True(h != nil)
+			h.Settle(5000)
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(1200 * time.Millisecond) // The grant is written.
+		f.away.Store(true)
+		time.Sleep(time.Second)
+		claim.Tokens = 100_000
+		h, refusal := l.Reserve(t.Context(), claim)
+		is.True(h == nil)
+		is.Equal(refusal.Reason, dispatch.BudgetUnknown)
+		is.True(refusal.After > time.Second && refusal.After < prepaid.AutonomyDelay)
+		time.Sleep(refusal.After)
+		h, _ = l.Reserve(t.Context(), claim)
+		is.True(h != nil)
+	})
+}
+
 // Guards against a top-up that is not used, or only after a while.
 func TestTopUpActsOnTheNextRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -342,9 +372,9 @@
 		f.start(t.Context())
 		defer f.stop()
 		l := f.routers[0].ledger.Load()
-		h, reason := l.Reserve(t.Context(), dispatch.Claim{Account: account, Total: 20_000, Tokens: 30_000})
+		h, refusal := l.Reserve(t.Context(), dispatch.Claim{Account: account, Total: 20_000, Tokens: 30_000})
 		is.True(h == nil)
-		is.Equal(reason, dispatch.NoBudget)
+		is.Equal(refusal.Reason, dispatch.NoBudget)
 		f.directory.Store(directory(2, 50_000))
 		h, _ = l.Reserve(t.Context(), dispatch.Claim{Account: account, Total: 50_000, Tokens: 30_000})
 		is.True(h != nil)
