--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,10 +33,9 @@
 func TestCrashesAreCountedOverTheFleet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		calls := 0
+		var calls atomic.Int32
 		s := &store.Memory{Fault: func(bool) store.Fault {
-			calls++
-			if calls < 5 {
+			if calls.Add(1) < 5 {
 				return store.Refuse
 			}
 			return store.NoFault
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"time"
 
@@ -18,15 +17,10 @@
 )
 
 const (
-	// wholeBytes is the longest body of a plain answer that is read whole before it is passed on. A shorter answer that
-	// breaks off is never shown to the caller in part.
-	wholeBytes = 256 << 10
 	// leastLeft is the shortest time for which an attempt is worth sending.
 	leastLeft = 20 * time.Millisecond
 	// retryAfter is the time told with a refusal whose cause gives no better one.
 	retryAfter = 300 * time.Millisecond
-	// PrefixBlock is the number of prompt tokens for each prefix hash; Picker.Block has to be the same.
-	PrefixBlock = 1024
 )
 
 type (
@@ -62,12 +56,6 @@
 		result    string
 		reason    Reason
 	}
-
-	// spare is a whole answer in which a server reports an error of its own.
-	spare struct {
-		head any
-		body []byte
-	}
 )
 
 // Serve answers one request. It returns when the answer has ended.
@@ -255,79 +243,6 @@
 	return a
 }
 
-// plain passes on an answer that is no stream of events.
-func (c *call) plain(ctx context.Context, server *Server, choice *routing.Choice, o Answered) (bool, Reason) {
-	whole, err := io.ReadAll(io.LimitReader(o.Body, wholeBytes))
-	if err != nil {
-		choice.Done(c.broken(ctx, routing.Broken{}))
-		c.suspect(ctx, server)
-		c.lost(server, false, err)
-		return c.again(ctx)
-	}
-	if !o.Success && len(whole) < wholeBytes {
-		if again, _ := c.again(ctx); again {
-			choice.Done(routing.Broken{})
-			c.spare = &spare{head: o.Head, body: whole}
-			return true, ServerError
-		}
-	}
-	choice.First()
-	c.first = time.Since(c.request.Arrived)
-	c.began = true
-	if err := c.response.Begin(o.Head, o.Length); err != nil {
-		choice.Done(routing.Cancelled{})
-		c.end("caller left", "")
-		return false, ""
-	}
-	if err := c.copy(whole, o.Body); err != nil {
-		choice.Done(c.broken(ctx, routing.Broken{}))
-		c.response.Abort()
-		c.end("aborted", Broken)
-		return false, ""
-	}
-	choice.Done(routing.Finished{Cached: -1})
-	c.finish(o.Success)
-	return false, ""
-}
-
-// copy passes on the part of a body that was read and the rest.
-func (c *call) copy(whole []byte, rest io.Reader) error {
-	if err := c.response.Write(whole); err != nil {
-		return err
-	}
-	if len(whole) < wholeBytes {
-		return nil
-	}
-	buffer := make([]byte, 32<<10)
-	for {
-		n, err := rest.Read(buffer)
-		if n > 0 {
-			if err := c.response.Write(buffer[:n]); err != nil {
-				return err
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
-// finish ends an answer that is complete.
-func (c *call) finish(success bool) {
-	if err := c.response.End(); err != nil {
-		c.end("caller left", "")
-		return
-	}
-	if success {
-		c.end("answered", "")
-		return
-	}
-	c.end("server error", "")
-}
-
 // more reports whether the route allows another server.
 func (c *call) more() bool { return len(c.tried) < max(c.route.Attempts, 1) }
 
@@ -342,20 +257,6 @@
 	return true, Broken
 }
 
-// deliver passes on the answer of a server that was to be replaced by a better one.
-func (c *call) deliver() {
-	err := c.response.Begin(c.spare.head, int64(len(c.spare.body)))
-	if err == nil {
-		err = c.response.Write(c.spare.body)
-	}
-	if err != nil {
-		c.response.Abort()
-		c.end("caller left", "")
-		return
-	}
-	c.finish(false)
-}
-
 // late returns the reason of a failure: the time limit if it has passed.
 func (c *call) late(ctx context.Context) Reason {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -408,23 +309,3 @@
 	c.response.Refuse(Refusal{Reason: reason, After: after})
 	c.end("refused", reason)
 }
-
-// prefix returns the cumulative hashes of the prompt's blocks. Parts are hashed once for each block that they fill, so
-// that two prompts share as many hashes as they share blocks.
-func (p *Prompt) prefix() []uint64 {
-	var result []uint64
-	hash := uint64(14695981039346656037)
-	tokens := int64(0)
-	for i, part := range p.Parts {
-		if i == len(p.Parts)-1 {
-			break // The last part belongs to this request alone.
-		}
-		hash = (hash ^ part.ID) * 1099511628211
-		tokens += part.Tokens
-		for int64(len(result)) < (tokens+PrefixBlock/2)/PrefixBlock {
-			hash = (hash ^ uint64(len(result))) * 1099511628211
-			result = append(result, hash)
-		}
-	}
-	return result
-}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -67,21 +67,6 @@
 		Print     string // Fingerprint of path, key and body.
 	}
 
-	// Prompt is the size and the make-up of a model request.
-	Prompt struct {
-		Model  string
-		Tokens int64 // Prompt tokens.
-		Most   int64 // Most output tokens.
-		Hint   int64 // The caller's guess of the output tokens; zero if none.
-		Parts  []Part
-	}
-
-	// Part is a part of a prompt; requests that begin with the same parts share them in an engine's cache.
-	Part struct {
-		ID     uint64
-		Tokens int64
-	}
-
 	// Refusal is an answer of the router itself.
 	Refusal struct {
 		Reason Reason
@@ -185,6 +170,3 @@
 
 // process names one process of the server.
 func (s *Server) process() string { return s.Name + "/" + strconv.FormatInt(s.Born, 10) }
-
-// Size returns the most tokens that the request can consume.
-func (p *Prompt) Size() inventory.Tokens { return inventory.Tokens(p.Tokens + p.Most) }
--- a/internal/prepaid/prepaid_test.go
+++ b/internal/prepaid/prepaid_test.go
@@ -364,6 +364,26 @@
 	})
 }
 
+// Guards against a row of another writer that is taken for an empty budget, or that the router asks for without end.
+func TestUnreadableRowGrantsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, total)
+		calls := atomic.Int32{}
+		f.store.Fault = func(bool) store.Fault { calls.Add(1); return store.NoFault }
+		row := store.Key{Table: "budget", Part: account, Name: "sum"}
+		is.NoErr(f.store.Force(store.Write{Puts: []store.Put{{Key: row, Value: []byte("no row")}}}))
+		f.start(t.Context())
+		defer f.stop()
+		before := calls.Load()
+		h, refusal := f.routers[0].ledger.Load().Reserve(t.Context(), dispatch.Claim{Account: account, Total: total, Tokens: 1})
+		is.True(h == nil)
+		is.Equal(refusal.Reason, dispatch.BudgetUnknown)
+		time.Sleep(10 * time.Second)
+		is.True(calls.Load()-before < 60) // Heartbeats, members and feeds alone make about 40.
+	})
+}
+
 // Guards against a top-up that is not used, or only after a while.
 func TestTopUpActsOnTheNextRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/prepaid/write.go
+++ b/internal/prepaid/write.go
@@ -93,8 +93,13 @@
 			return
 		}
 		l.mu.Unlock()
-		err := l.commit(a, w, next)
-		if errors.Is(err, store.ErrConflict) {
+		switch err := l.commit(a, w, next); {
+		case errors.Is(err, errRow):
+			l.mu.Lock()
+			a.writing = false // The next request or step looks at the row again.
+			l.mu.Unlock()
+			return
+		case errors.Is(err, store.ErrConflict):
 			conflicts++
 			delay.For(context.Background(), conflictWait(conflicts))
 		}
@@ -166,15 +171,7 @@
 		return store.Write{}, planned{}, false
 	}
 	if needed > 0 && base > amount && !l.fits(a, amount) {
-		if l.Now().Sub(a.read) > freshRow {
-			return l.look(a)
-		}
-		a.exact, a.scarce = l.Now(), l.Now()
-		l.refuse(a)
-		if len(a.waiting) > 0 {
-			return l.plan(a)
-		}
-		return store.Write{}, planned{}, false
+		return l.fallShort(a)
 	}
 	next.sum.Granted += int(amount) - a.own.Amount
 	next.own.Amount = int(amount)
@@ -182,6 +179,19 @@
 	return l.both(a, next)
 }
 
+// fallShort refuses the waiting requests that the budget does not cover, once the account's row is fresh.
+func (l *Ledger) fallShort(a *account) (store.Write, planned, bool) {
+	if l.Now().Sub(a.read) > freshRow {
+		return l.look(a)
+	}
+	a.exact, a.scarce = l.Now(), l.Now()
+	l.refuse(a)
+	if len(a.waiting) > 0 {
+		return l.plan(a)
+	}
+	return store.Write{}, planned{}, false
+}
+
 // look returns a write whose conditions cannot hold, so that the store answers with the rows.
 func (l *Ledger) look(a *account) (store.Write, planned, bool) {
 	return store.Write{Expect: []store.Expect{
@@ -215,6 +225,7 @@
 	return true
 }
 
+// size returns the size that an account's grant is to have.
 func (l *Ledger) size(a *account) Size {
 	size := Need{
 		Demand:  a.meter.at(l.Now()),
@@ -291,7 +302,12 @@
 	case errors.Is(err, store.ErrConflict):
 		l.pause.done()
 		l.contact.answered(sent, l.Now(), result.Clock, l.Started)
-		l.conflict(a, w, result.Rows)
+		if unreadable := l.conflict(a, w, result.Rows); unreadable != nil {
+			// Without the row nothing is known of what was spent: nothing more is granted.
+			a.retry = l.Now().Add(idleRetry)
+			event.PrepaidRow.Log(l.Logger).Str("account", a.name).Err(unreadable).Send()
+			return unreadable
+		}
 	default:
 		l.pause.failed(l.Now())
 		a.retry = l.Now().Add(time.Duration(rand.Int64N(int64(idleRetry))))
@@ -300,6 +316,7 @@
 	return err
 }
 
+// written takes over the rows as this router has written them.
 func (l *Ledger) written(a *account, w store.Write, next planned, version int64) {
 	before := a.own
 	a.own = next.own
@@ -320,7 +337,7 @@
 }
 
 // conflict takes over the rows that did not have the expected versions.
-func (l *Ledger) conflict(a *account, w store.Write, rows []store.Row) {
+func (l *Ledger) conflict(a *account, w store.Write, rows []store.Row) error {
 	sum, own := sumState{}, grantState{}
 	for _, row := range rows {
 		var err error
@@ -337,10 +354,7 @@
 			}
 		}
 		if err != nil {
-			// Without the row nothing is known of what was spent: nothing more is granted.
-			event.PrepaidRow.Log(l.Logger).Str("account", a.name).Err(err).Send()
-			l.refuse(a)
-			return
+			return err
 		}
 	}
 	a.own = own
@@ -351,4 +365,5 @@
 	}
 	a.cap = -1
 	event.PrepaidConflict.Log(l.Logger).Str("account", a.name).Int64("own", own.version).Int64("sum", a.sum.version).Send()
+	return nil
 }
