End a stream as broken when the server that was to continue it reports an error

TestErrorOfTheSecondServerDoesNotEndAStream fails before. Also: after an outage only the newest configuration is read.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -23,6 +23,10 @@
 	retryAfter = 300 * time.Millisecond
 )
 
+var (
+	errNoStream = errors.New("dispatch: the server does not continue the stream")
+)
+
 type (
 	// Dispatcher serves requests. Set the fields before the first call of Serve.
 	Dispatcher struct {
@@ -224,10 +228,17 @@
 		c.ran = true
 		defer func() { _ = o.Body.Close() }()
 		c.Pool.Report(server, o.Load)
-		if o.Success && c.route.Stream {
+		switch {
+		case o.Success && c.route.Stream:
 			return c.stream(ctx, server, choice, o)
+		case c.began:
+			// The caller has a part of a stream, behind which an error of the server has no place.
+			choice.Done(c.broken(ctx, routing.Broken{}))
+			c.lost(server, false, errNoStream)
+			return c.again(ctx)
+		default:
+			return c.plain(ctx, server, choice, o)
 		}
-		return c.plain(ctx, server, choice, o)
 	}
 	return false, Broken
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -271,6 +271,24 @@
 	is.Equal(b.budget.settled, []inventory.Tokens{100 + 7*3}) // The prompt counts once.
 }
 
+// Guards against a stream that looks complete although the server that was to continue it answered with an error of its own
+// (soak seed 119).
+func TestErrorOfTheSecondServerDoesNotEndAStream(t *testing.T) {
+	is := is.New(t)
+	b := newBench(func(_ context.Context, number int, _ dispatch.Attempt) dispatch.Outcome {
+		if number == 1 {
+			return broken(events(1, 3))
+		}
+		failed, _ := whole("error of the server").(dispatch.Answered)
+		failed.Success = false
+		return failed
+	})
+	a := b.serve("/stream/1")
+	is.Equal(a.body.String(), events(1, 3))
+	is.True(a.aborted)
+	is.True(!a.ended)
+}
+
 // Guards against a stream that broke off and looks complete.
 func TestBrokenStreamIsAborted(t *testing.T) {
 	is := is.New(t)
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -153,7 +153,7 @@
 // controllers returns what runs beside the requests.
 func (r *Router) controllers(scrape http.Handler) []func(context.Context) error {
 	directory := &store.Follower{
-		Store: r.Store, Table: r.DirectoryKey.Table, Part: r.DirectoryKey.Part, Apply: r.takeDirectory, Logger: r.Logger,
+		Store: r.Store, Table: r.DirectoryKey.Table, Part: r.DirectoryKey.Part, Apply: r.takeDirectory, Newest: true, Logger: r.Logger,
 	}
 	servers := &store.Follower{Store: r.Store, Table: r.ServerTable, Apply: r.takeServers, Logger: r.Logger}
 	r.relay.age = r.ledger.Age
@@ -182,7 +182,8 @@
 
 // takeDirectory puts a configuration in force if it is newer.
 func (r *Router) takeDirectory(change store.Change) {
-	for _, row := range change.Rows {
+	// A large configuration takes long to read on a small host: of several versions the newest readable one counts.
+	for _, row := range slices.Backward(change.Rows) {
 		if row.Key != r.DirectoryKey || row.Deleted {
 			continue
 		}
@@ -193,6 +194,7 @@
 		}
 		r.relay.putDirectory(row)
 		r.putDirectory(directory, change.Source)
+		return
 	}
 }
 
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -35,6 +35,7 @@
 		Table  string
 		Part   string
 		Apply  func(Change)
+		Newest bool          // Whether only the newest state counts, so that the table is read anew after an outage.
 		Pause  time.Duration // Time between two changes that are taken; changes in between come together.
 		Logger *zerolog.Logger
 
@@ -75,6 +76,9 @@
 				down = true
 				event.StoreLost.Log(f.Logger).Str("table", f.Table).Int64("version", version).Err(err).Send()
 			}
+			if f.Newest {
+				version = -1 // The feed would repeat each state in between.
+			}
 			delay.For(ctx, wait)
 			wait = min(2*wait, mostBackoff)
 			continue
