--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"citronslip/internal/delay"
 	"citronslip/internal/dial"
 	"citronslip/internal/event"
 	"citronslip/internal/peer"
@@ -95,14 +96,7 @@
 
 // fetch asks other routers for rows while the store is away.
 func (r *Router) fetch(ctx context.Context) error {
-	ticker := time.NewTicker(fetchInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	for delay.For(ctx, fetchInterval) {
 		if r.relay.age() < fetchAge {
 			continue
 		}
@@ -112,6 +106,7 @@
 			r.fetchFrom(ctx, address)
 		}
 	}
+	return nil
 }
 
 func (r *Router) fetchFrom(ctx context.Context, address string) {
