Let a restarted router ask again instead of serving an older version

Cause: a router that starts while the stores do not answer takes the version its peers name. Two ways led to an older one. If the fetch of the highest version failed and a lower one was held (told by another peer), the lower one went into force. And the answers were trusted however long the fetch took (it waits for its turn behind other fetches), so that a peer with a newer version that had come into reach meanwhile was not heard.

Change: the first version goes into force only if it is the highest that was named and the answers are younger than maxAnswerAge; questions end after askTimeout. Event 607 tells when the peers are asked again.

Before: TestJoinWithoutTheNewestVersion and TestJoinOnOldAnswers serve version 1 and fail. After: both pass; the package passes 4 times with -race.

--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -28,6 +28,9 @@
 	callTimeout = 10 * time.Second
 	// headTimeout bounds one read of the head, so that a stalled table does not hold up versions from peers.
 	headTimeout = time.Second
+	// maxAnswerAge is the age up to which a new router trusts the answers of its peers. Together with tellTimeout it bounds
+	// the time from the question to the first version in force.
+	maxAnswerAge = time.Second
 	// followPause is the wait between two attempts to fetch a version that a peer was heard to have.
 	followPause = 100 * time.Millisecond
 )
@@ -182,15 +185,22 @@
 }
 
 // joinPeers asks peers for their versions because the stores failed.
+//
+// The answers hold for a short time, since a peer with a higher version may come into reach after them. If the version
+// they name is not here by then, the next poll asks again.
 func (c *Controller) joinPeers(ctx context.Context, err error) {
-	reached := c.join(ctx)
+	start := time.Now()
+	reached, best := c.join(ctx)
+	age := time.Since(start)
 	switch {
-	case reached > 0 && c.held.Load() != nil:
-		c.complete()
 	case reached == 0:
 		c.notReady("the stores do not answer and no peer was reached: " + err.Error())
-	default:
+	case c.held.Load() == nil:
 		c.notReady("the stores do not answer and no peer that was reached has a version: " + err.Error())
+	case c.number() < best || age > maxAnswerAge:
+		event.ConfigJoinAgain.Log(c.logger()).Int("held", c.number()).Int("peers", best).Dur("ageMs", age).Send()
+	default:
+		c.complete()
 	}
 }
 
--- a/internal/config/distribute.go
+++ b/internal/config/distribute.go
@@ -26,6 +26,8 @@
 	// tellEnough is how many peers must hold a version before it is put in force without waiting for the others. The
 	// failure of the router and one of them leaves one.
 	tellEnough = 2
+	// askTimeout bounds the questions of a new router, so that a silent peer does not make the other answers too old.
+	askTimeout = 700 * time.Millisecond
 	// maxJoin is how many peers a new router asks.
 	maxJoin = 32
 	// maxSpread bounds the concurrent calls of Spread.
@@ -242,15 +244,18 @@
 	}
 }
 
-// join asks peers for their versions, takes the highest and returns how many were reached.
-func (c *Controller) join(ctx context.Context) int {
+// join asks peers for their versions and fetches the highest. It returns how many were reached and the highest number that
+// they named.
+func (c *Controller) join(ctx context.Context) (answered, highest int) {
 	var mu sync.Mutex
 	var reached atomic.Int64
 	best, source := 0, ""
+	bounded, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
 	var calls sync.WaitGroup
 	for _, address := range c.candidates() {
 		calls.Go(func() {
-			state, err := c.Ask(ctx, address, wire.ConfigQuery{Instance: c.Instance})
+			state, err := c.Ask(bounded, address, wire.ConfigQuery{Instance: c.Instance})
 			if err != nil {
 				return
 			}
@@ -264,14 +269,14 @@
 	}
 	calls.Wait()
 	if best == 0 {
-		return int(reached.Load())
+		return int(reached.Load()), 0
 	}
-	bounded, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if err := c.fetch(bounded, source, best); err != nil {
+	fetching, stop := context.WithTimeout(ctx, callTimeout)
+	defer stop()
+	if err := c.fetch(fetching, source, best); err != nil {
 		event.ConfigFetch.Log(c.logger()).Int("number", best).Str("peer", source).Err(err).Send()
 	}
-	return int(reached.Load())
+	return int(reached.Load()), best
 }
 
 // candidates returns the peers that a new router asks: its neighbours, who are the ones that an earlier instance under
--- a/internal/event/config.go
+++ b/internal/event/config.go
@@ -11,4 +11,5 @@
 	ConfigNotReady  = register(604, zerolog.WarnLevel, "router not ready: no configuration version", "See the field reason.")
 	ConfigFetch     = register(605, zerolog.WarnLevel, "configuration version cannot be fetched", "Check the object store and the peers; the router tries again.")
 	ConfigFork      = register(606, zerolog.ErrorLevel, "the table names another version under a number in force", "Restore the table's row config/head, or commit a new version with a higher number.")
+	ConfigJoinAgain = register(607, zerolog.WarnLevel, "router asks its peers again for the configuration", "None. The newest version could not be fetched, or the answers were too old to serve on.")
 )
