Hold sends back while the host's full link delays the news of leaving servers

A host of 10 Mbit/s whose link was full learned late that a server leaves, and requests that were sent at once afterwards queued on the link for up to 2.5 s: requests that a client sent at 20.31 s reached the server at 22.87 s.

Ruled out: the store being away, since the store had acknowledged the news and heartbeats were answered, late.

Change: dispatch.Lag judges how late the host sees and sends. While its link is full and the age of the last heartbeat's answer plus its trip exceeds half of the drain bound, no request is sent to a server; the caller gets 503 with a short Retry-After, since a retry reaches another host. The wait on the link before requests are read moves there as well.

The host still swings between empty and full, since callers come by turns.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -19,6 +19,8 @@
 const (
 	// leastLeft is the shortest time for which an attempt is worth sending.
 	leastLeft = 20 * time.Millisecond
+	// ElsewhereAfter is the time told to a caller who is to try another host.
+	ElsewhereAfter = 50 * time.Millisecond
 	// retryAfter is the time told with a refusal whose cause gives no better one.
 	retryAfter = 300 * time.Millisecond
 )
@@ -36,8 +38,11 @@
 		Budgets   Budgets
 		Repeats   *Repeats
 		Crashes   *crash.List
-		Logger    *zerolog.Logger
-		Metrics   tally.Scope
+		// Behind reports whether what is known of the servers, and what is sent to them, is so late that a server that
+		// leaves would get requests. It is optional.
+		Behind  func() bool
+		Logger  *zerolog.Logger
+		Metrics tally.Scope
 	}
 
 	// call is a request in progress.
@@ -155,6 +160,10 @@
 func (c *call) run(ctx context.Context) {
 	c.lastEvent = c.request.LastEvent
 	for {
+		if c.Behind != nil && c.Behind() {
+			c.fail(ctx, LinkFull)
+			return
+		}
 		server, choice, err := c.Pool.Pick(c.want())
 		if err != nil {
 			c.unplaced()
@@ -314,7 +323,11 @@
 }
 
 func (c *call) refuse(reason Reason, after time.Duration) {
-	if after == 0 {
+	switch {
+	case after > 0:
+	case reason == LinkFull:
+		after = ElsewhereAfter
+	default:
 		after = retryAfter
 	}
 	c.response.Refuse(Refusal{Reason: reason, After: after})
--- /dev/null
+++ b/internal/dispatch/lag.go
@@ -0,0 +1,49 @@
+package dispatch
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"citronslip/internal/event"
+)
+
+const (
+	// heldPart is the part of the drain time that known delays may take. The rest is for what comes in the way of the next
+	// news and requests.
+	heldPart = 0.5
+)
+
+type (
+	// Lag judges how late this host sees and sends while its link is full, since packets queue on the link then. Set the
+	// fields before first use.
+	Lag struct {
+		Drain  time.Duration        // From the news that a server leaves to the last request that may reach it; zero if unlimited.
+		Full   func() bool          // Whether the link is full.
+		Age    func() time.Duration // Time since the last answer of the store.
+		Trip   func() time.Duration // How long the last heartbeat to the store took.
+		Logger *zerolog.Logger
+
+		behind atomic.Bool // As last logged.
+	}
+)
+
+// Arrival returns how long requests wait on the link before they are read.
+func (l *Lag) Arrival() time.Duration {
+	if !l.Full() {
+		return 0
+	}
+	return l.Trip()
+}
+
+// Behind reports whether the news of a leaving server and a request to it could take longer than the drain time together,
+// so that sends have to be held back.
+func (l *Lag) Behind() bool {
+	age, trip := l.Age(), l.Trip()
+	behind := l.Drain > 0 && age+trip > time.Duration(heldPart*float64(l.Drain)) && l.Full()
+	if l.behind.Swap(behind) != behind {
+		event.SendsHeld.Log(l.Logger).Bool("held", behind).Dur("store_age", age).Dur("trip", trip).Dur("drain", l.Drain).Send()
+	}
+	return behind
+}
--- /dev/null
+++ b/internal/dispatch/lag_test.go
@@ -0,0 +1,51 @@
+package dispatch_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"citronslip/internal/dispatch"
+)
+
+// newLag returns the view of a host whose heartbeats take the given time, with a full link or not.
+func newLag(full bool, age, trip time.Duration) *dispatch.Lag {
+	logger := zerolog.Nop()
+	return &dispatch.Lag{
+		Drain:  3 * time.Second,
+		Full:   func() bool { return full },
+		Age:    func() time.Duration { return age },
+		Trip:   func() time.Duration { return trip },
+		Logger: &logger,
+	}
+}
+
+// Guards against a deadline that is counted from when a request is read, although it waited on a full link before.
+func TestRequestsWaitOnAFullLink(t *testing.T) {
+	is := is.New(t)
+	is.Equal(newLag(true, 0, 400*time.Millisecond).Arrival(), 400*time.Millisecond)
+	is.Equal(newLag(false, 0, 400*time.Millisecond).Arrival(), time.Duration(0))
+}
+
+// Guards against a request that reaches a leaving server too late, because the news of it and the request itself queued on a
+// full link, and against refusals for that reason while only the store is away.
+func TestSendsAreHeldBackWhileTheLinkIsBehind(t *testing.T) {
+	is := is.New(t)
+	serve := func(lag *dispatch.Lag) (*answer, int) {
+		b := newBench(func(context.Context, int, dispatch.Attempt) dispatch.Outcome { return whole("booked") })
+		b.Behind = lag.Behind
+		return b.serve("/once/1"), len(b.sends)
+	}
+	a, sends := serve(newLag(true, 1200*time.Millisecond, 700*time.Millisecond))
+	is.Equal(sends, 0)
+	is.Equal(a.refusal.Reason, dispatch.LinkFull)
+	is.True(a.refusal.Reason.NotRun())
+	is.Equal(a.refusal.After, dispatch.ElsewhereAfter)
+	_, sends = serve(newLag(true, 500*time.Millisecond, 200*time.Millisecond))
+	is.Equal(sends, 1)
+	_, sends = serve(newLag(false, 5*time.Second, 700*time.Millisecond))
+	is.Equal(sends, 1)
+}
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -66,6 +66,7 @@
 		pool       *dispatch.Pool
 		roster     *dispatch.Roster
 		dispatcher *dispatch.Dispatcher
+		lag        *dispatch.Lag
 		crashes    *crash.List
 		ledger     *prepaid.Ledger
 		relay      relay
@@ -132,12 +133,14 @@
 		Logger:    r.Logger,
 		Directory: r.directory.Load,
 	}
+	r.lag = &dispatch.Lag{Drain: r.Settings.Drain, Full: r.Meter.Full, Age: r.ledger.Age, Trip: r.ledger.Trip, Logger: r.Logger}
 	r.dispatcher = &dispatch.Dispatcher{
 		Directory: &r.directory,
 		Pool:      r.pool,
 		Backend:   r.Backend,
 		Budgets:   r.ledger,
 		Crashes:   r.crashes,
+		Behind:    r.lag.Behind,
 		Repeats: &dispatch.Repeats{
 			Ratio:   r.Settings.RetryRatio,
 			Slack:   r.Settings.RetrySlack,
@@ -219,15 +222,6 @@
 	})
 }
 
-// delay returns how long requests wait on the host's link before they are read. While the link is full, packets queue on
-// it, and the heartbeats' answers wait there as well.
-func (r *Router) delay() time.Duration {
-	if !r.Meter.Full() {
-		return 0
-	}
-	return r.ledger.Trip()
-}
-
 // ready reports whether the router can serve, is not about to stop, and has room on its host's link.
 func (r *Router) ready() bool {
 	full := r.Meter.Full()
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -17,6 +17,7 @@
 		Memory     int64         // Bytes that the process may use.
 		Bandwidth  float64       // Bytes a second of the host's link; zero if unknown.
 		Grace      time.Duration // From the stop signal to the kill.
+		Drain      time.Duration // From the news that a server leaves to the last request that may reach it; zero if unlimited.
 		RetryRatio float64
 		RetrySlack float64
 		RetrySpan  time.Duration
