Let a few routers of a large fleet hold an account's grants, and the others borrow

All 75 routers wrote that account's row at once: 280 conflicts and 20 successful writes a second. A router waited up to 180 ms after a conflict and then wrote on the version that it had read before the wait, and other routers that were asked for tokens joined in, so that they answered too late.

Change: in a fleet of more than 12 routers, four hold grants of an account, found by rendezvous hashing. The others ask them first, and the store if none lends; a router that did not answer shortly before is asked last. A router that is no holder lends only what it happens to have. Fleets of up to 12 routers work as before.

--- a/internal/prepaid/alive.go
+++ b/internal/prepaid/alive.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -38,8 +39,9 @@
 
 	// members are the routers that the store shows alive.
 	members struct {
-		rows  map[string]member
-		whole bool
+		rows       map[string]member
+		whole      bool
+		generation int // Grows with each change of the set of routers.
 	}
 
 	member struct {
@@ -229,6 +231,9 @@
 	if len(rows) != len(l.members.rows) {
 		event.MembersRead.Log(l.Logger).Int("before", len(l.members.rows)).Int("routers", len(rows)).Send()
 	}
+	if !maps.EqualFunc(rows, l.members.rows, func(x, y member) bool { return x.Address == y.Address }) {
+		l.members.generation++
+	}
 	l.members.rows = rows
 	l.members.whole = true
 }
--- a/internal/prepaid/borrow.go
+++ b/internal/prepaid/borrow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"citronslip/internal/dispatch"
@@ -45,8 +44,9 @@
 
 	// remoteHolds are the reservations that this router made for others.
 	remoteHolds struct {
-		holds map[string]*remoteHold
-		count int
+		holds  map[string]*remoteHold
+		count  int
+		failed map[string]time.Time // Routers that did not answer a question, by address.
 	}
 
 	remoteHold struct {
@@ -63,16 +63,16 @@
 	ctx, cancel := context.WithTimeout(ctx, borrowAll)
 	defer cancel()
 	l.mu.Lock()
-	addresses := l.addresses()
+	addresses := l.lenders(l.account(c.Account))
 	l.remote.count++
 	name := fmt.Sprintf("%s/%d", l.Instance, l.remote.count)
 	l.mu.Unlock()
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	for _, address := range addresses[:min(len(addresses), peerTries)] {
 		h := &loan{l, address, name, c.Account}
 		attempt, end := context.WithTimeout(ctx, borrowTime)
 		ok, err := l.Peers.Reserve(attempt, address, name, c.Account, int64(c.Tokens))
 		end()
+		l.asked(ctx, address, err)
 		if ok {
 			event.PrepaidBorrowed.Log(l.Logger).Str("request", c.Request).Str("account", c.Account).Str("peer", address).
 				Int64("tokens", int64(c.Tokens)).Send()
@@ -89,6 +89,15 @@
 	return nil
 }
 
+// asked notes whether a router answered a question, unless the caller has ended it.
+func (l *Ledger) asked(ctx context.Context, address string, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if ctx.Err() == nil {
+		l.remote.answered(address, l.Now(), err)
+	}
+}
+
 // Settle reports what was used. A report that does not arrive leaves the reservation counted as consumed.
 func (h *loan) Settle(used inventory.Tokens) {
 	go func() {
@@ -114,10 +123,11 @@
 	l.mu.Lock()
 	a := l.account(account)
 	short := a.used()+tokens > int64(a.own.Amount)
+	holds := l.holds(a)
 	busy := l.remote.holds[name] != nil || len(l.remote.holds) >= mostRemote
 	known := short && l.Now().Sub(a.exact) < exactLife
 	l.mu.Unlock()
-	if busy {
+	if busy || short && !holds {
 		return false
 	}
 	if known {
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -69,6 +69,7 @@
 		held      int64 // Reserved by requests in progress.
 		cap       int64 // Lowered limit while a smaller grant is being written; -1 if there is none.
 		meter     meter
+		ranking   *ranking
 		waiting   []*waiter
 		writing   bool
 		read      time.Time // When the account's row was last read or written.
@@ -94,12 +95,20 @@
 
 // Reserve reserves tokens in the own grant, at the store or at another router.
 func (l *Ledger) Reserve(ctx context.Context, c dispatch.Claim) (dispatch.Hold, dispatch.Refusal) {
+	distant := l.distant(c)
+	if distant {
+		if other := l.borrow(ctx, c); other != nil {
+			return other, dispatch.Refusal{}
+		}
+	}
 	own, exhausted := l.reserve(ctx, c)
 	if own != nil {
 		return own, dispatch.Refusal{}
 	}
-	if other := l.borrow(ctx, c); other != nil {
-		return other, dispatch.Refusal{}
+	if !distant {
+		if other := l.borrow(ctx, c); other != nil {
+			return other, dispatch.Refusal{}
+		}
 	}
 	// The routers that could not lend have given back what they do not use.
 	for try := 0; exhausted && try < recallTries && delay.For(ctx, recallWait); try++ {
@@ -114,6 +123,14 @@
 	return nil, dispatch.Refusal{Reason: dispatch.BudgetUnknown, After: l.after(c)}
 }
 
+// distant reports whether other routers hold the account's grants and the own grant does not cover the request.
+func (l *Ledger) distant(c dispatch.Claim) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(c.Account)
+	return !l.holds(a) && a.used()+int64(c.Tokens) > l.limit(a)
+}
+
 // after returns when a request that the store cannot be asked about may be granted: when this router may spend what it
 // has not opened, if that covers it, or else when the store may be back. An outage is expected to last as long again.
 func (l *Ledger) after(c dispatch.Claim) time.Duration {
--- a/internal/prepaid/prepaid_test.go
+++ b/internal/prepaid/prepaid_test.go
@@ -34,6 +34,8 @@
 		away      atomic.Bool // Whether all calls of the store are lost.
 		directory atomic.Pointer[inventory.Directory]
 		routers   []*router
+		trip      time.Duration // Of a call to the store or to another router.
+		writes    atomic.Int64  // Writes of grants.
 	}
 
 	// router is one host, on which one process runs after the other.
@@ -86,6 +88,11 @@
 		<-ctx.Done()
 		return store.Result{}, store.ErrUnknown
 	}
+	if len(w.Expect) > 0 {
+		c.router.fleet.writes.Add(1)
+	}
+	time.Sleep(c.router.fleet.trip / 2)
+	defer time.Sleep(c.router.fleet.trip / 2)
 	return c.Store.Write(ctx, w)
 }
 
@@ -104,6 +111,7 @@
 }
 
 func (p peers) Reserve(ctx context.Context, address, name, account string, tokens int64) (bool, error) {
+	time.Sleep(p.fleet.trip)
 	for _, r := range p.fleet.routers {
 		if l := r.ledger.Load(); r.name == address && l != nil {
 			return l.Lend(ctx, name, account, tokens), nil
--- a/internal/prepaid/write.go
+++ b/internal/prepaid/write.go
@@ -25,10 +25,8 @@
 	idleRetry = 3 * time.Second
 	// stepInterval is the time between two looks at all grants.
 	stepInterval = 500 * time.Millisecond
-	// resizeInterval is the time between two looks at the size of one grant. It grows with the number of routers beyond
-	// resizeRouters, because all of them write the account's row.
+	// resizeInterval is the time between two looks at the size of one grant.
 	resizeInterval = time.Second
-	resizeRouters  = 12
 	// reopenPart is the part of what is opened ahead at which more is opened.
 	reopenPart = 0.8
 	// growPart and shrinkFactor are the parts of its size at which a grant is written anew.
@@ -217,8 +215,7 @@
 // due reports whether a write that no request waits for is due, and notes it.
 func (l *Ledger) due(a *account) bool {
 	now := l.Now()
-	interval := resizeInterval * time.Duration(max(l.members.count(), resizeRouters)) / resizeRouters
-	if now.Sub(a.checked) < interval {
+	if now.Sub(a.checked) < resizeInterval {
 		return false
 	}
 	a.checked = now
@@ -227,11 +224,14 @@
 
 // size returns the size that an account's grant is to have.
 func (l *Ledger) size(a *account) Size {
+	if !l.holds(a) {
+		return Size{}
+	}
 	size := Need{
 		Demand:  a.meter.at(l.Now()),
 		Rest:    a.sum.free() + int64(a.own.Amount) - a.used(),
 		Total:   int64(a.sum.Total),
-		Routers: l.members.count(),
+		Routers: l.members.holders(),
 	}.Size()
 	if l.scarce(a) {
 		size.Open /= scarcePart
