Apply changed bounds of the settings file to the running router

Cause: SIGHUP and a changed settings file were read and logged, but retry bounds, grace, drain time and bandwidth stayed those of the start.

Change: Repeats and Meter take new bounds, Lag and the planned stop read the current ones. Event 757 tells in applied whether all changes are in force; names and addresses wait for the next start. The length hint, which nothing reads, is no longer decoded.

--- a/internal/dial/meter.go
+++ b/internal/dial/meter.go
@@ -78,6 +78,13 @@
 	return &meteredListener{listener, m}, nil
 }
 
+// Adjust changes the bandwidth.
+func (m *Meter) Adjust(bandwidth float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.Bandwidth = bandwidth
+}
+
 // Full reports whether the link is so full that requests had better come to another host.
 func (m *Meter) Full() bool {
 	m.mu.Lock()
--- a/internal/dispatch/lag.go
+++ b/internal/dispatch/lag.go
@@ -19,7 +19,7 @@
 	// Lag judges how late this host sees and sends while its link is full, since packets queue on the link then. Set the
 	// fields before first use.
 	Lag struct {
-		Drain  time.Duration        // From the news that a server leaves to the last request that may reach it; zero if unlimited.
+		Drain  func() time.Duration // From the news that a server leaves to the last request that may reach it; zero if unlimited.
 		Full   func() bool          // Whether the link is full.
 		Age    func() time.Duration // Time since the last answer of the store.
 		Trip   func() time.Duration // How long the last heartbeat to the store took.
@@ -40,10 +40,10 @@
 // Behind reports whether the news of a leaving server and a request to it could take longer than the drain time together,
 // so that sends have to be held back.
 func (l *Lag) Behind() bool {
-	age, trip := l.Age(), l.Trip()
-	behind := l.Drain > 0 && age+trip > time.Duration(heldPart*float64(l.Drain)) && l.Full()
+	age, trip, drain := l.Age(), l.Trip(), l.Drain()
+	behind := drain > 0 && age+trip > time.Duration(heldPart*float64(drain)) && l.Full()
 	if l.behind.Swap(behind) != behind {
-		event.SendsHeld.Log(l.Logger).Bool("held", behind).Dur("store_age", age).Dur("trip", trip).Dur("drain", l.Drain).Send()
+		event.SendsHeld.Log(l.Logger).Bool("held", behind).Dur("store_age", age).Dur("trip", trip).Dur("drain", drain).Send()
 	}
 	return behind
 }
--- a/internal/dispatch/lag_test.go
+++ b/internal/dispatch/lag_test.go
@@ -15,7 +15,7 @@
 func newLag(full bool, age, trip time.Duration) *dispatch.Lag {
 	logger := zerolog.Nop()
 	return &dispatch.Lag{
-		Drain:  3 * time.Second,
+		Drain:  func() time.Duration { return 3 * time.Second },
 		Full:   func() bool { return full },
 		Age:    func() time.Duration { return age },
 		Trip:   func() time.Duration { return trip },
--- a/internal/dispatch/prompt.go
+++ b/internal/dispatch/prompt.go
@@ -17,7 +17,6 @@
 		Model  string
 		Tokens int64 // Prompt tokens.
 		Most   int64 // Most output tokens.
-		Hint   int64 // The caller's guess of the output tokens; zero if none.
 		Parts  []Part
 	}
 
--- a/internal/dispatch/repeats.go
+++ b/internal/dispatch/repeats.go
@@ -33,6 +33,16 @@
 	}
 )
 
+// Adjust changes the bounds. What was counted in windows of another length is forgotten.
+func (r *Repeats) Adjust(ratio, slack float64, window time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if window != r.Window {
+		r.services = nil
+	}
+	r.Ratio, r.Slack, r.Window = ratio, slack, window
+}
+
 // First counts a request to a service.
 func (r *Repeats) First(service string) {
 	r.mu.Lock()
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -95,7 +95,7 @@
 // stop ends the planned way: nothing in flight is cut off within the grace period.
 func (r *Router) stop(ctx context.Context, c *callers, listener net.Listener) error {
 	begin := time.Now()
-	grace := r.Settings.Grace
+	grace := r.current.Load().Grace
 	if grace == 0 {
 		grace = defaultGrace
 	}
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"slices"
 	"sync/atomic"
 	"syscall"
@@ -61,6 +62,7 @@
 		Meter     *dial.Meter
 		Logger    *zerolog.Logger
 
+		current    board.Cell[Settings] // As last read.
 		scope      tally.Scope
 		directory  board.Cell[inventory.Directory]
 		pool       *dispatch.Pool
@@ -83,6 +85,7 @@
 	defer func() { _ = closer.Close() }()
 	r.scope = scope
 	r.started = time.Now()
+	r.current.Store(&r.Settings)
 	r.build()
 	event.RouterStarted.Log(r.Logger).Str("node", r.Settings.Node).Str("place", r.Settings.Place).
 		Str("address", r.Settings.Caller).Str("store", r.Settings.Store).Send()
@@ -133,7 +136,8 @@
 		Logger:    r.Logger,
 		Directory: r.directory.Load,
 	}
-	r.lag = &dispatch.Lag{Drain: r.Settings.Drain, Full: r.Meter.Full, Age: r.ledger.Age, Trip: r.ledger.Trip, Logger: r.Logger}
+	drain := func() time.Duration { return r.current.Load().Drain }
+	r.lag = &dispatch.Lag{Drain: drain, Full: r.Meter.Full, Age: r.ledger.Age, Trip: r.ledger.Trip, Logger: r.Logger}
 	r.dispatcher = &dispatch.Dispatcher{
 		Directory: &r.directory,
 		Pool:      r.pool,
@@ -260,10 +264,21 @@
 			event.SettingsFault.Log(r.Logger).Str("cause", cause).Err(err).Send()
 			continue
 		}
-		event.SettingsRead.Log(r.Logger).Str("cause", cause).Str("node", settings.Node).Send()
+		event.SettingsRead.Log(r.Logger).Str("cause", cause).Str("node", settings.Node).Bool("applied", r.apply(settings)).Send()
 	}
 }
 
+// apply puts changed settings in force and reports whether all are. Names and addresses stay those of the start.
+func (r *Router) apply(settings Settings) bool {
+	r.dispatcher.Repeats.Adjust(settings.RetryRatio, settings.RetrySlack, settings.RetrySpan)
+	r.Meter.Adjust(settings.Bandwidth)
+	next := r.Settings
+	next.Bandwidth, next.Grace, next.Drain = settings.Bandwidth, settings.Grace, settings.Drain
+	next.RetryRatio, next.RetrySlack, next.RetrySpan = settings.RetryRatio, settings.RetrySlack, settings.RetrySpan
+	r.current.Store(&next)
+	return reflect.DeepEqual(next, settings)
+}
+
 func modified(path string) time.Time {
 	info, err := os.Stat(path)
 	if err != nil {
