Drop a reservation for a router that has given up the question before

Cause: a router waits 200 ms for another one's answer and then reports that it uses nothing. If the report came before the other had made the reservation, it was ignored, and the tokens stayed reserved for 60 s.

Change: such reports are remembered for 10 s; a reservation made after its report is settled at once.

Before: TestReservationThatCameTooLateIsDropped finds the tokens lent. After: they are free.

--- a/internal/prepaid/borrow.go
+++ b/internal/prepaid/borrow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"time"
 
 	"citronslip/internal/dispatch"
@@ -19,6 +20,8 @@
 	// remoteLife is how long tokens stay reserved for another router. Those of a router that does not report in time are
 	// counted as consumed.
 	remoteLife = 60 * time.Second
+	// endedLife is how long a report is remembered that came before its reservation was made.
+	endedLife = 10 * time.Second
 	// exactLife is how long a router knows that nothing is free.
 	exactLife = 300 * time.Millisecond
 	// mostRemote bounds the reservations of other routers.
@@ -46,6 +49,7 @@
 	remoteHolds struct {
 		holds  map[string]*remoteHold
 		count  int
+		ended  map[string]time.Time // Reports that came before their reservation was made, by name.
 		failed map[string]time.Time // Routers that did not answer a question, by address.
 	}
 
@@ -139,8 +143,21 @@
 		l.recall(a)
 		return false
 	}
+	if !l.remember(name, h) {
+		h.Settle(0)
+		return false
+	}
+	return true
+}
+
+// remember keeps a reservation for another router, unless that has given it up already.
+func (l *Ledger) remember(name string, h *hold) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if _, ended := l.remote.ended[name]; ended {
+		delete(l.remote.ended, name)
+		return false
+	}
 	if l.remote.holds == nil {
 		l.remote.holds = make(map[string]*remoteHold)
 	}
@@ -159,11 +176,18 @@
 	l.kick(a)
 }
 
-// Repay ends a reservation of another router. A name that is not known is no error: the report is repeated.
+// Repay ends a reservation of another router. A name that is not known is no error: the report is repeated, or the router did
+// not wait until the reservation was made.
 func (l *Ledger) Repay(name string, used int64) {
 	l.mu.Lock()
 	r := l.remote.holds[name]
 	delete(l.remote.holds, name)
+	if r == nil && len(l.remote.ended) < mostRemote {
+		if l.remote.ended == nil {
+			l.remote.ended = make(map[string]time.Time)
+		}
+		l.remote.ended[name] = l.Now()
+	}
 	l.mu.Unlock()
 	if r != nil {
 		r.hold.Settle(inventory.Tokens(min(max(used, 0), r.hold.tokens)))
@@ -173,6 +197,7 @@
 // expire counts the reservations of routers that have not reported in time as consumed.
 func (l *Ledger) expire() {
 	l.mu.Lock()
+	maps.DeleteFunc(l.remote.ended, func(_ string, when time.Time) bool { return l.Now().Sub(when) > endedLife })
 	var late []*remoteHold
 	for name, r := range l.remote.holds {
 		if l.Now().Sub(r.made) > remoteLife {
--- a/internal/prepaid/holders_test.go
+++ b/internal/prepaid/holders_test.go
@@ -71,6 +71,25 @@
 	})
 }
 
+// Guards against tokens that stay reserved for a router that has given its question up before they were reserved.
+func TestReservationThatCameTooLateIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, total)
+		f.trip = 60 * time.Millisecond
+		f.start(t.Context())
+		defer f.stop()
+		ledger := f.routers[0].ledger.Load()
+		lent := make(chan bool)
+		go func() { lent <- ledger.Lend(t.Context(), "other/1", account, int64(total)) }()
+		time.Sleep(50 * time.Millisecond)
+		ledger.Repay("other/1", 0)
+		is.True(!<-lent)
+		h, _ := ledger.Reserve(t.Context(), dispatch.Claim{Account: account, Total: total, Tokens: total})
+		is.True(h != nil)
+	})
+}
+
 // Guards against requests of a used-up account that are told that the budget is unknown, or that wait for the answer,
 // because the routers of a large fleet keep each other from the account's row.
 func TestLargeFleetKnowsThatABudgetIsUsedUp(t *testing.T) {
