Keep grants until 3 in 100 of a budget are left, in place of 6

Ruled out: stranding (opened and unused at the end: 2.5 in 100).

Change: scarceShare 0.03, the part that may be left over.

Conclusion: kept; TestBudgetIsUsedToTheEnd holds.

--- a/internal/prepaid/size.go
+++ b/internal/prepaid/size.go
@@ -20,7 +20,7 @@
 	// firstShare is the part of what is left that all routers with any demand reserve together.
 	firstShare = 0.35
 	// scarceShare is the part of the total below which nothing is reserved, so that the rest can be used to the end.
-	scarceShare = 0.06
+	scarceShare = 0.03
 	// ampleShare is the part of the total above which more is opened than the demand, because a killed router's loss is
 	// not missed then.
 	ampleShare = 0.3
