Hold sends back until there is news of the servers again

The host's link was full; sends were held back and went on as soon as one heartbeat was answered, before the feed of the servers had told anything.

Ruled out: a store that was late, since the news was acknowledged at 19.8 s and other hosts acted on it.

Change: Lag remembers when news and sends last took too long and holds sends back until an answer about the servers has come after that.

--- a/internal/dispatch/lag.go
+++ b/internal/dispatch/lag.go
@@ -1,7 +1,7 @@
 package dispatch
 
 import (
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -23,9 +23,13 @@
 		Full   func() bool          // Whether the link is full.
 		Age    func() time.Duration // Time since the last answer of the store.
 		Trip   func() time.Duration // How long the last heartbeat to the store took.
+		News   func() time.Duration // Time since the last answer of the store about the servers.
+		Now    func() time.Time
 		Logger *zerolog.Logger
 
-		behind atomic.Bool // As last logged.
+		mu     sync.Mutex
+		late   time.Time // When news and sends last took too long.
+		behind bool      // As last logged.
 	}
 )
 
@@ -38,12 +42,20 @@
 }
 
 // Behind reports whether the news of a leaving server and a request to it could take longer than the drain time together,
-// so that sends have to be held back.
+// so that sends have to be held back. They go on once there is news of the servers from after that.
 func (l *Lag) Behind() bool {
-	age, trip, drain := l.Age(), l.Trip(), l.Drain()
-	behind := drain > 0 && age+trip > time.Duration(heldPart*float64(drain)) && l.Full()
-	if l.behind.Swap(behind) != behind {
-		event.SendsHeld.Log(l.Logger).Bool("held", behind).Dur("store_age", age).Dur("trip", trip).Dur("drain", drain).Send()
+	age, trip, news, drain, full := l.Age(), l.Trip(), l.News(), l.Drain(), l.Full()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Now()
+	if age+trip > time.Duration(heldPart*float64(drain)) {
+		l.late = now
+	}
+	behind := drain > 0 && full && !l.late.IsZero() && !now.Add(-news).After(l.late)
+	if l.behind != behind {
+		l.behind = behind
+		event.SendsHeld.Log(l.Logger).Bool("held", behind).Dur("store_age", age).Dur("trip", trip).Dur("news_age", news).
+			Dur("drain", drain).Send()
 	}
 	return behind
 }
--- a/internal/dispatch/lag_test.go
+++ b/internal/dispatch/lag_test.go
@@ -19,6 +19,8 @@
 		Full:   func() bool { return full },
 		Age:    func() time.Duration { return age },
 		Trip:   func() time.Duration { return trip },
+		News:   func() time.Duration { return age },
+		Now:    time.Now,
 		Logger: &logger,
 	}
 }
@@ -49,3 +51,22 @@
 	_, sends = serve(newLag(false, 5*time.Second, 700*time.Millisecond))
 	is.Equal(sends, 1)
 }
+
+// Guards against sends that go on as soon as a heartbeat is answered, although no news of the servers has come since the
+// link was behind.
+func TestSendsWaitForNewsAfterTheLinkWasBehind(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	age, news := 2*time.Second, 3*time.Second
+	lag := newLag(true, 0, 100*time.Millisecond)
+	lag.Age = func() time.Duration { return age }
+	lag.News = func() time.Duration { return news }
+	lag.Now = func() time.Time { return now }
+	is.True(lag.Behind())
+	now = now.Add(500 * time.Millisecond)
+	age, news = 100*time.Millisecond, 3500*time.Millisecond
+	is.True(lag.Behind())
+	now = now.Add(300 * time.Millisecond)
+	news = 50 * time.Millisecond
+	is.True(!lag.Behind())
+}
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -68,6 +68,7 @@
 		pool       *dispatch.Pool
 		roster     *dispatch.Roster
 		dispatcher *dispatch.Dispatcher
+		servers    *store.Follower
 		lag        *dispatch.Lag
 		crashes    *crash.List
 		ledger     *prepaid.Ledger
@@ -136,8 +137,9 @@
 		Logger:    r.Logger,
 		Directory: r.directory.Load,
 	}
+	r.servers = &store.Follower{Store: r.Store, Table: r.ServerTable, Apply: r.takeServers, Logger: r.Logger}
 	drain := func() time.Duration { return r.current.Load().Drain }
-	r.lag = &dispatch.Lag{Drain: drain, Full: r.Meter.Full, Age: r.ledger.Age, Trip: r.ledger.Trip, Logger: r.Logger}
+	r.lag = &dispatch.Lag{Drain: drain, Full: r.Meter.Full, Age: r.ledger.Age, Trip: r.ledger.Trip, News: r.servers.Age, Now: time.Now, Logger: r.Logger}
 	r.dispatcher = &dispatch.Dispatcher{
 		Directory: &r.directory,
 		Pool:      r.pool,
@@ -162,12 +164,11 @@
 	directory := &store.Follower{
 		Store: r.Store, Table: r.DirectoryKey.Table, Part: r.DirectoryKey.Part, Apply: r.takeDirectory, Newest: true, Logger: r.Logger,
 	}
-	servers := &store.Follower{Store: r.Store, Table: r.ServerTable, Apply: r.takeServers, Logger: r.Logger}
 	r.relay.age = r.ledger.Age
 	crashes := &store.Follower{Store: r.Store, Table: crash.Table, Apply: r.crashes.Apply, Pause: crashPause, Logger: r.Logger}
 	list := []func(context.Context) error{
 		directory.Run,
-		servers.Run,
+		r.servers.Run,
 		crashes.Run,
 		r.ledger.Run,
 		r.peers.Run,
