Open a grant by and by while the store is away

Cause: a router that is cut off from the store spent only what it had opened for 3 s, and its whole grant from then on. So the whole grant counted as spent when its process came back later than 3 s after its last proof, as after a loss of power of 3.7 s, and accounts near the end of their budget were refused for the first 3 s of each outage.

Ruled out: longer delays (the first seconds of an outage get worse), no delay (each killed process would lose its grant).

Change: from 2 s without the store on, a router may spend a part of its grant that grows to the whole over 6 s. The process after it charges the part that fits the longest silence. Event 242 tells silence and charged amount.

--- a/internal/prepaid/alive.go
+++ b/internal/prepaid/alive.go
@@ -74,15 +74,17 @@
 	return !c.heard.IsZero() && now.Sub(c.heard) >= AutonomyDelay
 }
 
-// openedOnly reports whether the holder of a grant, a process before this one, certainly died before it could have spent
-// more than it had opened. Its rows hold clock values that it had received, and it becomes autonomous AutonomyDelay after
-// its last one.
-func (c *contact) openedOnly(g grantState) bool {
+// silence returns the longest time for which the holder of a grant, a process before this one, can have run without an
+// answer of the store. Its rows hold clock values that it had received.
+func (c *contact) silence(g grantState) time.Duration {
 	clock := g.Clock
 	if c.before.Holder == g.Holder {
 		clock = max(clock, c.before.Clock)
 	}
-	return clock > 0 && c.started < time.Duration(clock)*time.Millisecond+AutonomyDelay
+	if clock == 0 {
+		return AutonomyDelay + AutonomyRise
+	}
+	return c.started - time.Duration(clock)*time.Millisecond
 }
 
 // count returns the number of routers, at least one.
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -141,8 +141,9 @@
 	switch {
 	case age < storeWait:
 		return 0
-	case age < AutonomyDelay && a.used()+int64(c.Tokens) <= int64(a.own.Amount):
-		return AutonomyDelay - age + recallWait
+	case a.used()+int64(c.Tokens) <= int64(a.own.Amount):
+		opens := Opens(int64(a.own.Opened), int64(a.own.Amount), a.used()+int64(c.Tokens))
+		return max(opens-age, 0) + recallWait
 	default:
 		return min(max(age, leastAfter), mostAfter)
 	}
@@ -255,15 +256,15 @@
 
 func (a *account) used() int64 { return a.spent + a.held }
 
-// limit returns what this router may have spent and reserved now: what it has opened, or its whole grant once it is cut
-// off from the store for so long that another router will not take its grant for unused.
+// limit returns what this router may have spent and reserved now: what it has opened, and the more of its grant the longer
+// it is cut off from the store.
 func (l *Ledger) limit(a *account) int64 {
 	if a.own.Holder != l.Instance {
 		return 0
 	}
 	limit := int64(a.own.Opened)
-	if l.contact.autonomous(l.Now()) && !l.stopped {
-		limit = int64(a.own.Amount)
+	if !l.stopped {
+		limit = Spendable(int64(a.own.Opened), int64(a.own.Amount), l.contact.age(l.Now()))
 	}
 	if a.cap >= 0 {
 		limit = min(limit, a.cap)
--- a/internal/prepaid/prepaid.go
+++ b/internal/prepaid/prepaid.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"time"
 
 	"citronslip/internal/store"
 	"citronslip/internal/wire"
@@ -20,10 +19,6 @@
 	grantTable = "grant"
 	aliveTable = "alive"
 	sumName    = "sum"
-
-	// AutonomyDelay is how long a router goes without an answer of the store before it may spend what it has not opened.
-	// It exceeds the time in which a killed process is started again, which proves that it had not begun to.
-	AutonomyDelay = 3 * time.Second
 )
 
 var (
--- a/internal/prepaid/write.go
+++ b/internal/prepaid/write.go
@@ -274,16 +274,17 @@
 	next.own.Holder = l.Instance
 	next.sum.declare(a.version, a.total)
 	if a.own.version != 0 {
-		charge := a.own.Amount
-		if l.contact.openedOnly(a.own) {
-			charge = a.own.Opened
-		}
 		next.sum.Granted -= a.own.Amount
-		next.sum.Closed += charge
+		next.sum.Closed += l.charge(a.own)
 	}
 	return l.both(a, next)
 }
 
+// charge returns what counts as spent of a grant whose holder, a process before this one, is dead.
+func (l *Ledger) charge(g grantState) int {
+	return int(Spendable(int64(g.Opened), int64(g.Amount), l.contact.silence(g)))
+}
+
 // single returns a write of the own row alone.
 func (l *Ledger) single(a *account, next planned) (store.Write, planned, bool) {
 	key := grantKey(a.name, l.Node)
@@ -351,7 +352,7 @@
 	a.cap = -1
 	if before.Holder != a.own.Holder {
 		event.PrepaidTaken.Log(l.Logger).Str("account", a.name).Str("before", before.Holder).Int("amount", before.Amount).
-			Int("opened", before.Opened).Bool("opened_only", l.contact.openedOnly(before)).Send()
+			Int("opened", before.Opened).Dur("silence", l.contact.silence(before)).Int("charged", l.charge(before)).Send()
 	}
 	event.PrepaidSized.Log(l.Logger).Str("account", a.name).Int("amount", a.own.Amount).Int("opened", a.own.Opened).
 		Int64("used", a.used()).Int64("free", a.sum.free()).Int64("version", version).Send()
