Let a router that most callers of an account come to hold its own grant

Ruled out: too small grants of the holders (66 in 100 of the budget left).

Change: a router whose own callers ask for more than 40,000 tokens a second of an account holds grants of it.

Before: TestBusyRouterHoldsItsOwnGrant is refused in a cut.

--- a/internal/prepaid/holders.go
+++ b/internal/prepaid/holders.go
@@ -15,6 +15,9 @@
 	fewRouters = 8
 	// mostHolders is the number of routers of a larger fleet that hold grants of one account. The others borrow from them.
 	mostHolders = 4
+	// busyDemand is the demand in tokens a second of its own callers from which on a router holds grants of an account in
+	// any case. Few routers of a fleet have so much of one account.
+	busyDemand = 40_000
 	// avoidTime is how long a router that did not answer is asked after the others.
 	avoidTime = 2 * time.Second
 )
@@ -42,7 +45,7 @@
 
 // holds reports whether this router holds grants of an account beyond what its requests need at once.
 func (l *Ledger) holds(a *account) bool {
-	return l.members.few() || l.rank(a).place < mostHolders
+	return l.members.few() || l.rank(a).place < mostHolders || a.asked.at(l.Now()) > busyDemand
 }
 
 // rank returns the order of the routers for an account, by rendezvous hashing.
--- a/internal/prepaid/holders_test.go
+++ b/internal/prepaid/holders_test.go
@@ -71,6 +71,43 @@
 	})
 }
 
+// Guards against a router that most callers of an account come to and that has to ask others for each of their requests: on
+// a full link or in a cut, it would refuse them.
+func TestBusyRouterHoldsItsOwnGrant(t *testing.T) {
+	const (
+		routers = 75
+		tokens  = 8000
+		ample   = inventory.Tokens(60_000_000)
+		pause   = 50 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(routers, ample)
+		f.start(t.Context())
+		defer f.stop()
+		for i := range 10 { // Some are holders by their names.
+			ledger := f.routers[i].ledger.Load()
+			play := func(d time.Duration) (refused int) {
+				for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(pause) {
+					h, _ := ledger.Reserve(t.Context(), dispatch.Claim{Account: account, Total: ample, Tokens: tokens})
+					if h == nil {
+						refused++
+						continue
+					}
+					h.Settle(tokens)
+				}
+				return refused
+			}
+			is.Equal(play(3*time.Second), 0)
+			f.alone.Store(true)
+			f.routers[i].cut.Store(true)
+			is.Equal(play(time.Second), 0)
+			f.alone.Store(false)
+			f.routers[i].cut.Store(false)
+		}
+	})
+}
+
 // Guards against tokens that stay reserved for a router that has given its question up before they were reserved.
 func TestReservationThatCameTooLateIsDropped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -68,7 +68,8 @@
 		spent     int64 // Settled by this instance.
 		held      int64 // Reserved by requests in progress.
 		cap       int64 // Lowered limit while a smaller grant is being written; -1 if there is none.
-		meter     meter
+		meter     meter // Reserved by the own grant, for own callers and other routers.
+		asked     meter // Asked for by own callers.
 		ranking   *ranking
 		waiting   []*waiter
 		writing   bool
@@ -124,11 +125,12 @@
 	return nil, dispatch.Refusal{Reason: dispatch.BudgetUnknown, After: l.after(c)}
 }
 
-// distant reports whether other routers hold the account's grants and the own grant does not cover the request.
+// distant notes the request and reports whether other routers hold the account's grants and the own grant does not cover it.
 func (l *Ledger) distant(c dispatch.Claim) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(c.Account)
+	a.asked.add(float64(c.Tokens), l.Now())
 	return !l.holds(a) && a.used()+int64(c.Tokens) > l.limit(a)
 }
 
--- a/internal/prepaid/prepaid_test.go
+++ b/internal/prepaid/prepaid_test.go
@@ -35,6 +35,7 @@
 		directory atomic.Pointer[inventory.Directory]
 		routers   []*router
 		trip      time.Duration // Of a call to the store or to another router.
+		alone     atomic.Bool   // Whether no router reaches another one.
 		writes    atomic.Int64  // Writes of grants.
 	}
 
@@ -112,6 +113,9 @@
 
 func (p peers) Reserve(ctx context.Context, address, name, account string, tokens int64) (bool, error) {
 	time.Sleep(p.fleet.trip)
+	if p.fleet.alone.Load() {
+		return false, context.DeadlineExceeded
+	}
 	for _, r := range p.fleet.routers {
 		if l := r.ledger.Load(); r.name == address && l != nil {
 			return l.Lend(ctx, name, account, tokens), nil
