--- a/internal/fleet/budget_test.go
+++ b/internal/fleet/budget_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"citronslip/internal/loopback"
 	"citronslip/pkg/inventory"
 )
 
@@ -101,7 +102,7 @@
 	before := f.rows("instance/")
 	is.Equal(len(before), 1)
 	p.freeze()
-	second := &process{t: t, name: "second", listen: freeAddress(t), peer: p.peer, admin: freeAddress(t),
+	second := &process{t: t, name: "second", listen: loopback.Reserve(t), peer: p.peer, admin: loopback.Reserve(t),
 		seeds: p.peer, platform: startRelay(t, f.base)}
 	second.start()
 	select {
--- a/internal/fleet/harness_test.go
+++ b/internal/fleet/harness_test.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -24,6 +23,7 @@
 	"citronslip/internal/budget"
 	"citronslip/internal/config"
 	"citronslip/internal/hosts"
+	"citronslip/internal/loopback"
 	"citronslip/internal/standin"
 	"citronslip/internal/table"
 	"citronslip/pkg/inventory"
@@ -39,8 +39,6 @@
 	scanPage   = 1000
 	logKeep    = 20 // Lines of a router's log that a failed test prints.
 	credential = "operator-credential"
-	firstPort  = 12000
-	ports      = 18000
 )
 
 type (
@@ -179,9 +177,9 @@
 		p := &process{
 			t:        f.t,
 			name:     fmt.Sprintf("router%d", len(f.routers)+1),
-			listen:   freeAddress(f.t),
-			peer:     freeAddress(f.t),
-			admin:    freeAddress(f.t),
+			listen:   loopback.Reserve(f.t),
+			peer:     loopback.Reserve(f.t),
+			admin:    loopback.Reserve(f.t),
 			platform: startRelay(f.t, f.base),
 		}
 		seeds = append(seeds, p.peer)
@@ -461,21 +459,6 @@
 	return file
 }
 
-// freeAddress returns a loopback address whose port was free a moment ago. The port is below those that the system gives
-// to outgoing connections, one of which could take it before the router listens, or while it is being replaced.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	for {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		listener.Close()
-		return address
-	}
-}
-
 // eventually waits until a condition holds.
 func eventually(t *testing.T, what string, holds func() bool) {
 	t.Helper()
--- /dev/null
+++ b/internal/loopback/loopback_test.go
@@ -0,0 +1,33 @@
+package loopback_test
+
+import (
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"citronslip/internal/loopback"
+)
+
+// Guards against a port that another test or an outgoing connection is given before the server listens on it, and against
+// one on which the server cannot listen, or not again after a restart.
+func TestReservedPort(t *testing.T) {
+	const others = 2000
+	is := is.New(t)
+	address := loopback.Reserve(t)
+	seen := map[string]bool{address: true}
+	for range others {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		is.True(!seen[listener.Addr().String()])
+		_ = listener.Close()
+	}
+	for range 2 {
+		listener, err := net.Listen("tcp", address)
+		is.NoErr(err)
+		conn, err := net.Dial("tcp", address)
+		is.NoErr(err)
+		_ = conn.Close()
+		_ = listener.Close()
+	}
+}
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -8,7 +8,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -22,6 +21,7 @@
 
 	"citronslip/internal/certificate"
 	"citronslip/internal/config"
+	"citronslip/internal/loopback"
 	"citronslip/internal/router"
 	"citronslip/internal/standin"
 	"citronslip/internal/table"
@@ -109,7 +109,7 @@
 		platform.Close()
 	})
 	for i := range routers {
-		f.peers = append(f.peers, freeAddress(t))
+		f.peers = append(f.peers, loopback.Reserve(t))
 		declared.Hosts = append(declared.Hosts, inventory.Host{
 			Name: fmt.Sprintf("router%d", i+1), Place: declared.Places[0].Name, Address: f.peers[i],
 		})
@@ -278,17 +278,6 @@
 	return i
 }
 
-// freeAddress returns a loopback address whose port was free a moment ago.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 // eventually waits until a condition holds.
 func eventually(t *testing.T, what string, holds func() bool) {
 	t.Helper()
