--- a/internal/prepaid/prepaid_test.go
+++ b/internal/prepaid/prepaid_test.go
@@ -25,6 +25,7 @@
 const (
 	account = "gardens"
 	total   = inventory.Tokens(1_000_000)
+	request = 5000 // Tokens of one request of spend.
 )
 
 type (
@@ -182,6 +183,19 @@
 	time.Sleep(3 * time.Second) // Writes under way end with their time limits.
 }
 
+// spend lets a router serve requests one after the other and returns the tokens that were spent.
+func (r *router) spend(t *testing.T, budget inventory.Tokens, requests int, pause time.Duration) (spent int) {
+	t.Helper()
+	for range requests {
+		if h, _ := r.ledger.Load().Reserve(t.Context(), dispatch.Claim{Account: account, Total: budget, Tokens: request}); h != nil {
+			h.Settle(request)
+			spent += request
+		}
+		time.Sleep(pause)
+	}
+	return spent
+}
+
 // sum returns the account's row.
 func (f *fleet) sum(t *testing.T) wire.PrepaidSum {
 	t.Helper()
@@ -279,12 +293,7 @@
 		f := newFleet(2, total)
 		f.start(t.Context())
 		defer f.stop()
-		for range 20 {
-			h, _ := f.routers[0].ledger.Load().Reserve(t.Context(), dispatch.Claim{Account: account, Total: total, Tokens: 5000})
-			is.True(h != nil)
-			h.Settle(5000)
-			time.Sleep(200 * time.Millisecond)
-		}
+		is.Equal(f.routers[0].spend(t, total, 20, 200*time.Millisecond), 20*request)
 		time.Sleep(2 * time.Second)
 		f.routers[0].kill()
 		time.Sleep(700 * time.Millisecond)
@@ -306,19 +315,9 @@
 		f.start(t.Context())
 		defer f.stop()
 		r := f.routers[0]
-		spend := func(n int) (spent int) {
-			for range n {
-				if h, _ := r.ledger.Load().Reserve(t.Context(), dispatch.Claim{Account: account, Total: total, Tokens: 5000}); h != nil {
-					h.Settle(5000)
-					spent += 5000
-				}
-				time.Sleep(100 * time.Millisecond)
-			}
-			return spent
-		}
-		spent := spend(30)
+		spent := r.spend(t, total, 30, 100*time.Millisecond)
 		r.cut.Store(true)
-		spent += spend(80) // The last five seconds of these are autonomous.
+		spent += r.spend(t, total, 80, 100*time.Millisecond) // The last six seconds of these are autonomous.
 		r.kill()
 		r.cut.Store(false)
 		r.start(t.Context())
@@ -338,20 +337,9 @@
 		f.start(t.Context())
 		defer f.stop()
 		r := f.routers[0]
-		spent := 0
-		spend := func(n int) {
-			for range n {
-				h, _ := r.ledger.Load().Reserve(t.Context(), dispatch.Claim{Account: account, Total: 4 * total, Tokens: 5000})
-				if h != nil {
-					h.Settle(5000)
-					spent += 5000
-				}
-				time.Sleep(100 * time.Millisecond)
-			}
-		}
-		spend(50)
+		spent := r.spend(t, 4*total, 50, 100*time.Millisecond)
 		f.away.Store(true)
-		spend(60) // The last three seconds of these are autonomous.
+		spent += r.spend(t, 4*total, 60, 100*time.Millisecond) // The last four seconds of these are autonomous.
 		f.away.Store(false)
 		time.Sleep(900 * time.Millisecond) // A heartbeat every 500 ms, and a write.
 		r.kill()
@@ -467,13 +455,14 @@
 		kills := rapid.IntRange(0, 10).Draw(r, "kills")
 		cuts := rapid.IntRange(0, 10).Draw(r, "cuts")
 		size := rapid.IntRange(1_000, 60_000).Draw(r, "size")
+		routers := rapid.SampledFrom([]int{4, 12}).Draw(r, "routers") // The larger fleet has holders and borrowers.
 		synctest.Test(t, func(t *testing.T) {
-			playFaults(t, seed, faults, kills, cuts, size)
+			playFaults(t, seed, routers, faults, kills, cuts, size)
 		})
 	})
 }
 
-func playFaults(t *testing.T, seed uint64, faults, kills, cuts, size int) {
+func playFaults(t *testing.T, seed uint64, routers, faults, kills, cuts, size int) {
 	random := rand.New(rand.NewPCG(seed, 1))
 	var mu sync.Mutex
 	number := func(n int) int {
@@ -481,7 +470,7 @@
 		defer mu.Unlock()
 		return random.IntN(n)
 	}
-	f := newFleet(4, total)
+	f := newFleet(routers, total)
 	f.store.Delay = 2 * time.Second
 	f.store.Fault = func(bool) store.Fault {
 		if f.away.Load() {
@@ -499,13 +488,13 @@
 	limit, spent := total, inventory.Tokens(0)
 	for range 300 {
 		if number(100) < kills {
-			r := f.routers[number(4)]
+			r := f.routers[number(routers)]
 			r.kill()
-			time.Sleep(time.Duration(number(2500)) * time.Millisecond)
+			time.Sleep(time.Duration(number(6000)) * time.Millisecond)
 			r.start(t.Context())
 		}
 		if number(100) < cuts {
-			f.routers[number(4)].cut.Store(number(2) == 0)
+			f.routers[number(routers)].cut.Store(number(2) == 0)
 		}
 		if number(100) < 3 {
 			f.away.Store(!f.away.Load())
@@ -515,7 +504,7 @@
 			f.directory.Store(directory(f.directory.Load().Version+1, limit))
 		}
 		tokens := inventory.Tokens(1 + number(size))
-		h, _ := f.routers[number(4)].ledger.Load().Reserve(t.Context(), dispatch.Claim{Account: account, Total: limit, Tokens: tokens})
+		h, _ := f.routers[number(routers)].ledger.Load().Reserve(t.Context(), dispatch.Claim{Account: account, Total: limit, Tokens: tokens})
 		if h != nil {
 			used := tokens * inventory.Tokens(number(3)) / 2
 			spent += used
@@ -554,12 +543,7 @@
 		f := newFleet(2, total)
 		f.start(t.Context())
 		defer f.stop()
-		for range 20 {
-			h, _ := f.routers[0].ledger.Load().Reserve(t.Context(), dispatch.Claim{Account: account, Total: total, Tokens: 5000})
-			is.True(h != nil)
-			h.Settle(5000)
-			time.Sleep(200 * time.Millisecond)
-		}
+		is.Equal(f.routers[0].spend(t, total, 20, 200*time.Millisecond), 20*request)
 		time.Sleep(2 * time.Second)
 		f.routers[0].kill()
 		g := f.grant(t, f.routers[0].name)
