Count repeats in a default window where the settings tell none

A settings file without the window of the repeats, now also one that changes while the router runs, made each request divide by zero.

Change: a window of ten seconds holds then.

Before: TestRepeatsWithoutAWindow panics. After: it passes.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -381,6 +381,16 @@
 	is.Equal(len(b.sends), 0)
 }
 
+// Guards against settings without a window, by which the counts would be divided.
+func TestRepeatsWithoutAWindow(t *testing.T) {
+	is := is.New(t)
+	r := &dispatch.Repeats{Slack: 10, Routers: func() int { return 1 }, Now: time.Now}
+	r.First("s")
+	is.True(r.Again("s"))
+	r.Adjust(0, 0, 0)
+	is.True(!r.Again("s"))
+}
+
 // Guards against repeats beyond the fleet's allowance, of which each router takes its part.
 func TestRepeatsStayWithinTheirPart(t *testing.T) {
 	is := is.New(t)
--- a/internal/dispatch/repeats.go
+++ b/internal/dispatch/repeats.go
@@ -8,6 +8,8 @@
 const (
 	// repeatBuckets divide the window of the repeats.
 	repeatBuckets = 10
+	// defaultWindow is the window if the settings tell none.
+	defaultWindow = 10 * time.Second
 	// repeatMargin is the part of the shared allowance that the routers use together.
 	repeatMargin = 0.8
 )
@@ -69,7 +71,11 @@
 	if r.services == nil {
 		r.services = make(map[string]*repeatWindow)
 	}
-	bucket := r.Now().UnixNano() / int64(r.Window/repeatBuckets)
+	window := r.Window
+	if window < repeatBuckets {
+		window = defaultWindow
+	}
+	bucket := r.Now().UnixNano() / int64(window/repeatBuckets)
 	w := r.services[service]
 	if w == nil {
 		w = &repeatWindow{at: bucket}
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -139,7 +139,15 @@
 	}
 	r.servers = &store.Follower{Store: r.Store, Table: r.ServerTable, Apply: r.takeServers, Logger: r.Logger}
 	drain := func() time.Duration { return r.current.Load().Drain }
-	r.lag = &dispatch.Lag{Drain: drain, Full: r.Meter.Full, Age: r.ledger.Age, Trip: r.ledger.Trip, News: r.servers.Age, Now: time.Now, Logger: r.Logger}
+	r.lag = &dispatch.Lag{
+		Drain:  drain,
+		Full:   r.Meter.Full,
+		Age:    r.ledger.Age,
+		Trip:   r.ledger.Trip,
+		News:   r.servers.Age,
+		Now:    time.Now,
+		Logger: r.Logger,
+	}
 	r.dispatcher = &dispatch.Dispatcher{
 		Directory: &r.directory,
 		Pool:      r.pool,
