Let the first requests after a start wait for the store's first answer

The log of a failing run shows event 240 with a store age of 2 s 0.2 ms after the request: a router whose ledger had not been answered yet took the store to be away and refused at once.

Ruled out: the load itself; the same happens whenever a request comes before the first answer, the load only makes it likely.

Change: before the first answer a request waits as for any write, and the requests that wait are written as soon as the ledger has read the rows.

--- a/internal/prepaid/alive.go
+++ b/internal/prepaid/alive.go
@@ -114,6 +114,11 @@
 			for _, name := range l.contact.before.Accounts {
 				l.account(name).inherited = true
 			}
+			for _, a := range l.accounts {
+				if len(a.waiting) > 0 {
+					l.kick(a)
+				}
+			}
 		}
 		ready := l.contact.ready
 		l.mu.Unlock()
--- a/internal/prepaid/holders_test.go
+++ b/internal/prepaid/holders_test.go
@@ -108,6 +108,19 @@
 	})
 }
 
+// Guards against requests that are refused because they come before the first answer of the store, as after each start.
+func TestFirstRequestWaitsForTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, total)
+		f.trip = 20 * time.Millisecond
+		f.routers[0].start(t.Context())
+		defer f.stop()
+		h, _ := f.routers[0].ledger.Load().Reserve(t.Context(), dispatch.Claim{Account: account, Total: total, Tokens: 5000})
+		is.True(h != nil)
+	})
+}
+
 // Guards against tokens that stay reserved for a router that has given its question up before they were reserved.
 func TestReservationThatCameTooLateIsDropped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -182,8 +182,8 @@
 	a.waiting = append(a.waiting, w)
 	l.kick(a)
 	patience := storeWait
-	if l.contact.age(l.Now()) > awayAge {
-		patience = 0 // The store is away; other routers may help.
+	if !l.contact.heard.IsZero() && l.contact.age(l.Now()) > awayAge {
+		patience = 0 // The store is away; other routers may help. A router that has just started waits for its first answer.
 	}
 	l.mu.Unlock()
 	timer := time.NewTimer(patience)
