Let events take a missing logger, and the standard library the defaults

The picker asked for its defaults again for each server of each choice.

Conclusion: no change of behaviour.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -134,7 +135,7 @@
 	t.Weight = max(t.Weight, 1)
 	t.Cost = max(t.Cost, 1)
 	if t.Deadline.IsZero() {
-		t.Deadline = now.Add(or(q.Patience, defaultPatience))
+		t.Deadline = now.Add(cmp.Or(q.Patience, defaultPatience))
 	}
 	q.order++
 	p := &Pending{queue: q, ticket: t, cost: float64(t.Cost), order: q.order, done: done}
@@ -182,7 +183,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.prepare()
-	q.limit.observe(s, or(q.First, defaultFirst), or(q.Gap, defaultGap))
+	q.limit.observe(s, cmp.Or(q.First, defaultFirst), cmp.Or(q.Gap, defaultGap))
 	if s.First > 0 {
 		q.first += (s.First.Seconds() - q.first) * 0.05
 	}
@@ -194,8 +195,8 @@
 	q.prepare()
 	now := q.now()
 	q.drain.step(now)
-	least := float64(or(q.Least, defaultLeast))
-	most := float64(or(q.Most, defaultMost))
+	least := float64(cmp.Or(q.Least, defaultLeast))
+	most := float64(cmp.Or(q.Most, defaultMost))
 	lowered := q.limit.adapt(now, q.running, q.fair.queued > 0, least, most)
 	answers := q.shed(now)
 	shed := len(answers)
@@ -206,10 +207,10 @@
 	q.mu.Unlock()
 	deliver(answers)
 	if lowered {
-		event.LimitLowered.Log(q.logger()).Int("limit", limit).Send()
+		event.LimitLowered.Log(q.Logger).Int("limit", limit).Send()
 	}
 	if shed > 0 {
-		event.QueueShed.Log(q.logger()).Int("count", shed).Send()
+		event.QueueShed.Log(q.Logger).Int("count", shed).Send()
 	}
 }
 
@@ -258,7 +259,7 @@
 	if q.drain.backlog.IsZero() {
 		q.drain.backlog = now
 	}
-	if q.fair.queued <= or(q.Length, defaultLength) {
+	if q.fair.queued <= cmp.Or(q.Length, defaultLength) {
 		return nil
 	}
 	w := q.fair.largest()
@@ -273,7 +274,7 @@
 func (q *Queue) dispatch(now time.Time) []answer {
 	var answers []answer
 	for q.running < int(q.limit.value) {
-		p := q.fair.next(or(q.Lead, defaultLead))
+		p := q.fair.next(cmp.Or(q.Lead, defaultLead))
 		if p == nil {
 			break
 		}
@@ -346,7 +347,7 @@
 		return
 	}
 	q.setup = true
-	q.limit.value = float64(or(q.Initial, defaultInitial))
+	q.limit.value = float64(cmp.Or(q.Initial, defaultInitial))
 	q.limit.began = q.now()
 	scope := q.Metrics
 	if scope == nil {
@@ -369,26 +370,9 @@
 	return q.Now()
 }
 
-func (q *Queue) logger() *zerolog.Logger {
-	if q.Logger == nil {
-		nop := zerolog.Nop()
-		return &nop
-	}
-	return q.Logger
-}
-
 // deliver calls the done functions.
 func deliver(answers []answer) {
 	for _, a := range answers {
 		a.entry.done(a.slot, a.err)
 	}
 }
-
-// or returns the value, or the default if the value is zero.
-func or[T comparable](value, otherwise T) T {
-	var zero T
-	if value == zero {
-		return otherwise
-	}
-	return value
-}
--- a/internal/claim/bill.go
+++ b/internal/claim/bill.go
@@ -145,7 +145,7 @@
 		select {
 		case <-ctx.Done():
 			keyed, other := b.Waiting()
-			event.BillsStopped.Log(b.logger()).Err(err).Int("keyed", keyed).Int("other", other).Send()
+			event.BillsStopped.Log(b.Logger).Err(err).Int("keyed", keyed).Int("other", other).Send()
 			return err
 		case <-ticker.C:
 		}
@@ -154,9 +154,9 @@
 
 func (b *Biller) delayed(err error) {
 	keyed, other := b.Waiting()
-	event.BillsDelayed.Log(b.logger()).Err(err).Int("keyed", keyed).Int("other", other).Send()
+	event.BillsDelayed.Log(b.Logger).Err(err).Int("keyed", keyed).Int("other", other).Send()
 	if b.Full() {
-		event.BillsFull.Log(b.logger()).Int("keyed", keyed).Send()
+		event.BillsFull.Log(b.Logger).Int("keyed", keyed).Send()
 	}
 	if b.Metrics != nil {
 		b.Metrics.Gauge("waiting").Update(float64(keyed + other))
@@ -193,11 +193,3 @@
 	}
 	b.detail = b.detail[:0]
 }
-
-func (b *Biller) logger() *zerolog.Logger {
-	if b.Logger == nil {
-		nop := zerolog.Nop()
-		return &nop
-	}
-	return b.Logger
-}
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -204,7 +204,7 @@
 	if claim.ticket.key == "" {
 		return nil
 	}
-	event.ClaimLost.Log(c.logger()).Str("account", claim.Account).Str("nonce", claim.Nonce).Send()
+	event.ClaimLost.Log(c.Logger).Str("account", claim.Account).Str("nonce", claim.Nonce).Send()
 	return c.write(ctx, claim, pending{claim: claim, state: stateLost})
 }
 
@@ -244,14 +244,6 @@
 	}
 }
 
-func (c *Claims) logger() *zerolog.Logger {
-	if c.Logger == nil {
-		nop := zerolog.Nop()
-		return &nop
-	}
-	return c.Logger
-}
-
 func positive[T int | time.Duration](value, fallback T) T {
 	if value > 0 {
 		return value
--- a/internal/claim/recover.go
+++ b/internal/claim/recover.go
@@ -23,7 +23,7 @@
 			return trace.Wrap(err)
 		}
 	}
-	event.BillsRecovered.Log(b.logger()).Str("instance", instance).Int("reported", len(bills)).Send()
+	event.BillsRecovered.Log(b.Logger).Str("instance", instance).Int("reported", len(bills)).Send()
 	return nil
 }
 
--- a/internal/claim/row.go
+++ b/internal/claim/row.go
@@ -115,7 +115,7 @@
 
 // disown remembers that a nonce never runs, although its row may appear, and has the row removed.
 func (c *Claims) disown(claim *Claim) {
-	event.ClaimUnresolved.Log(c.logger()).Str("account", claim.Account).Str("nonce", claim.Nonce).Send()
+	event.ClaimUnresolved.Log(c.Logger).Str("account", claim.Account).Str("nonce", claim.Nonce).Send()
 	c.drop(claim.Nonce)
 	c.remember(pending{claim: claim, state: stateReleased})
 }
@@ -174,7 +174,7 @@
 func (c *Claims) write(ctx context.Context, claim *Claim, p pending) error {
 	err := c.apply(ctx, p)
 	if errors.Is(err, ErrPending) {
-		event.ClaimPending.Log(c.logger()).Str("account", claim.Account).Str("state", string(p.state)).Send()
+		event.ClaimPending.Log(c.Logger).Str("account", claim.Account).Str("state", string(p.state)).Send()
 		c.remember(p)
 		return trace.Wrap(err)
 	}
--- a/internal/claim/run.go
+++ b/internal/claim/run.go
@@ -88,7 +88,7 @@
 	}
 	c.mu.Unlock()
 	if full {
-		event.ClaimEvicted.Log(c.logger()).Str("account", p.claim.Account).Str("nonce", p.claim.Nonce).Send()
+		event.ClaimEvicted.Log(c.Logger).Str("account", p.claim.Account).Str("nonce", p.claim.Nonce).Send()
 		c.forget(p.claim)
 	}
 }
@@ -168,7 +168,7 @@
 	if _, err := c.commit(ctx, ops...); err != nil {
 		return trace.Wrap(err)
 	}
-	event.ClaimCleaned.Log(c.logger()).Int("rows", len(ops)).Send()
+	event.ClaimCleaned.Log(c.Logger).Int("rows", len(ops)).Send()
 	return nil
 }
 
--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -198,7 +198,7 @@
 	case c.held.Load() == nil:
 		c.notReady("the stores do not answer and no peer that was reached has a version: " + err.Error())
 	case c.number() < best || age > maxAnswerAge:
-		event.ConfigJoinAgain.Log(c.logger()).Int("held", c.number()).Int("peers", best).Dur("ageMs", age).Send()
+		event.ConfigJoinAgain.Log(c.Logger).Int("held", c.number()).Int("peers", best).Dur("ageMs", age).Send()
 	default:
 		c.complete()
 	}
@@ -212,17 +212,17 @@
 	}
 	c.down = down
 	if down {
-		event.ConfigTableDown.Log(c.logger()).Err(err).Send()
+		event.ConfigTableDown.Log(c.Logger).Err(err).Send()
 		return
 	}
-	event.ConfigTableUp.Log(c.logger()).Send()
+	event.ConfigTableUp.Log(c.Logger).Send()
 }
 
 // compare reports a table that names another version under a held number, as after it was restored from a copy.
 func (c *Controller) compare(h head) {
 	holding := c.held.Load()
 	if holding != nil && holding.version.Number == h.Number && holding.version.Digest != h.Digest {
-		event.ConfigFork.Log(c.logger()).Int("number", h.Number).Str("held", holding.version.Digest).Str("table", h.Digest).Send()
+		event.ConfigFork.Log(c.Logger).Int("number", h.Number).Str("held", holding.version.Digest).Str("table", h.Digest).Send()
 	}
 }
 
@@ -243,7 +243,7 @@
 		err = trace.Wrap(ErrDigest, "the head says %d, the record %d", h.Number, v.Number)
 	}
 	if err != nil {
-		event.ConfigFetch.Log(c.logger()).Int("number", h.Number).Err(err).Send()
+		event.ConfigFetch.Log(c.Logger).Int("number", h.Number).Err(err).Send()
 		return err
 	}
 	c.hold(v)
@@ -259,7 +259,7 @@
 	if c.number() >= heard.Number || len(neighbours) == 0 {
 		return
 	}
-	event.ConfigFetch.Log(c.logger()).Int("number", heard.Number).Str("peer", heard.Address).Err(err).Send()
+	event.ConfigFetch.Log(c.Logger).Int("number", heard.Number).Str("peer", heard.Address).Err(err).Send()
 	_ = c.fetch(bounded, neighbours[rand.N(len(neighbours))], heard.Number)
 }
 
@@ -274,7 +274,7 @@
 	parsed, err := c.Parse(v.body)
 	if err != nil {
 		c.rejected = v.Digest
-		event.ConfigRejected.Log(c.logger()).Int("number", v.Number).Err(err).Send()
+		event.ConfigRejected.Log(c.Logger).Int("number", v.Number).Err(err).Send()
 		c.notReady("the version does not pass the check: " + err.Error())
 		return
 	}
@@ -291,7 +291,7 @@
 	})
 	c.State.Store(&wire.ConfigState{Instance: c.Instance, Number: v.Number, Held: v.Number, Digest: v.Digest, Ready: true})
 	c.scope().Gauge("version").Update(float64(v.Number))
-	event.ConfigAdopted.Log(c.logger()).Int("number", v.Number).Str("digest", v.Digest).Str("author", v.Author).Send()
+	event.ConfigAdopted.Log(c.Logger).Int("number", v.Number).Str("digest", v.Digest).Str("author", v.Author).Send()
 }
 
 // hold records a fetched version if it is higher.
@@ -314,7 +314,7 @@
 		if old != nil && (old.Ready || old.Reason != nil && *old.Reason == reason) {
 			return nil
 		}
-		event.ConfigNotReady.Log(c.logger()).Str("reason", reason).Send()
+		event.ConfigNotReady.Log(c.Logger).Str("reason", reason).Send()
 		return &wire.ConfigState{Instance: c.Instance, Reason: &reason}
 	})
 }
@@ -357,14 +357,6 @@
 	}
 }
 
-func (c *Controller) logger() *zerolog.Logger {
-	if c.Logger == nil {
-		nop := zerolog.Nop()
-		return &nop
-	}
-	return c.Logger
-}
-
 func (c *Controller) scope() tally.Scope {
 	if c.Metrics == nil {
 		return tally.NoopScope
--- a/internal/config/distribute.go
+++ b/internal/config/distribute.go
@@ -77,7 +77,7 @@
 func (c *Controller) ServeVersion(ctx context.Context, query wire.ConfigQuery) (wire.ConfigState, error) {
 	if query.Number > c.number() && query.Address != "" {
 		if err := c.fetch(ctx, query.Address, query.Number); err != nil {
-			event.ConfigFetch.Log(c.logger()).Int("number", query.Number).Str("peer", query.Address).Err(err).Send()
+			event.ConfigFetch.Log(c.Logger).Int("number", query.Number).Str("peer", query.Address).Err(err).Send()
 		}
 	}
 	result := wire.ConfigState{Instance: c.Instance}
@@ -274,7 +274,7 @@
 	fetching, stop := context.WithTimeout(ctx, callTimeout)
 	defer stop()
 	if err := c.fetch(fetching, source, best); err != nil {
-		event.ConfigFetch.Log(c.logger()).Int("number", best).Str("peer", source).Err(err).Send()
+		event.ConfigFetch.Log(c.Logger).Int("number", best).Str("peer", source).Err(err).Send()
 	}
 	return int(reached.Load()), best
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -21,8 +21,11 @@
 	}
 )
 
-// Log starts a line for the event. The caller adds fields and calls Send.
+// Log starts a line for the event. The caller adds fields and calls Send. Without a logger nothing is written.
 func (e Event) Log(logger *zerolog.Logger) *zerolog.Event {
+	if logger == nil {
+		return nil
+	}
 	return logger.WithLevel(e.Level).Int("event", e.Number).Str(zerolog.MessageFieldName, e.Text)
 }
 
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -94,10 +94,6 @@
 }
 
 func (s *Server) prepare() {
-	if s.Logger == nil {
-		nop := zerolog.Nop()
-		s.Logger = &nop
-	}
 	if s.Scope == nil {
 		s.Scope = tally.NoopScope
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"math/rand/v2"
@@ -61,7 +62,7 @@
 
 // Run closes idle connections, and all of them when the context ends. Calls after that are not sent.
 func (c *Client) Run(ctx context.Context) error {
-	ticker := time.NewTicker(or(c.Idle, DefaultIdle) / 2)
+	ticker := time.NewTicker(cmp.Or(c.Idle, DefaultIdle) / 2)
 	defer ticker.Stop()
 	for {
 		select {
@@ -142,7 +143,7 @@
 // call makes one call. Its errors wrap ErrNotSent, ErrUnknown or a *Refusal.
 func call[R any](ctx context.Context, c *Client, address, method string, params any) (R, error) {
 	var result R
-	bounded, cancel := context.WithTimeout(ctx, or(c.Timeout, DefaultTimeout))
+	bounded, cancel := context.WithTimeout(ctx, cmp.Or(c.Timeout, DefaultTimeout))
 	defer cancel()
 	l, err := c.connect(bounded, address)
 	if err != nil {
@@ -228,8 +229,8 @@
 	if methods == nil {
 		methods = &Methods{}
 	}
-	l := &link{methods: methods, timeout: or(c.Timeout, DefaultTimeout), dialed: true}
-	l.start(context.Background(), conn, or(c.Limit, DefaultLimit), or(c.Calls, DefaultCalls), orNop(c.Logger))
+	l := &link{methods: methods, timeout: cmp.Or(c.Timeout, DefaultTimeout), dialed: true}
+	l.start(context.Background(), conn, cmp.Or(c.Limit, DefaultLimit), cmp.Or(c.Calls, DefaultCalls), c.Logger)
 	expiry := expire(conn, l)
 	go func() {
 		<-l.rpc.DisconnectNotify()
@@ -247,7 +248,7 @@
 }
 
 func (c *Client) secure(ctx context.Context, conn net.Conn) (net.Conn, error) {
-	config, err := c.TLS.client(orNop(c.Logger))
+	config, err := c.TLS.client(c.Logger)
 	if err != nil {
 		return nil, err
 	}
@@ -314,7 +315,7 @@
 func (c *Client) sweep(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	idle := or(c.Idle, DefaultIdle)
+	idle := cmp.Or(c.Idle, DefaultIdle)
 	for address, t := range c.targets {
 		switch {
 		case t.link == nil || t.link.closed():
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -311,7 +312,7 @@
 	x.failures = 0
 	suspect := known.member
 	suspect.State = wire.MemberStateSuspected
-	event.MemberSuspected.Log(orNop(m.Logger)).Str("member", address).Str("instance", suspect.Instance).Err(err).Send()
+	event.MemberSuspected.Log(m.Logger).Str("member", address).Str("instance", suspect.Instance).Err(err).Send()
 	m.table.put(suspect, "", m.now())
 	m.dirty = true
 	m.publish()
@@ -348,7 +349,7 @@
 		return
 	}
 	m.Self.Incarnation = claim.Incarnation + 1
-	event.MemberRefuted.Log(orNop(m.Logger)).Str("claim", string(claim.State)).Str("instance", claim.Instance).Send()
+	event.MemberRefuted.Log(m.Logger).Str("claim", string(claim.State)).Str("instance", claim.Instance).Send()
 	m.table.put(m.Self, "", m.now())
 	m.dirty = true
 }
@@ -366,7 +367,7 @@
 	default:
 		return
 	}
-	e.Log(orNop(m.Logger)).Str("member", member.Address).Str("instance", member.Instance).Str("state", string(member.State)).Send()
+	e.Log(m.Logger).Str("member", member.Address).Str("instance", member.Instance).Str("state", string(member.State)).Send()
 }
 
 // heard notes a higher version. What a peer says of itself replaces what it said before, even if it is lower.
@@ -469,7 +470,7 @@
 }
 
 func (m *Membership) interval() time.Duration {
-	return or(m.Interval, DefaultInterval)
+	return cmp.Or(m.Interval, DefaultInterval)
 }
 
 func (m *Membership) now() time.Time {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"io"
@@ -57,12 +58,12 @@
 	if err != nil {
 		return err
 	}
-	logger := orNop(s.Logger)
+	logger := s.Logger
 	event.PeerListening.Log(logger).Str("address", listener.Addr().String()).Bool("tls", s.TLS != nil).Send()
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
 	serving, cancel := context.WithCancel(ctx)
-	slots := make(chan struct{}, or(s.Connections, DefaultConnections))
+	slots := make(chan struct{}, cmp.Or(s.Connections, DefaultConnections))
 	var running sync.WaitGroup
 	defer running.Wait()
 	defer cancel()
@@ -90,7 +91,7 @@
 
 // ServeConn serves one connection until it ends.
 func (s *Server) ServeConn(ctx context.Context, raw net.Conn) {
-	timeout := or(s.Timeout, DefaultTimeout)
+	timeout := cmp.Or(s.Timeout, DefaultTimeout)
 	conn := count(raw, s.Traffic)
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
@@ -101,12 +102,12 @@
 	}
 	if err != nil {
 		s.scope().Counter("refused").Inc(1)
-		event.PeerRefused.Log(orNop(s.Logger)).Str("peer", raw.RemoteAddr().String()).Err(err).Send()
+		event.PeerRefused.Log(s.Logger).Str("peer", raw.RemoteAddr().String()).Err(err).Send()
 		return
 	}
 	s.scope().Counter("accepted").Inc(1)
 	l := &link{methods: s.Methods, client: s.Client, timeout: timeout}
-	l.start(ctx, secured, or(s.Limit, DefaultLimit), or(s.Calls, DefaultCalls), orNop(s.Logger))
+	l.start(ctx, secured, cmp.Or(s.Limit, DefaultLimit), cmp.Or(s.Calls, DefaultCalls), s.Logger)
 	expiry := expire(secured, l)
 	defer expiry.Stop()
 	<-l.rpc.DisconnectNotify()
@@ -117,7 +118,7 @@
 	if s.TLS == nil {
 		return conn, nil
 	}
-	config, err := s.TLS.server(orNop(s.Logger))
+	config, err := s.TLS.server(s.Logger)
 	if err != nil {
 		return nil, err
 	}
@@ -198,21 +199,3 @@
 	ip := net.ParseIP(host)
 	return ip != nil && ip.IsLoopback()
 }
-
-// or returns the value, or the default if it is zero.
-func or[T comparable](value, standard T) T {
-	var zero T
-	if value == zero {
-		return standard
-	}
-	return value
-}
-
-// orNop returns a logger that can be used.
-func orNop(logger *zerolog.Logger) *zerolog.Logger {
-	if logger == nil {
-		nop := zerolog.Nop()
-		return &nop
-	}
-	return logger
-}
--- a/internal/placement/lease.go
+++ b/internal/placement/lease.go
@@ -68,7 +68,7 @@
 	if r.lease.until.IsZero() {
 		return
 	}
-	event.LeaseLost.Log(r.logger()).Str("service", r.Service).Uint64("fence", r.lease.row.Fence).Send()
+	event.LeaseLost.Log(r.Logger).Str("service", r.Service).Uint64("fence", r.lease.row.Fence).Send()
 	r.lease.until = time.Time{}
 	r.sent = nil
 	r.reached = false
@@ -152,7 +152,7 @@
 	r.lease.quiet = r.now().Add(positive(r.Delay, defaultDelay))
 	r.free = r.lease.quiet
 	r.taken = true
-	event.LeaseTaken.Log(r.logger()).Str("service", r.Service).Uint64("fence", row.Fence).Send()
+	event.LeaseTaken.Log(r.Logger).Str("service", r.Service).Uint64("fence", row.Fence).Send()
 }
 
 // Resign gives the lease up, so that another router takes over without waiting for its end.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -192,14 +192,6 @@
 	return r.Now()
 }
 
-func (r *Reconciler) logger() *zerolog.Logger {
-	if r.Logger == nil {
-		nop := zerolog.Nop()
-		return &nop
-	}
-	return r.Logger
-}
-
 func positive(value, fallback time.Duration) time.Duration {
 	if value > 0 {
 		return value
--- a/internal/placement/status.go
+++ b/internal/placement/status.go
@@ -37,7 +37,7 @@
 	slices.SortFunc(status.Differences, func(a, b Difference) int { return strings.Compare(a.Server, b.Server) })
 	reached := status.Leader && reason == "" && len(status.Differences) == 0
 	if reached && !r.reached {
-		event.PlacementReached.Log(r.logger()).Str("service", r.Service).Send()
+		event.PlacementReached.Log(r.Logger).Str("service", r.Service).Send()
 	}
 	r.reached = reached
 	if r.Metrics != nil {
--- a/internal/placement/step.go
+++ b/internal/placement/step.go
@@ -278,7 +278,7 @@
 	err := r.Engines.Command(callCtx, s.server.Name, Command{Fence: r.lease.row.Fence, Layout: layout})
 	switch {
 	case errors.Is(err, ErrFenced):
-		event.CommandRefused.Log(r.logger()).Str("server", s.server.Name).Uint64("fence", r.lease.row.Fence).Send()
+		event.CommandRefused.Log(r.Logger).Str("server", s.server.Name).Uint64("fence", r.lease.row.Fence).Send()
 		s.reason = "engine has seen a higher fencing number"
 		r.lose()
 		return false
@@ -286,9 +286,9 @@
 		s.reason = "engine refused the command"
 		return false
 	case err != nil:
-		event.CommandFailed.Log(r.logger()).Str("server", s.server.Name).Err(err).Send()
+		event.CommandFailed.Log(r.Logger).Str("server", s.server.Name).Err(err).Send()
 	default:
-		event.CommandSent.Log(r.logger()).Str("server", s.server.Name).Uint64("fence", r.lease.row.Fence).Send()
+		event.CommandSent.Log(r.Logger).Str("server", s.server.Name).Uint64("fence", r.lease.row.Fence).Send()
 	}
 	if r.sent == nil {
 		r.sent = make(map[string]flight)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -344,7 +344,7 @@
 func (g *Guard) Crashed(ctx context.Context, runs []Run) error {
 	var failed error
 	for _, run := range runs {
-		event.CrashSeen.Log(g.logger()).Str("fingerprint", run.Fingerprint).Str("server", run.Server).Send()
+		event.CrashSeen.Log(g.Logger).Str("fingerprint", run.Fingerprint).Str("server", run.Server).Send()
 		report := Report{Fingerprint: run.Fingerprint, Slot: run.Slot, Server: run.Server}
 		g.Report(report)
 		if g.Tell != nil {
@@ -411,14 +411,6 @@
 	return positive(g.Longest, defaultLongest)
 }
 
-func (g *Guard) logger() *zerolog.Logger {
-	if g.Logger == nil {
-		nop := zerolog.Nop()
-		return &nop
-	}
-	return g.Logger
-}
-
 func positive(value, fallback time.Duration) time.Duration {
 	if value > 0 {
 		return value
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -105,7 +105,7 @@
 func (g *Guard) settle(ctx context.Context, e ending) error {
 	record, exists, err := g.apply(ctx, e)
 	if err != nil {
-		event.CrashUnrecorded.Log(g.logger()).Str("fingerprint", e.run.Fingerprint).Str("outcome", string(e.outcome)).Send()
+		event.CrashUnrecorded.Log(g.Logger).Str("fingerprint", e.run.Fingerprint).Str("outcome", string(e.outcome)).Send()
 		return trace.Wrap(err)
 	}
 	g.mu.Lock()
@@ -178,9 +178,9 @@
 func (e ending) log(g *Guard, next Record) {
 	switch {
 	case next.Quarantined():
-		event.Quarantined.Log(g.logger()).Str("fingerprint", e.run.Fingerprint).Str("free", next.Free).Str("fixed", next.Fixed).Send()
+		event.Quarantined.Log(g.Logger).Str("fingerprint", e.run.Fingerprint).Str("free", next.Free).Str("fixed", next.Fixed).Send()
 	case e.outcome == outcomeCleared:
-		event.SuspectCleared.Log(g.logger()).Str("fingerprint", e.run.Fingerprint).Send()
+		event.SuspectCleared.Log(g.Logger).Str("fingerprint", e.run.Fingerprint).Send()
 	}
 }
 
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -26,7 +26,7 @@
 	defer ticker.Stop()
 	for {
 		if err := g.Sync(ctx); err != nil {
-			event.QuarantineStale.Log(g.logger()).Err(err).Send()
+			event.QuarantineStale.Log(g.Logger).Err(err).Send()
 		}
 		select {
 		case <-ctx.Done():
@@ -79,7 +79,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	event.QuarantineLifted.Log(g.logger()).Str("fingerprint", fingerprint).Send()
+	event.QuarantineLifted.Log(g.Logger).Str("fingerprint", fingerprint).Send()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.keep(fingerprint, Record{}, false)
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -120,7 +120,7 @@
 	_, err = g.commit(ctx, ops)
 	switch {
 	case err == nil:
-		event.TrialStarted.Log(g.logger()).Str("fingerprint", run.Fingerprint).Str("server", run.Server).Send()
+		event.TrialStarted.Log(g.Logger).Str("fingerprint", run.Fingerprint).Str("server", run.Server).Send()
 		return run, nil
 	case errors.Is(err, table.ErrConflict):
 		g.free(run)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -229,10 +229,6 @@
 // build makes the parts. Nothing is opened yet.
 func (r *Router) build() (io.Closer, error) {
 	r.instance = newInstance(r.Settings.Peer)
-	if r.Logger == nil {
-		nop := zerolog.Nop()
-		r.Logger = &nop
-	}
 	if r.Settings.Name == "" {
 		r.Settings.Name = r.Settings.Listen
 	}
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -103,14 +103,14 @@
 		if s.circuit.succeed(c.probe) {
 			s.added = now
 			p.counters.closed.Inc(1)
-			event.CircuitClosed.Log(p.logger()).Str("server", s.conf.Name).Send()
+			event.CircuitClosed.Log(p.Logger).Str("server", s.conf.Name).Send()
 		}
 	case Refused:
 		c.refuse(o, now)
 	case ConnectionRefused:
 		c.fail(1, now)
 	case Broken:
-		threshold := or(p.Failures, defaultFailures)
+		threshold := p.Failures
 		if o.Reset {
 			threshold = 1
 		}
@@ -172,14 +172,14 @@
 }
 
 func (p *Picker) fail(s *server, probe bool, threshold int, now time.Time) {
-	wait := or(p.Reopen, defaultReopen)
+	wait := p.Reopen
 	wait += time.Duration(p.random() * float64(wait))
-	if !s.circuit.fail(probe, threshold, now, wait, or(p.LongOpen, defaultLongOpen)) {
+	if !s.circuit.fail(probe, threshold, now, wait, p.LongOpen) {
 		return
 	}
 	p.failure = now
 	p.counters.opened.Inc(1)
-	event.CircuitOpened.Log(p.logger()).Str("server", s.conf.Name).Dur("wait", s.circuit.wait).Send()
+	event.CircuitOpened.Log(p.Logger).Str("server", s.conf.Name).Dur("wait", s.circuit.wait).Send()
 }
 
 // arrive takes the prompt out of the pending work.
@@ -210,5 +210,5 @@
 	}
 	s.leaving = true
 	s.sign = now
-	event.ServerLeaving.Log(p.logger()).Str("server", s.conf.Name).Send()
+	event.ServerLeaving.Log(p.Logger).Str("server", s.conf.Name).Send()
 }
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -14,19 +13,6 @@
 	"citronslip/internal/event"
 )
 
-const (
-	defaultSubset    = 16
-	defaultBlock     = 256
-	defaultHints     = 1 << 16
-	defaultHintLife  = 2 * time.Minute
-	defaultSlowStart = 20 * time.Second
-	defaultFailures  = 3
-	defaultReopen    = 500 * time.Millisecond
-	defaultLongOpen  = 15 * time.Second
-	defaultGrace     = 2 * time.Second
-	defaultReports   = 8
-)
-
 type (
 	// Picker chooses backend servers. Set the fields before first use. The zero value of each setting selects its
 	// default.
@@ -229,7 +215,7 @@
 		return
 	}
 	now := p.now()
-	s.circuit.polled(ok, now, or(p.LongOpen, defaultLongOpen))
+	s.circuit.polled(ok, now, p.LongOpen)
 	if !ok && s.circuit.state == closed {
 		p.fail(s, false, 1, now)
 	}
@@ -269,7 +255,7 @@
 	if s.leaving && !conf.Leaving && conf.Observed.After(s.sign) {
 		s.leaving = false
 		s.added = now
-		event.ServerReturned.Log(p.logger()).Str("server", conf.Name).Send()
+		event.ServerReturned.Log(p.Logger).Str("server", conf.Name).Send()
 	}
 }
 
@@ -285,65 +271,6 @@
 	return int32(len(p.slots) - 1)
 }
 
-// gain fills the scratch with the cached tokens that the hints promise, the longest prefix of each server.
-func (p *Picker) gain(r *Request, now time.Time) {
-	prefix := r.Prefix[:min(len(r.Prefix), longestPrefix)]
-	nanos := now.UnixNano()
-	for i := len(prefix) - 1; i >= 0; i-- {
-		h := p.hints.find(prefix[i])
-		if h == nil {
-			continue
-		}
-		for k, number := range h.servers {
-			if number == 0 || h.expires[k] < nanos || p.gains[number-1] != 0 {
-				continue
-			}
-			p.gains[number-1] = int64(i+1) * int64(or(p.Block, defaultBlock))
-			p.touched = append(p.touched, number-1)
-		}
-	}
-}
-
-// home promises part of the prefix at the server of its highest rendezvous hash, unless a hint names that server already.
-// Routers that know nothing of a prefix so send it to the same server, and it takes cache memory of one server only.
-func (p *Picker) home(servers []*server, r *Request) {
-	if len(r.Prefix) == 0 {
-		return
-	}
-	var found *server
-	var most uint64
-	for _, s := range servers {
-		if s.leaving || s.circuit.state != closed || s.conf.Leaving {
-			continue
-		}
-		hash := mix(s.hash ^ or(r.Home, r.Prefix[0]))
-		if found == nil || hash > most {
-			found, most = s, hash
-		}
-	}
-	if found == nil || p.gains[found.number] != 0 {
-		return
-	}
-	tokens := len(r.Prefix) * or(p.Block, defaultBlock)
-	p.gains[found.number] = int64(or(p.Home, homeShare) * float64(tokens))
-	p.touched = append(p.touched, found.number)
-}
-
-// mix spreads the bits of a hash; it is the finalizer of splitmix64.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
-// forget clears the scratch.
-func (p *Picker) forget() {
-	for _, number := range p.touched {
-		p.gains[number] = 0
-	}
-	p.touched = p.touched[:0]
-}
-
 // scan returns the server with the lowest score, and whether any server was in an allowed place.
 func (p *Picker) scan(servers []*server, r *Request, now time.Time) (best, bool) {
 	var found best
@@ -369,7 +296,7 @@
 		if random >= 1 {
 			random--
 		}
-		score := e.score * (1 + or(p.Noise, noise)*random)
+		score := e.score * (1 + p.Noise*random)
 		if s.conf.Name == r.Prefer && r.Prefer != "" {
 			score = -1
 		}
@@ -395,7 +322,7 @@
 		return "excluded"
 	case now.Before(s.busy):
 		return "busy"
-	case !s.circuit.allows(now, r.Idempotent, or(p.Grace, defaultGrace)):
+	case !s.circuit.allows(now, r.Idempotent, p.Grace):
 		return s.circuit.state.String()
 	default:
 		return ""
@@ -440,56 +367,10 @@
 	if p.asked.Before(now.Add(-time.Second)) {
 		p.asked = now.Add(-time.Second)
 	}
-	p.asked = p.asked.Add(time.Duration(float64(time.Second) / or(p.Reports, defaultReports)))
+	p.asked = p.asked.Add(time.Duration(float64(time.Second) / p.Reports))
 	return true
 }
 
-// hint notes that the server holds the prefix.
-func (p *Picker) hint(prefix uint64, s *server) {
-	until := p.now().Add(or(p.HintLife, defaultHintLife))
-	p.hints.add(prefix, s.number, until, or(p.Hints, defaultHints))
-}
-
-func (p *Picker) prepare() {
-	if p.setup {
-		return
-	}
-	p.setup = true
-	p.servers = make(map[string]*server)
-	scope := p.Metrics
-	if scope == nil {
-		scope = tally.NoopScope
-	}
-	p.counters = counters{
-		picked: scope.Counter("picked"),
-		failed: scope.Counter("failed"),
-		opened: scope.Counter("opened"),
-		closed: scope.Counter("closed"),
-	}
-}
-
-func (p *Picker) now() time.Time {
-	if p.Now == nil {
-		return time.Now()
-	}
-	return p.Now()
-}
-
-func (p *Picker) random() float64 {
-	if p.Rand == nil {
-		return rand.Float64()
-	}
-	return p.Rand()
-}
-
-func (p *Picker) logger() *zerolog.Logger {
-	if p.Logger == nil {
-		nop := zerolog.Nop()
-		return &nop
-	}
-	return p.Logger
-}
-
 // note stores the own work in the history.
 func (s *server) note(now time.Time) {
 	if s.past == nil {
--- a/internal/routing/retry.go
+++ b/internal/routing/retry.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -37,13 +38,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.firsts++
-	r.saved = min(r.saved+or(r.Ratio, defaultRatio), or(r.Burst, defaultBurst))
+	r.saved = min(r.saved+cmp.Or(r.Ratio, defaultRatio), cmp.Or(r.Burst, defaultBurst))
 }
 
 // Retry decides whether an attempt with this outcome is repeated, and after which wait. Attempts counts those made so
 // far. Only what certainly did not run or is idempotent is repeated.
 func (r *Retrier) Retry(o Outcome, idempotent bool, attempts int) (time.Duration, bool) {
-	most := or(r.Attempts, defaultAttempts)
+	most := cmp.Or(r.Attempts, defaultAttempts)
 	if NotRun(o) {
 		// A refusal costs the servers nothing, and several servers may leave together.
 		most *= 2
@@ -62,7 +63,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	// The epsilon makes ten additions of 0.1 count as one.
-	if r.saved < 1-1e-9 || float64(r.retries+1) > or(r.Ratio, defaultRatio)*float64(r.firsts)+1e-9 {
+	if r.saved < 1-1e-9 || float64(r.retries+1) > cmp.Or(r.Ratio, defaultRatio)*float64(r.firsts)+1e-9 {
 		return false
 	}
 	r.saved--
@@ -72,8 +73,8 @@
 
 // wait returns a time with full jitter between half and one and a half of the mean.
 func (r *Retrier) wait(attempts int) time.Duration {
-	mean := or(r.Base, defaultBase) << min(max(attempts-1, 0), 16)
-	mean = min(mean, or(r.Longest, defaultLongest))
+	mean := cmp.Or(r.Base, defaultBase) << min(max(attempts-1, 0), 16)
+	mean = min(mean, cmp.Or(r.Longest, defaultLongest))
 	random := rand.Float64
 	if r.Rand != nil {
 		random = r.Rand
@@ -91,12 +92,3 @@
 		return idempotent
 	}
 }
-
-// or returns the value, or the default if the value is zero.
-func or[T comparable](value, otherwise T) T {
-	var zero T
-	if value == zero {
-		return otherwise
-	}
-	return value
-}
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -113,7 +113,7 @@
 	if s.added.IsZero() {
 		return 1
 	}
-	full := or(p.SlowStart, defaultSlowStart)
+	full := p.SlowStart
 	age := now.Sub(s.added)
 	if age >= full {
 		return 1
--- a/internal/routing/subset.go
+++ b/internal/routing/subset.go
@@ -66,7 +66,7 @@
 // subset returns the servers with the highest rendezvous hashes of router and server. When servers come or go, only
 // their own places in the subsets change.
 func (p *Picker) subset(all []*server) []*server {
-	most := or(p.Subset, defaultSubset)
+	most := p.Subset
 	// Leaving out a few servers of a small group would save little and load the others unevenly.
 	if len(all) <= 2*most {
 		return all
