Hash by rendezvous in one place

Change: internal/rendezvous holds First, Order, Hash and Mix. The weights are those of before, so that homes stay where they were.

Conclusion: no change of behaviour.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -7,12 +7,10 @@
 package quarantine
 
 import (
-	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -23,6 +21,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"citronslip/internal/event"
+	"citronslip/internal/rendezvous"
 	"citronslip/internal/table"
 )
 
@@ -369,35 +368,18 @@
 
 // first returns the name that rank puts first, empty if there is none.
 func first(fingerprint string, names []string) string {
-	seed := xxhash.Sum64String(fingerprint)
-	var best string
-	var most uint64
-	for _, name := range names {
-		w := weight(seed, name)
-		if best == "" || w > most || w == most && name < best {
-			best, most = name, w
-		}
-	}
-	return best
+	return rendezvous.First(names, weigher(fingerprint))
 }
 
 // rank orders names by rendezvous hashing on the fingerprint.
 func rank(fingerprint string, names []string) []string {
-	seed := xxhash.Sum64String(fingerprint)
-	result := slices.Clone(names)
-	slices.SortFunc(result, func(a, b string) int {
-		return cmp.Or(cmp.Compare(weight(seed, b), weight(seed, a)), cmp.Compare(a, b))
-	})
-	return result
+	return rendezvous.Order(names, weigher(fingerprint))
 }
 
-// weight mixes the hashes of a fingerprint and a name. The steps are the finalizer of SplitMix64, which spreads every
-// bit of its input.
-func weight(seed uint64, name string) uint64 {
-	w := seed ^ xxhash.Sum64String(name)
-	w = (w ^ w>>30) * 0xbf58476d1ce4e5b9
-	w = (w ^ w>>27) * 0x94d049bb133111eb
-	return w ^ w>>31
+// weigher returns the weights of names for a fingerprint.
+func weigher(fingerprint string) func(name string) uint64 {
+	seed := xxhash.Sum64String(fingerprint)
+	return func(name string) uint64 { return rendezvous.Mix(seed ^ xxhash.Sum64String(name)) }
 }
 
 func (g *Guard) now() time.Time {
--- /dev/null
+++ b/internal/rendezvous/rendezvous_test.go
@@ -0,0 +1,29 @@
+package rendezvous_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"citronslip/internal/rendezvous"
+)
+
+// Guards against a name that moves others when it goes, and against a first name that is not the first of the order.
+func TestOrderWithoutOneName(t *testing.T) {
+	is := is.New(t)
+	var names []string
+	for i := range 20 {
+		names = append(names, fmt.Sprintf("10.0.0.%d:1", i))
+	}
+	for i := range 50 {
+		weight := func(name string) uint64 { return rendezvous.Hash(name, fmt.Sprintf("account-%d", i)) }
+		order := rendezvous.Order(names, weight)
+		is.Equal(rendezvous.First(names, weight), order[0])
+		rest := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == order[5] })
+		is.Equal(rendezvous.Order(rest, weight), slices.Delete(slices.Clone(order), 5, 6))
+	}
+	is.Equal(rendezvous.First(nil, nil), "")
+	is.True(rendezvous.Hash("a", "b") != rendezvous.Hash("ab"))
+}
--- a/internal/routing/gain.go
+++ b/internal/routing/gain.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"time"
+
+	"citronslip/internal/rendezvous"
 )
 
 // gain fills the scratch with the cached tokens that the hints promise, the longest prefix of each server.
@@ -36,7 +38,7 @@
 		if s.leaving || s.circuit.state != closed || s.conf.Leaving {
 			continue
 		}
-		hash := mix(s.hash ^ cmp.Or(r.Home, r.Prefix[0]))
+		hash := rendezvous.Mix(s.hash ^ cmp.Or(r.Home, r.Prefix[0]))
 		if found == nil || hash > most {
 			found, most = s, hash
 		}
@@ -49,13 +51,6 @@
 	p.touched = append(p.touched, found.number)
 }
 
-// mix spreads the bits of a hash; it is the finalizer of splitmix64.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // forget clears the scratch.
 func (p *Picker) forget() {
 	for _, number := range p.touched {
