Repeat calls until the context ends in one place

Change: delay.Repeat and delay.Every. What a Run does behind its loop follows the call.

Conclusion: no change of behaviour.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"citronslip/internal/delay"
 	"citronslip/internal/event"
 )
 
@@ -95,16 +96,8 @@
 
 // Run adapts the limit and gives up late requests until the context ends.
 func (q *Queue) Run(ctx context.Context) error {
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			q.Tick()
-		}
-	}
+	delay.Repeat(ctx, period, q.Tick)
+	return nil
 }
 
 // Enter waits for a slot. It fails with a Refusal at once when the request cannot make its deadline.
--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"citronslip/internal/admission"
+	"citronslip/internal/delay"
 	"citronslip/pkg/inventory"
 )
 
@@ -35,18 +36,12 @@
 
 // Run keeps all queues going until the context ends.
 func (q *Queues) Run(ctx context.Context) error {
-	ticker := time.NewTicker(queueTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			for _, queue := range q.all() {
-				queue.Tick()
-			}
+	delay.Repeat(ctx, queueTick, func() {
+		for _, queue := range q.all() {
+			queue.Tick()
 		}
-	}
+	})
+	return nil
 }
 
 // Stats returns the state of each queue by service.
--- a/internal/caller/resolve.go
+++ b/internal/caller/resolve.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"citronslip/internal/delay"
 	"citronslip/internal/engine"
 	"citronslip/internal/event"
 	"citronslip/pkg/inventory"
@@ -68,17 +69,9 @@
 
 // Run resolves held attempts until the context ends. Those left then are charged at their bound.
 func (r *Resolver) Run(ctx context.Context) error {
-	ticker := time.NewTicker(resolveInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			r.Charge()
-			return nil
-		case <-ticker.C:
-			r.round(ctx)
-		}
-	}
+	delay.Repeat(ctx, resolveInterval, func() { r.round(ctx) })
+	r.Charge()
+	return nil
 }
 
 // Charge settles all held attempts at their bound.
--- a/internal/claim/bill.go
+++ b/internal/claim/bill.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"citronslip/internal/delay"
 	"citronslip/internal/event"
 	"citronslip/internal/table"
 )
@@ -117,18 +118,12 @@
 
 // Run writes a batch each interval until the context ends, then writes what is left within the grace time.
 func (b *Biller) Run(ctx context.Context) error {
-	ticker := time.NewTicker(positive(b.Interval, defaultFlush))
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return b.stop(ctx)
-		case <-ticker.C:
-		}
+	delay.Repeat(ctx, positive(b.Interval, defaultFlush), func() {
 		if err := b.Flush(ctx); err != nil {
 			b.delayed(err)
 		}
-	}
+	})
+	return b.stop(ctx)
 }
 
 // stop is the flush at a planned stop. It repeats until all is written or the grace time is over.
--- /dev/null
+++ b/internal/delay/repeat_test.go
@@ -0,0 +1,31 @@
+package delay_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"citronslip/internal/delay"
+)
+
+// Guards against a repetition that goes on after its context has ended, and against a first call at the wrong time.
+func TestRepetition(t *testing.T) {
+	for name, c := range map[string]struct {
+		run   func(ctx context.Context, interval time.Duration, call func())
+		calls int
+	}{"repeat": {delay.Repeat, 3}, "every": {delay.Every, 4}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithTimeout(t.Context(), 3500*time.Millisecond)
+				defer cancel()
+				calls := 0
+				c.run(ctx, time.Second, func() { calls++ })
+				is.Equal(calls, c.calls)
+			})
+		})
+	}
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"citronslip/internal/delay"
 	"citronslip/internal/wire"
 )
 
@@ -62,17 +63,9 @@
 
 // Run closes idle connections, and all of them when the context ends. Calls after that are not sent.
 func (c *Client) Run(ctx context.Context) error {
-	ticker := time.NewTicker(cmp.Or(c.Idle, DefaultIdle) / 2)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			c.closeAll()
-			return nil
-		case <-ticker.C:
-			c.sweep(time.Now())
-		}
-	}
+	delay.Repeat(ctx, cmp.Or(c.Idle, DefaultIdle)/2, func() { c.sweep(time.Now()) })
+	c.closeAll()
+	return nil
 }
 
 // Hello opens an exchange.
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"citronslip/internal/board"
+	"citronslip/internal/delay"
 	"citronslip/internal/event"
 	"citronslip/internal/wire"
 )
@@ -90,17 +91,9 @@
 	m.mu.Lock()
 	m.begin()
 	m.mu.Unlock()
-	ticker := time.NewTicker(m.interval())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			m.announce(context.WithoutCancel(ctx), wire.MemberStateLeft)
-			return nil
-		case <-ticker.C:
-			m.tick(ctx)
-		}
-	}
+	delay.Repeat(ctx, m.interval(), func() { m.tick(ctx) })
+	m.announce(context.WithoutCancel(ctx), wire.MemberStateLeft)
+	return nil
 }
 
 // Leave tells the neighbours that a planned stop has begun.
--- a/internal/placement/step.go
+++ b/internal/placement/step.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
 
+	"citronslip/internal/delay"
 	"citronslip/internal/event"
 )
 
@@ -26,18 +27,12 @@
 
 // Run steps until the context ends, then gives the lease up.
 func (r *Reconciler) Run(ctx context.Context) error {
-	ticker := time.NewTicker(positive(r.Interval, defaultInterval))
-	defer ticker.Stop()
-	for {
+	delay.Every(ctx, positive(r.Interval, defaultInterval), func() {
 		if err := r.Step(ctx); err != nil && r.Metrics != nil {
 			r.Metrics.Counter("stepfail").Inc(1)
 		}
-		select {
-		case <-ctx.Done():
-			return r.Resign(context.WithoutCancel(ctx))
-		case <-ticker.C:
-		}
-	}
+	})
+	return r.Resign(context.WithoutCancel(ctx))
 }
 
 // Step keeps the lease and, while holding it, compares and sends the commands that are safe now.
--- a/internal/prepaid/alive.go
+++ b/internal/prepaid/alive.go
@@ -69,7 +69,7 @@
 	return now.Sub(c.heard)
 }
 
-// autonomous reports whether this router may spend its whole grants.
+// autonomous reports whether this router may spend more of its grants than it has opened.
 func (c *contact) autonomous(now time.Time) bool {
 	return !c.heard.IsZero() && now.Sub(c.heard) >= AutonomyDelay
 }
@@ -94,9 +94,9 @@
 func (l *Ledger) Run(ctx context.Context) error {
 	l.await(ctx)
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { l.every(ctx, heartbeat, l.beat); return nil })
-	group.Go(func() error { l.every(ctx, memberInterval, l.readMembers); return nil })
-	group.Go(func() error { l.every(ctx, stepInterval, l.step); return nil })
+	group.Go(func() error { delay.Every(ctx, heartbeat, func() { l.beat(ctx) }); return nil })
+	group.Go(func() error { delay.Every(ctx, memberInterval, func() { l.readMembers(ctx) }); return nil })
+	group.Go(func() error { delay.Every(ctx, stepInterval, l.step); return nil })
 	sums := &store.Follower{Store: l.Store, Table: sumTable, Apply: l.takeSums, Pause: sumPause, Logger: l.Logger}
 	group.Go(func() error { return sums.Run(ctx) })
 	return group.Wait()
@@ -129,19 +129,6 @@
 	}
 }
 
-func (l *Ledger) every(ctx context.Context, interval time.Duration, do func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		do(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
 // beat writes the row of this router.
 func (l *Ledger) beat(ctx context.Context) {
 	l.mu.Lock()
@@ -246,7 +233,7 @@
 }
 
 // step looks at the grants that this router holds, and at those that a dead process of it has left.
-func (l *Ledger) step(context.Context) {
+func (l *Ledger) step() {
 	l.expire()
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -5,10 +5,10 @@
 	"errors"
 	"maps"
 	"strings"
-	"time"
 
 	"github.com/gravitational/trace"
 
+	"citronslip/internal/delay"
 	"citronslip/internal/event"
 	"citronslip/internal/table"
 )
@@ -22,18 +22,12 @@
 // serve again than a router takes to record the crash, plus the poll interval, plus the lease: then every router that
 // reaches the table knows the suspects of a server before the server takes copies again.
 func (g *Guard) Run(ctx context.Context) error {
-	ticker := time.NewTicker(positive(g.Poll, defaultPoll))
-	defer ticker.Stop()
-	for {
+	delay.Every(ctx, positive(g.Poll, defaultPoll), func() {
 		if err := g.Sync(ctx); err != nil {
 			event.QuarantineStale.Log(g.Logger).Err(err).Send()
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+	})
+	return nil
 }
 
 // Sync writes what is unconfirmed and reads all records.
--- a/internal/router/placement.go
+++ b/internal/router/placement.go
@@ -13,6 +13,7 @@
 
 	"citronslip/internal/board"
 	"citronslip/internal/budget"
+	"citronslip/internal/delay"
 	"citronslip/internal/engine"
 	"citronslip/internal/placement"
 	"citronslip/internal/routing"
@@ -54,7 +55,8 @@
 func (p *placements) Run(ctx context.Context) error {
 	p.running = make(map[string]*placer)
 	defer p.stopAll()
-	return every(ctx, placersInterval, func() { p.adjust(ctx) })
+	delay.Every(ctx, placersInterval, func() { p.adjust(ctx) })
+	return nil
 }
 
 // differences returns what the reconcilers of this router know of servers that do not run what is declared.
--- a/internal/router/readings.go
+++ b/internal/router/readings.go
@@ -9,6 +9,7 @@
 
 	"citronslip/internal/budget"
 	"citronslip/internal/burn"
+	"citronslip/internal/delay"
 	"citronslip/pkg/inventory"
 )
 
@@ -37,13 +38,14 @@
 
 // watchBudgets reads the rows of the budgets in use in turn, for the burn report and status.
 func (r *Router) watchBudgets(ctx context.Context) error {
-	return every(ctx, readingsInterval, func() {
+	delay.Every(ctx, readingsInterval, func() {
 		keys := r.ledger.Active()
 		for range min(readingsEach, len(keys)) {
 			r.readBudget(ctx, keys[r.readings.turn(len(keys))])
 		}
 		r.burn.Read(r.readings.forBurn())
 	})
+	return nil
 }
 
 func (r *Router) readBudget(ctx context.Context, key budget.Key) {
--- a/internal/router/recover.go
+++ b/internal/router/recover.go
@@ -12,6 +12,7 @@
 	"citronslip/internal/budget"
 	"citronslip/internal/caller"
 	"citronslip/internal/claim"
+	"citronslip/internal/delay"
 	"citronslip/internal/engine"
 	"citronslip/internal/event"
 	"citronslip/internal/table"
@@ -46,7 +47,7 @@
 		// Peers may not have met a process that lived for a short time only.
 		known[r.previous] = time.Now().Add(-longestRecoverDelay)
 	}
-	return every(ctx, recoverInterval, func() {
+	delay.Every(ctx, recoverInterval, func() {
 		members := r.board.Members.Load()
 		if members == nil {
 			return
@@ -58,6 +59,7 @@
 			}
 		}
 	})
+	return nil
 }
 
 // note records the present members and forgets instances that have been gone for long.
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"citronslip/internal/delay"
 	"citronslip/internal/engine"
 	"citronslip/internal/routing"
 )
@@ -22,7 +23,7 @@
 
 // watchHosts reads the host list and passes changes on to the picker.
 func (r *Router) watchHosts(ctx context.Context) error {
-	return every(ctx, hostsInterval, func() {
+	delay.Every(ctx, hostsInterval, func() {
 		limited, cancel := context.WithTimeout(ctx, hostsTimeout)
 		defer cancel()
 		list, err := r.hosts.Hosts(limited)
@@ -34,11 +35,12 @@
 			r.updateServers(version.Index)
 		}
 	})
+	return nil
 }
 
 // watchLoads polls backend servers whose load reports are old. Most reports come with responses instead.
 func (r *Router) watchLoads(ctx context.Context) error {
-	return every(ctx, loadInterval, func() {
+	delay.Every(ctx, loadInterval, func() {
 		version := r.board.Version.Load()
 		if version == nil {
 			return
@@ -57,6 +59,7 @@
 		// The polls report failures to the picker.
 		_ = group.Wait()
 	})
+	return nil
 }
 
 func (r *Router) pollLoad(ctx context.Context, name, address string) {
@@ -79,26 +82,13 @@
 func (r *Router) watchTraffic(ctx context.Context) error {
 	read := r.scope.Gauge("traffic_read")
 	written := r.scope.Gauge("traffic_written")
-	return every(ctx, trafficInterval, func() {
+	delay.Every(ctx, trafficInterval, func() {
 		read.Update(float64(r.traffic.Read.Load()))
 		written.Update(float64(r.traffic.Written.Load()))
 	})
+	return nil
 }
 
 func loadOf(load engine.Load) routing.Load {
 	return routing.Load{Running: load.Running, Waiting: load.Waiting}
 }
-
-// every calls a function at once and then at each interval until the context ends.
-func every(ctx context.Context, interval time.Duration, call func()) error {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		call()
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
-}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"citronslip/internal/delay"
 )
 
 const (
@@ -100,16 +102,8 @@
 // Run generates tokens until the context ends.
 func (e *Engine) Run(ctx context.Context) error {
 	e.init()
-	ticker := time.NewTicker(e.Step)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			e.step()
-		}
-	}
+	delay.Repeat(ctx, e.Step, e.step)
+	return nil
 }
 
 // SetLeaving announces that the engine is about to be taken away.
