--- a/internal/prepaid/holders_test.go
+++ b/internal/prepaid/holders_test.go
@@ -80,11 +80,7 @@
 		ample   = inventory.Tokens(60_000_000)
 		pause   = 50 * time.Millisecond
 	)
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newFleet(routers, ample)
-		f.start(t.Context())
-		defer f.stop()
+	inFleet(t, routers, ample, func(t *testing.T, is *is.I, f *fleet) {
 		for i := range 10 { // Some are holders by their names.
 			ledger := f.routers[i].ledger.Load()
 			play := func(d time.Duration) (refused int) {
--- a/internal/prepaid/prepaid_test.go
+++ b/internal/prepaid/prepaid_test.go
@@ -174,6 +174,17 @@
 	time.Sleep(3 * time.Second)
 }
 
+// inFleet plays on simulated time with a fleet that runs.
+func inFleet(t *testing.T, count int, total inventory.Tokens, play func(t *testing.T, is *is.I, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(count, total)
+		f.start(t.Context())
+		defer f.stop()
+		play(t, is.New(t), f)
+	})
+}
+
 func (f *fleet) stop() {
 	for _, r := range f.routers {
 		if r.ledger.Load() != nil {
@@ -232,11 +243,7 @@
 // Guards against a budget that cannot be used up although the routers reach the store: what is left at the end may be no
 // more than 3 in 100.
 func TestBudgetIsUsedToTheEnd(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newFleet(6, total)
-		f.start(t.Context())
-		defer f.stop()
+	inFleet(t, 6, total, func(t *testing.T, is *is.I, f *fleet) {
 		used := inventory.Tokens(0)
 		for i := 0; ; i++ {
 			h, refusal := f.routers[i%6].ledger.Load().Reserve(t.Context(), dispatch.Claim{Account: account, Total: total, Tokens: 8000})
@@ -255,11 +262,7 @@
 
 // Guards against refusals while the store is away for nine seconds and most of the budget is left.
 func TestAmpleBudgetLastsThroughAnOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newFleet(6, 10*total)
-		f.start(t.Context())
-		defer f.stop()
+	inFleet(t, 6, 10*total, func(t *testing.T, is *is.I, f *fleet) {
 		demand := func(d time.Duration) (refused, all int) {
 			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 				all++
@@ -288,11 +291,7 @@
 // Guards against a killed router whose grant is lost to the account: after a restart within a second no more than what it
 // had opened counts as spent.
 func TestKilledRouterLosesOnlyWhatItOpened(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newFleet(2, total)
-		f.start(t.Context())
-		defer f.stop()
+	inFleet(t, 2, total, func(t *testing.T, is *is.I, f *fleet) {
 		is.Equal(f.routers[0].spend(t, total, 20, 200*time.Millisecond), 20*request)
 		time.Sleep(2 * time.Second)
 		f.routers[0].kill()
@@ -309,11 +308,7 @@
 // Guards against a grant that counts as unused although its dead holder was autonomous: a process that is started long
 // after the last sign of the one before must count all of its grant.
 func TestLongDeadRouterIsChargedItsGrant(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newFleet(1, total)
-		f.start(t.Context())
-		defer f.stop()
+	inFleet(t, 1, total, func(t *testing.T, is *is.I, f *fleet) {
 		r := f.routers[0]
 		spent := r.spend(t, total, 30, 100*time.Millisecond)
 		r.cut.Store(true)
@@ -331,11 +326,7 @@
 // Guards against a grant that counts as spent in whole because its holder dies shortly after an outage in which it was
 // autonomous: what it has spent is written at once when the store is back, and proves what it can have spent.
 func TestGrantIsProvenAgainAfterAnOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newFleet(2, 4*total)
-		f.start(t.Context())
-		defer f.stop()
+	inFleet(t, 2, 4*total, func(t *testing.T, is *is.I, f *fleet) {
 		r := f.routers[0]
 		spent := r.spend(t, 4*total, 50, 100*time.Millisecond)
 		f.away.Store(true)
@@ -356,11 +347,7 @@
 // Guards against callers that come back too early: in the first seconds of an outage the refusal tells when the router may
 // spend what it has reserved.
 func TestRefusalTellsWhenTheReserveOpens(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newFleet(1, total)
-		f.start(t.Context())
-		defer f.stop()
+	inFleet(t, 1, total, func(t *testing.T, is *is.I, f *fleet) {
 		l := f.routers[0].ledger.Load()
 		claim := dispatch.Claim{Account: account, Total: total, Tokens: 5000}
 		for range 40 {
@@ -408,11 +395,7 @@
 
 // Guards against a top-up that is not used, or only after a while.
 func TestTopUpActsOnTheNextRequest(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newFleet(2, 20_000)
-		f.start(t.Context())
-		defer f.stop()
+	inFleet(t, 2, 20_000, func(t *testing.T, is *is.I, f *fleet) {
 		l := f.routers[0].ledger.Load()
 		h, refusal := l.Reserve(t.Context(), dispatch.Claim{Account: account, Total: 20_000, Tokens: 30_000})
 		is.True(h == nil)
@@ -425,11 +408,7 @@
 
 // Guards against tokens that stay with a router after its planned stop.
 func TestPlannedStopReturnsTheGrant(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newFleet(2, total)
-		f.start(t.Context())
-		defer f.stop()
+	inFleet(t, 2, total, func(t *testing.T, is *is.I, f *fleet) {
 		l := f.routers[0].ledger.Load()
 		h, _ := l.Reserve(t.Context(), dispatch.Claim{Account: account, Total: total, Tokens: 7000})
 		is.True(h != nil)
@@ -538,11 +517,7 @@
 
 // Guards against a grant that counts as spent in whole after a restart that took a little longer than AutonomyDelay.
 func TestSlowRestartLosesAPartOfTheGrant(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newFleet(2, total)
-		f.start(t.Context())
-		defer f.stop()
+	inFleet(t, 2, total, func(t *testing.T, is *is.I, f *fleet) {
 		is.Equal(f.routers[0].spend(t, total, 20, 200*time.Millisecond), 20*request)
 		time.Sleep(2 * time.Second)
 		f.routers[0].kill()
--- a/internal/prepaid/write.go
+++ b/internal/prepaid/write.go
@@ -317,14 +317,15 @@
 	result, err := l.Store.Write(ctx, w)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	switch {
-	case err == nil:
+	conflict := errors.Is(err, store.ErrConflict)
+	if err == nil || conflict {
 		l.pause.done()
 		l.contact.answered(sent, l.Now(), result.Clock, l.Started)
+	}
+	switch {
+	case err == nil:
 		l.written(a, w, next, result.Version)
-	case errors.Is(err, store.ErrConflict):
-		l.pause.done()
-		l.contact.answered(sent, l.Now(), result.Clock, l.Started)
+	case conflict:
 		if unreadable := l.conflict(a, w, result.Rows); unreadable != nil {
 			// Without the row nothing is known of what was spent: nothing more is granted.
 			a.retry = l.Now().Add(idleRetry)
