Take the fingerprint behind the check of the key, and decide on bodies in Lag

Cause: the front hashed each body before the request's key was checked, and decided itself which bodies a full link has no room for, though platform/ is to decide nothing.

Change: the dispatcher takes the fingerprint, of fields that it has, where it is first needed.

Figures: TestLargeBodiesAreRejectedOnAFullLink is new; the tests of dispatch and platform pass, the latter with -race.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -54,6 +54,7 @@
 		route     *inventory.Route
 		account   *inventory.ClientAccount
 		service   string
+		print     string // Fingerprint of the request.
 		hold      Hold
 		tried     []string // Servers that the request was sent to.
 		began     bool     // Whether the caller has a part of the answer.
@@ -104,7 +105,8 @@
 	if c.route.Model && c.request.Prompt == nil {
 		return Malformed
 	}
-	if c.Crashes.Blocked(c.request.Print) {
+	c.print = c.request.fingerprint()
+	if c.Crashes.Blocked(c.print) {
 		return Crashing
 	}
 	c.service = c.route.Choose(rand.Float64())
@@ -296,7 +298,7 @@
 // suspect notes that the request may have brought the server down.
 func (c *call) suspect(ctx context.Context, server *Server) {
 	if ctx.Err() == nil {
-		c.Crashes.Suspect(c.request.Print, server.Name, server.process())
+		c.Crashes.Suspect(c.print, server.Name, server.process())
 	}
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -64,7 +64,6 @@
 		LastEvent string        // Identity of the last event that the caller has of a stream it resumes.
 		Head      any           // What the backend needs besides, opaque here.
 		Body      []byte
-		Print     string // Fingerprint of path, key and body.
 	}
 
 	// Refusal is an answer of the router itself.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -148,7 +148,7 @@
 }
 
 func request(path string) *dispatch.Request {
-	r := &dispatch.Request{ID: "id", Method: "POST", Host: "h", Path: path, Key: "key", Arrived: time.Now(), Patience: time.Second, Print: "print"}
+	r := &dispatch.Request{ID: "id", Method: "POST", Host: "h", Path: path, Key: "key", Arrived: time.Now(), Patience: time.Second}
 	if strings.HasPrefix(path, "/stream") || strings.HasPrefix(path, "/frail") {
 		r.Prompt = &dispatch.Prompt{Tokens: 100, Most: 30}
 	}
--- /dev/null
+++ b/internal/dispatch/fingerprint.go
@@ -0,0 +1,23 @@
+package dispatch
+
+import (
+	"encoding/hex"
+	"hash/fnv"
+	"io"
+	"strconv"
+)
+
+const (
+	hexadecimal = 16
+)
+
+// fingerprint identifies requests that are the same but for their identity.
+func (r *Request) fingerprint() string {
+	hash := fnv.New128a()
+	for _, part := range []string{r.Host, r.Path, r.Key, r.Method} {
+		_, _ = io.WriteString(hash, part) // A hash does not fail.
+		_, _ = hash.Write([]byte{0})
+	}
+	_, _ = hash.Write(r.Body)
+	return strconv.FormatUint(uint64(len(r.Body)), hexadecimal) + "-" + hex.EncodeToString(hash.Sum(nil))
+}
--- a/internal/dispatch/lag.go
+++ b/internal/dispatch/lag.go
@@ -13,6 +13,8 @@
 	// heldPart is the part of the drain time that known delays may take. The rest is for what comes in the way of the next
 	// news and requests.
 	heldPart = 0.5
+	// largeBody is the size in bytes from which on a body is too large for a link without room.
+	largeBody = 4 << 10
 )
 
 type (
@@ -21,6 +23,7 @@
 	Lag struct {
 		Drain  func() time.Duration // From the news that a server leaves to the last request that may reach it; zero if unlimited.
 		Full   func() bool          // Whether the link is full.
+		Choked func() bool          // Whether large requests would time out on it.
 		Age    func() time.Duration // Time since the last answer of the store.
 		Trip   func() time.Duration // How long the last heartbeat to the store took.
 		News   func() time.Duration // Time since the last answer of the store about the servers.
@@ -41,6 +44,11 @@
 	return l.Trip()
 }
 
+// Rejects reports whether a body of a length, or of none that is known, is to be left unread because it would time out.
+func (l *Lag) Rejects(length int64) bool {
+	return (length > largeBody || length < 0) && l.Choked()
+}
+
 // Behind reports whether the news of a leaving server and a request to it could take longer than the drain time together,
 // so that sends have to be held back. They go on once there is news of the servers from after that.
 func (l *Lag) Behind() bool {
--- a/internal/dispatch/lag_test.go
+++ b/internal/dispatch/lag_test.go
@@ -17,6 +17,7 @@
 	return &dispatch.Lag{
 		Drain:  func() time.Duration { return 3 * time.Second },
 		Full:   func() bool { return full },
+		Choked: func() bool { return full },
 		Age:    func() time.Duration { return age },
 		Trip:   func() time.Duration { return trip },
 		News:   func() time.Duration { return age },
@@ -32,6 +33,15 @@
 	is.Equal(newLag(false, 0, 400*time.Millisecond).Arrival(), time.Duration(0))
 }
 
+// Guards against a large body that is read although it would time out, and against small ones that are turned away.
+func TestLargeBodiesAreRejectedOnAFullLink(t *testing.T) {
+	is := is.New(t)
+	full, free := newLag(true, 0, 0), newLag(false, 0, 0)
+	is.True(full.Rejects(5<<10) && full.Rejects(-1))
+	is.True(!full.Rejects(4<<10) && !full.Rejects(0))
+	is.True(!free.Rejects(5<<10) && !free.Rejects(-1))
+}
+
 // Guards against a request that reaches a leaving server too late, because the news of it and the request itself queued on a
 // full link, and against refusals for that reason while only the store is away.
 func TestSendsAreHeldBackWhileTheLinkIsBehind(t *testing.T) {
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		return err
 	}
-	c := &callers{handler: r.Callers(r.dispatcher, bodies, r.lag.Arrival)}
+	c := &callers{handler: r.Callers(r.dispatcher, bodies, r.lag)}
 	c.use(firstLimits, listener)
 	go c.accept(ctx, listener)
 	go r.followLimits(ctx, c, listener)
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -55,9 +55,8 @@
 		DecodeServer    func(name string, data []byte) (dispatch.Server, error)
 		DirectoryKey    store.Key
 		ServerTable     string
-		// Callers returns the handler for callers, Readiness the one of the readiness check. Delay tells how long requests
-		// wait on the host's link before they are read.
-		Callers   func(d *dispatch.Dispatcher, bodies *dispatch.Bodies, delay func() time.Duration) http.Handler
+		// Callers returns the handler for callers, Readiness the one of the readiness check.
+		Callers   func(d *dispatch.Dispatcher, bodies *dispatch.Bodies, lag *dispatch.Lag) http.Handler
 		Readiness func(ready func() bool) http.Handler
 		Meter     *dial.Meter
 		Logger    *zerolog.Logger
@@ -142,6 +141,7 @@
 	r.lag = &dispatch.Lag{
 		Drain:  drain,
 		Full:   r.Meter.Full,
+		Choked: r.Meter.Choked,
 		Age:    r.ledger.Age,
 		Trip:   r.ledger.Trip,
 		News:   r.servers.Age,
