Share ports, waits and the inventory of tests in one package

Change: internal/harness, before loopback, holds Reserve, Within and Declared.

Conclusion: no change of the program.

--- a/internal/fleet/bill_test.go
+++ b/internal/fleet/bill_test.go
@@ -14,6 +14,7 @@
 
 	"citronslip/internal/budget"
 	"citronslip/internal/claim"
+	"citronslip/internal/harness"
 )
 
 type (
@@ -84,7 +85,7 @@
 // was answered and the instances that were killed.
 func answeredUnderKills(t *testing.T) (*fleet, *answers, map[string]bool) {
 	t.Helper()
-	f := start(t, declared(2, ampleTokens), nil)
+	f := start(t, harness.Declared(testKey, 2, ampleTokens), nil)
 	f.route(3)
 	f.losing.Store(true)
 	got := &answers{keyed: make(map[string]bool), single: make(map[string]bool)}
--- a/internal/fleet/booking_test.go
+++ b/internal/fleet/booking_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"citronslip/internal/harness"
 	"citronslip/pkg/inventory"
 )
 
@@ -39,7 +40,7 @@
 func TestBookingsRunAtMostOnce(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	f := start(t, declared(1, ampleTokens), func(f *fleet) {
+	f := start(t, harness.Declared(testKey, 1, ampleTokens), func(f *fleet) {
 		for _, booking := range f.backends.Bookings {
 			booking.Delay = 20 * time.Millisecond
 		}
--- a/internal/fleet/budget_test.go
+++ b/internal/fleet/budget_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/matryer/is"
 
-	"citronslip/internal/loopback"
+	"citronslip/internal/harness"
 	"citronslip/pkg/inventory"
 )
 
@@ -29,7 +29,7 @@
 func TestBudgetIsNeverExceeded(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	f := start(t, declared(2, tightTokens), nil)
+	f := start(t, harness.Declared(testKey, 2, tightTokens), nil)
 	f.route(2)
 	f.route(2)
 	load := f.load(24)
@@ -93,7 +93,7 @@
 func TestSecondProcessDoesNotRegister(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	f := start(t, declared(1, ampleTokens), nil)
+	f := start(t, harness.Declared(testKey, 1, ampleTokens), nil)
 	f.route(1)
 	p := f.routers[0]
 	got, err := f.do(t.Context(), p, chat("plan a hedge", askTokens))
@@ -102,7 +102,7 @@
 	before := f.rows("instance/")
 	is.Equal(len(before), 1)
 	p.freeze()
-	second := &process{t: t, name: "second", listen: loopback.Reserve(t), peer: p.peer, admin: loopback.Reserve(t),
+	second := &process{t: t, name: "second", listen: harness.Reserve(t), peer: p.peer, admin: harness.Reserve(t),
 		seeds: p.peer, platform: startRelay(t, f.base)}
 	second.start()
 	select {
--- a/internal/fleet/config_test.go
+++ b/internal/fleet/config_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"github.com/pelletier/go-toml/v2"
 
+	"citronslip/internal/harness"
 	"citronslip/internal/operator"
 	"citronslip/internal/wire"
 	"citronslip/pkg/inventory"
@@ -27,7 +28,7 @@
 func TestAcceptedVersionStays(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	f := start(t, declared(1, ampleTokens), nil)
+	f := start(t, harness.Declared(testKey, 1, ampleTokens), nil)
 	f.route(3)
 	for _, p := range f.routers {
 		f.declared.Hosts = append(f.declared.Hosts, inventory.Host{Name: p.name, Place: "catania", Address: p.peer})
@@ -38,7 +39,7 @@
 	f.losing.Store(false)
 	is.True((errs[0] == nil) != (errs[1] == nil)) // one operator wins
 	for i, p := range f.routers {
-		within(t, inForce-time.Since(begin), p.name+" has the accepted version", func() bool { return f.version(i) == 2 })
+		harness.Within(t, inForce-time.Since(begin), p.name+" has the accepted version", func() bool { return f.version(i) == 2 })
 	}
 	f.platform.SetDown(true)
 	restarted := f.routers[2]
--- a/internal/fleet/harness_test.go
+++ b/internal/fleet/harness_test.go
@@ -22,8 +22,8 @@
 
 	"citronslip/internal/budget"
 	"citronslip/internal/config"
+	"citronslip/internal/harness"
 	"citronslip/internal/hosts"
-	"citronslip/internal/loopback"
 	"citronslip/internal/standin"
 	"citronslip/internal/table"
 	"citronslip/pkg/inventory"
@@ -177,9 +177,9 @@
 		p := &process{
 			t:        f.t,
 			name:     fmt.Sprintf("router%d", len(f.routers)+1),
-			listen:   loopback.Reserve(f.t),
-			peer:     loopback.Reserve(f.t),
-			admin:    loopback.Reserve(f.t),
+			listen:   harness.Reserve(f.t),
+			peer:     harness.Reserve(f.t),
+			admin:    harness.Reserve(f.t),
 			platform: startRelay(f.t, f.base),
 		}
 		seeds = append(seeds, p.peer)
@@ -412,32 +412,6 @@
 	return len(data), nil
 }
 
-// declared is an inventory of engines and booking servers on ports that the system chooses.
-func declared(engines int, tokens inventory.Tokens) *inventory.Inventory {
-	i := &inventory.Inventory{
-		Places: []inventory.Place{{Name: "catania", Region: "sicily"}},
-		Services: []inventory.Service{
-			{Name: "planning", Kind: inventory.KindModel},
-			{Name: "booking", Kind: inventory.KindPlain, Prefix: "/booking", Once: []string{"POST /booking"}},
-		},
-		Models:   []inventory.Model{{Name: "planner", Service: "planning", Version: "1", Overhead: 64, Limit: 4096}},
-		Accounts: []inventory.ClientAccount{{Name: account, Keys: []string{inventory.DigestKey(testKey)}}},
-		Budgets:  []inventory.Budget{{Name: prepaid, Account: account, Tokens: tokens}},
-	}
-	for n := range engines {
-		i.Backends = append(i.Backends, inventory.BackendServer{
-			Name: fmt.Sprintf("planner%d", n+1), Service: "planning", Place: "catania",
-			Address: "http://127.0.0.1:0", Class: "fast", Models: []string{"planner"},
-		})
-	}
-	for n := range 2 {
-		i.Backends = append(i.Backends, inventory.BackendServer{
-			Name: fmt.Sprintf("booking%d", n+1), Service: "booking", Place: "catania", Address: "http://127.0.0.1:0",
-		})
-	}
-	return i
-}
-
 // chat returns a request to the model.
 func chat(content string, tokens int) call {
 	body, err := json.Marshal(map[string]any{
@@ -462,20 +436,5 @@
 // eventually waits until a condition holds.
 func eventually(t *testing.T, what string, holds func() bool) {
 	t.Helper()
-	within(t, waitMost, what, holds)
-}
-
-// within waits until a condition holds, which it must in the time given.
-func within(t *testing.T, most time.Duration, what string, holds func() bool) {
-	t.Helper()
-	limit := time.After(most)
-	tick := time.NewTicker(waitPoll)
-	defer tick.Stop()
-	for !holds() {
-		select {
-		case <-limit:
-			t.Fatalf("%s: not within %v", what, most)
-		case <-tick.C:
-		}
-	}
+	harness.Within(t, waitMost, what, holds)
 }
--- a/internal/fleet/stop_test.go
+++ b/internal/fleet/stop_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"citronslip/internal/harness"
 	"citronslip/internal/hosts"
 	"citronslip/pkg/inventory"
 )
@@ -23,7 +24,7 @@
 func TestLeavingAndPlannedStops(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	f := start(t, declared(3, ampleTokens), nil)
+	f := start(t, harness.Declared(testKey, 3, ampleTokens), nil)
 	f.route(3)
 	load := f.load(12)
 	load.more(t, 50)
--- a/internal/loopback/loopback.go
+++ b/internal/harness/port.go
@@ -1,5 +1,5 @@
-// Package loopback reserves addresses of the loopback interface for tests that start servers.
-package loopback
+// Package harness holds what tests that start routers and servers share.
+package harness
 
 import (
 	"fmt"
@@ -37,7 +37,7 @@
 	}
 	bound, ok := name.(*unix.SockaddrInet4)
 	if !ok {
-		return 0, fmt.Errorf("loopback: address of type %T", name)
+		return 0, fmt.Errorf("harness: address of type %T", name)
 	}
 	return bound.Port, nil
 }
--- a/internal/loopback/loopback_test.go
+++ b/internal/harness/port_test.go
@@ -1,4 +1,4 @@
-package loopback_test
+package harness_test
 
 import (
 	"net"
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"citronslip/internal/loopback"
+	"citronslip/internal/harness"
 )
 
 // Guards against a port that another test or an outgoing connection is given before the server listens on it, and against
@@ -14,7 +14,7 @@
 func TestReservedPort(t *testing.T) {
 	const others = 2000
 	is := is.New(t)
-	address := loopback.Reserve(t)
+	address := harness.Reserve(t)
 	seen := map[string]bool{address: true}
 	for range others {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/router/bench_test.go
+++ b/internal/router/bench_test.go
@@ -24,6 +24,7 @@
 
 	"citronslip/internal/config"
 	"citronslip/internal/event"
+	"citronslip/internal/harness"
 	"citronslip/internal/load"
 	"citronslip/internal/router"
 	"citronslip/internal/standin"
@@ -139,7 +140,7 @@
 	server := httptest.NewServer(engine)
 	platform := &standin.Platform{}
 	shared := httptest.NewServer(platform.Handler())
-	declared := declared(1, 1<<45)
+	declared := harness.Declared(testKey, 1, 1<<45)
 	declared.Backends[0].Address = server.URL
 	declared.Backends = declared.Backends[:1]
 	data, err := inventory.Encode(declared)
--- a/internal/router/certificate_test.go
+++ b/internal/router/certificate_test.go
@@ -13,7 +13,7 @@
 	"github.com/matryer/is"
 
 	"citronslip/internal/certificate"
-	"citronslip/internal/loopback"
+	"citronslip/internal/harness"
 	"citronslip/internal/router"
 )
 
@@ -45,7 +45,7 @@
 	var settings router.Settings
 	settings.Register(flag.NewFlagSet("test", flag.ContinueOnError))
 	settings.Listen = "127.0.0.1:0"
-	settings.Peer = loopback.Reserve(t)
+	settings.Peer = harness.Reserve(t)
 	settings.Platform = "http://127.0.0.1:1" // Nothing is needed of the platform.
 	settings.Grace = time.Second
 	settings.Certificate, settings.Key = files.Certificate, files.Key
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -21,7 +21,7 @@
 
 	"citronslip/internal/certificate"
 	"citronslip/internal/config"
-	"citronslip/internal/loopback"
+	"citronslip/internal/harness"
 	"citronslip/internal/router"
 	"citronslip/internal/standin"
 	"citronslip/internal/table"
@@ -109,7 +109,7 @@
 		platform.Close()
 	})
 	for i := range routers {
-		f.peers = append(f.peers, loopback.Reserve(t))
+		f.peers = append(f.peers, harness.Reserve(t))
 		declared.Hosts = append(declared.Hosts, inventory.Host{
 			Name: fmt.Sprintf("router%d", i+1), Place: declared.Places[0].Name, Address: f.peers[i],
 		})
@@ -252,43 +252,8 @@
 	return string(body)
 }
 
-// declared is an inventory of engines and booking servers on ports that the system chooses.
-func declared(engines int, budget inventory.Tokens) *inventory.Inventory {
-	i := &inventory.Inventory{
-		Places: []inventory.Place{{Name: "catania", Region: "sicily"}},
-		Services: []inventory.Service{
-			{Name: "planning", Kind: inventory.KindModel},
-			{Name: "booking", Kind: inventory.KindPlain, Prefix: "/booking", Once: []string{"POST /booking"}},
-		},
-		Models:   []inventory.Model{{Name: "planner", Service: "planning", Version: "1", Overhead: 64, Limit: 4096}},
-		Accounts: []inventory.ClientAccount{{Name: "gardens", Keys: []string{inventory.DigestKey(testKey)}}},
-		Budgets:  []inventory.Budget{{Name: "prepaid", Account: "gardens", Tokens: budget}},
-	}
-	for n := range engines {
-		i.Backends = append(i.Backends, inventory.BackendServer{
-			Name: fmt.Sprintf("planner%d", n+1), Service: "planning", Place: "catania",
-			Address: "http://127.0.0.1:0", Class: "fast", Models: []string{"planner"},
-		})
-	}
-	for n := range 2 {
-		i.Backends = append(i.Backends, inventory.BackendServer{
-			Name: fmt.Sprintf("booking%d", n+1), Service: "booking", Place: "catania", Address: "http://127.0.0.1:0",
-		})
-	}
-	return i
-}
-
 // eventually waits until a condition holds.
 func eventually(t *testing.T, what string, holds func() bool) {
 	t.Helper()
-	limit := time.After(waitMost)
-	tick := time.NewTicker(5 * time.Millisecond)
-	defer tick.Stop()
-	for !holds() {
-		select {
-		case <-limit:
-			t.Fatalf("%s: not within %v", what, waitMost)
-		case <-tick.C:
-		}
-	}
+	harness.Within(t, waitMost, what, holds)
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -19,6 +19,7 @@
 
 	"citronslip/internal/budget"
 	"citronslip/internal/certificate"
+	"citronslip/internal/harness"
 	"citronslip/internal/table"
 	"citronslip/pkg/inventory"
 )
@@ -32,7 +33,7 @@
 // crash and recover under concurrent requests.
 func TestAnswersAreWholeAndOwnWhileEnginesCrash(t *testing.T) {
 	is := is.New(t)
-	f := start(t, declared(3, 100_000_000), 3)
+	f := start(t, harness.Declared(testKey, 3, 100_000_000), 3)
 	for _, engine := range f.backends.Engines {
 		engine.Down = 100 * time.Millisecond
 	}
@@ -132,7 +133,7 @@
 // Guards against a booking that runs twice when its copies reach several routers at once while the table loses answers.
 func TestBookingRunsOnceThroughManyRouters(t *testing.T) {
 	is := is.New(t)
-	f := start(t, declared(1, 1000), 3)
+	f := start(t, harness.Declared(testKey, 1, 1000), 3)
 	random := rand.New(rand.NewPCG(1, 2))
 	var mu sync.Mutex
 	lose := func(string) table.Fault {
@@ -184,7 +185,7 @@
 func TestLeavingCallerReleasesItsReservation(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	f := start(t, declared(1, 100_000), 1)
+	f := start(t, harness.Declared(testKey, 1, 100_000), 1)
 	ctx, cancel := context.WithCancel(t.Context())
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url(0, "/v1/chat/completions"),
 		strings.NewReader(chatBody("one two three", 4000, true)))
@@ -220,7 +221,7 @@
 // that claim that the request may have run.
 func TestBudgetIsNeverExceeded(t *testing.T) {
 	is := is.New(t)
-	f := start(t, declared(2, tightBudget), 3)
+	f := start(t, harness.Declared(testKey, 2, tightBudget), 3)
 	var group sync.WaitGroup
 	var refused atomic.Int64
 	for n := range 60 {
@@ -255,7 +256,7 @@
 func TestPlannedStopEndsNoRequest(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	f := start(t, declared(1, 1_000_000), 1)
+	f := start(t, harness.Declared(testKey, 1, 1_000_000), 1)
 	_, err := f.chat(0, chatBody("warm", 1, false))
 	is.NoErr(err)
 	var group sync.WaitGroup
@@ -287,7 +288,7 @@
 func TestLeavingServerGetsNoNewWork(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	f := start(t, declared(2, 10_000_000), 2)
+	f := start(t, harness.Declared(testKey, 2, 10_000_000), 2)
 	for n := range 10 {
 		_, err := f.chat(n, chatBody("warm", 2, false))
 		is.NoErr(err)
@@ -307,7 +308,7 @@
 
 // Guards against bad input that is not refused with a clear error, or that is said to have been run.
 func TestBadInputIsRefused(t *testing.T) {
-	f := start(t, declared(1, 1_000_000), 1)
+	f := start(t, harness.Declared(testKey, 1, 1_000_000), 1)
 	cases := []struct {
 		name, body string
 		headers    []string
@@ -348,7 +349,7 @@
 
 // Guards against request smuggling: a request whose length is ambiguous must not hide a second one.
 func TestAmbiguousLengthIsRejected(t *testing.T) {
-	f := start(t, declared(1, 1000), 1)
+	f := start(t, harness.Declared(testKey, 1, 1000), 1)
 	hidden := "POST /booking HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + testKey + "\r\nContent-Length: 0\r\n\r\n"
 	for name, head := range map[string]string{
 		"two lengths":          "Content-Length: 0\r\nContent-Length: 5\r\n",
@@ -380,7 +381,7 @@
 // and against a quarantine that stops other requests of the account.
 func TestCrashingRequestTakesDownTwoServersAtMost(t *testing.T) {
 	is := is.New(t)
-	f := start(t, declared(4, 10_000_000), 3)
+	f := start(t, harness.Declared(testKey, 4, 10_000_000), 3)
 	for _, engine := range f.backends.Engines {
 		engine.Poison = "poison"
 		engine.Down = 300 * time.Millisecond
@@ -434,7 +435,7 @@
 func TestDeclaredVersionRunsWithoutRefusals(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	inv := declared(3, 10_000_000)
+	inv := harness.Declared(testKey, 3, 10_000_000)
 	inv.Models[0].Ready = 2
 	inv.Backends[0].Fences = true
 	f := start(t, inv, 2)
@@ -473,7 +474,7 @@
 func TestStreamMovesToAnotherServer(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	inv := declared(2, 10_000_000)
+	inv := harness.Declared(testKey, 2, 10_000_000)
 	inv.Models[0].Move = true
 	f := start(t, inv, 1)
 	for range 20 {
@@ -522,7 +523,7 @@
 	is := is.New(t)
 	authority := &certificate.Authority{Directory: t.TempDir()}
 	is.NoErr(authority.Create())
-	f := startWith(t, declared(1, 250), 2, authority)
+	f := startWith(t, harness.Declared(testKey, 1, 250), 2, authority)
 	first, err := f.chat(0, chatBody("first bed", 2, false))
 	is.NoErr(err)
 	is.Equal(first.status, http.StatusOK)
