Ask all peers before a restarted router's first version, whatever the back-off says

Cause: TestVersionsUnderFaults once saw routers go from version 10 to 8. A restarted router whose connections had failed waits up to 5 s before it connects to that peer again. Its questions for the first version skipped such a peer although it was in reach by then, and the answers of the other peers, with an older version, counted as all. Besides, a number that the table had told was forgotten when the objects behind it could not be read.

Change: Client.VersionNow connects at once; the number of the table counts like an answer.

--- a/internal/config/capacity_test.go
+++ b/internal/config/capacity_test.go
@@ -87,7 +87,7 @@
 	}
 	controller := &config.Controller{
 		Store: &config.Store{Table: &f.rows, Objects: &f.objects},
-		Get:   client.Get, Ask: client.Version, Parse: parse,
+		Get:   client.Get, Ask: client.Version, Join: client.VersionNow, Parse: parse,
 		Adopted: &m.adopted, State: &m.state, Members: &m.members, Heard: &m.heard,
 		Seeds: addresses, Instance: self.Instance,
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -142,7 +142,7 @@
 	}
 	controller := &config.Controller{
 		Store: &config.Store{Table: view{n}, Objects: objects{view{n}}},
-		Get:   client.Get, Ask: client.Version, Parse: parse,
+		Get:   client.Get, Ask: client.Version, Join: client.VersionNow, Parse: parse,
 		Adopted: &n.adopted, State: &n.state, Members: &n.members, Heard: &heard,
 		Seeds: seeds, Instance: membership.Self.Instance,
 	}
@@ -270,6 +270,14 @@
 	}
 }
 
+// setStores sets which routers reach the stores.
+func (w *world) setStores(reached [routers]bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stores = reached
+	w.opened = time.Now()
+}
+
 // store is the operators' access, which only the outage and injected faults affect.
 func (w *world) store() *config.Store {
 	return &config.Store{Table: &w.rows, Objects: &w.objects}
--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -41,9 +41,11 @@
 	Controller struct {
 		// Store reads the head and the objects.
 		Store *Store
-		// Get and Ask call a peer; they are the peer client's methods Get and Version.
+		// Get, Ask and Join call a peer; they are the peer client's methods Get, Version and VersionNow.
 		Get func(ctx context.Context, address string, params wire.ConfigGet) (wire.ConfigPart, error)
 		Ask func(ctx context.Context, address string, params wire.ConfigQuery) (wire.ConfigState, error)
+		// Join is Ask for a router without a version. It must not skip a peer because earlier calls failed.
+		Join func(ctx context.Context, address string, params wire.ConfigQuery) (wire.ConfigState, error)
 		// Parse parses and checks an inventory before it is put in force.
 		Parse func(inventory []byte) (*inventory.Inventory, error)
 		// Adopted receives the version in force.
@@ -160,7 +162,7 @@
 	switch {
 	case c.asked.Load():
 	case err != nil:
-		c.joinPeers(ctx, err)
+		c.joinPeers(ctx, err, h.Number)
 	case h.exists:
 		c.complete()
 	default:
@@ -184,13 +186,14 @@
 	}
 }
 
-// joinPeers asks peers for their versions because the stores failed.
+// joinPeers asks peers for their versions because the stores failed. The table may have told a number before that.
 //
 // The answers hold for a short time, since a peer with a higher version may come into reach after them. If the version
 // they name is not here by then, the next poll asks again.
-func (c *Controller) joinPeers(ctx context.Context, err error) {
+func (c *Controller) joinPeers(ctx context.Context, err error, told int) {
 	start := time.Now()
 	reached, best := c.join(ctx)
+	best = max(best, told)
 	age := time.Since(start)
 	switch {
 	case reached == 0:
--- a/internal/config/distribute.go
+++ b/internal/config/distribute.go
@@ -255,7 +255,7 @@
 	var calls sync.WaitGroup
 	for _, address := range c.candidates() {
 		calls.Go(func() {
-			state, err := c.Ask(bounded, address, wire.ConfigQuery{Instance: c.Instance})
+			state, err := c.Join(bounded, address, wire.ConfigQuery{Instance: c.Instance})
 			if err != nil {
 				return
 			}
--- a/internal/config/join_test.go
+++ b/internal/config/join_test.go
@@ -96,7 +96,7 @@
 		j := newJoining()
 		var fails atomic.Bool
 		fails.Store(true)
-		j.controller.Ask = func(ctx context.Context, address string, _ wire.ConfigQuery) (wire.ConfigState, error) {
+		j.controller.Join = func(ctx context.Context, address string, _ wire.ConfigQuery) (wire.ConfigState, error) {
 			if address == "old" {
 				return peers[0].ServeVersion(ctx, wire.ConfigQuery{})
 			}
@@ -135,7 +135,7 @@
 		peers := versions(ctx, t, 2)
 		j := newJoining()
 		start := time.Now()
-		j.controller.Ask = func(ctx context.Context, address string, _ wire.ConfigQuery) (wire.ConfigState, error) {
+		j.controller.Join = func(ctx context.Context, address string, _ wire.ConfigQuery) (wire.ConfigState, error) {
 			switch {
 			case address == "old":
 				return peers[0].ServeVersion(ctx, wire.ConfigQuery{})
@@ -160,3 +160,72 @@
 		is.Equal(j.served, []int{2})
 	})
 }
+
+// headTable tells the version in force while the objects cannot be read.
+type headTable struct{ table.Memory }
+
+func (*headTable) Get(context.Context, string) (table.Row, error) {
+	return table.Row{Key: config.KeyHead, Value: []byte(`{"number":2,"digest":"absent","change":"b"}`), Version: 2}, nil
+}
+
+// Guards against a new router that serves an older version of a peer although the table has told it a newer one whose
+// objects it could not read.
+func TestJoinBehindTheTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		peers := versions(ctx, t, 1)
+		j := newJoining()
+		j.controller.Store.Table = &headTable{}
+		j.controller.Join = func(ctx context.Context, _ string, _ wire.ConfigQuery) (wire.ConfigState, error) {
+			return peers[0].ServeVersion(ctx, wire.ConfigQuery{})
+		}
+		j.controller.Get = func(ctx context.Context, _ string, get wire.ConfigGet) (wire.ConfigPart, error) {
+			return peers[0].ServeGet(ctx, get)
+		}
+		go func() { _ = j.controller.Run(ctx) }()
+		go j.observe(ctx)
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		is.Equal(j.served, []int(nil))
+	})
+}
+
+// Guards against a restarted router that serves an older version because it waits before it connects again to the peer
+// that holds the newer one, although that peer is in reach by now.
+func TestJoinAfterFailedConnections(t *testing.T) {
+	for range 10 { // The waits between two connections are random.
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld()
+			for i := range routers {
+				w.start(i)
+			}
+			defer func() {
+				for i := range routers {
+					w.kill(i)
+				}
+			}()
+			time.Sleep(3 * time.Second)
+			_, _, err := w.commit(t.Context(), 1)
+			is.NoErr(err)
+			time.Sleep(5 * time.Second)
+			w.setStores([routers]bool{true, false, false, true})
+			w.cut([routers]int{0, 1, 1, 0}) // Routers 1 and 2 miss the second version.
+			_, _, err = w.commit(t.Context(), 1)
+			is.NoErr(err)
+			time.Sleep(5 * time.Second)
+			w.setStores([routers]bool{})
+			w.kill(0)
+			w.cut([routers]int{0, 1, 1, 2})
+			w.start(0)
+			time.Sleep(20 * time.Second)
+			w.cut([routers]int{})
+			time.Sleep(10 * time.Second)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			is.Equal(w.reverts, []string(nil))
+		})
+	}
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -88,6 +88,13 @@
 	return call[wire.ConfigState](ctx, c, address, MethodVersion, params)
 }
 
+// VersionNow asks for the version in force. It connects even shortly after failed attempts: a new router that skipped a peer
+// which has come into reach would trust the answers of the others.
+func (c *Client) VersionNow(ctx context.Context, address string, params wire.ConfigQuery) (wire.ConfigState, error) {
+	c.forget(address)
+	return c.Version(ctx, address, params)
+}
+
 // Reserve reserves tokens at a holder of budgets.
 func (c *Client) Reserve(ctx context.Context, address string, params wire.BudgetReserve) (wire.BudgetAnswer, error) {
 	return call[wire.BudgetAnswer](ctx, c, address, MethodReserve, params)
@@ -297,6 +304,15 @@
 	return t.link
 }
 
+// forget lets the next call connect to the address at once.
+func (c *Client) forget(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t := c.targets[address]; t != nil {
+		t.retry = time.Time{}
+	}
+}
+
 // wait returns how long no attempt is made.
 func (c *Client) wait(t *target) time.Duration {
 	c.mu.Lock()
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -57,6 +57,7 @@
 		Store:    r.store,
 		Get:      r.peers.Get,
 		Ask:      r.peers.Version,
+		Join:     r.peers.VersionNow,
 		Parse:    inventory.Decode,
 		Adopted:  &r.board.Adopted,
 		State:    &r.board.State,
