Bound a grant by the smallest of its unanswered shrinks

A holder's write that lowered its opened tokens took effect and its answer was lost. Its next write, planned from the old row with more spent, raised the bound of what it may spend until an answer comes. In the partition that followed it spent 234,889 with 197,476 opened in the store, and was killed before the store had heard of it: its successor charged 197,476 after 0.7 s of silence.

Change: the bound is the smallest of all unanswered shrinks, since any of them may have taken effect.

--- a/internal/prepaid/alive.go
+++ b/internal/prepaid/alive.go
@@ -361,7 +361,7 @@
 			Puts:   []store.Put{{Key: sum, Value: encode(next.sum.PrepaidSum)}},
 			Remove: []store.Key{own},
 		}
-		a.cap = a.used()
+		a.lower(a.used())
 		l.mu.Unlock()
 		err := l.commit(a, w, next)
 		if err == nil {
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -67,7 +67,7 @@
 		inherited bool  // Whether the process before this one may have left a grant.
 		spent     int64 // Settled by this instance.
 		held      int64 // Reserved by requests in progress.
-		cap       int64 // Lowered limit while a smaller grant is being written; -1 if there is none.
+		cap       int64 // Bound by smaller grants whose writes were not answered; -1 if there is none.
 		meter     meter // Reserved by the own grant, for own callers and other routers.
 		asked     meter // Asked for by own callers.
 		ranking   *ranking
--- a/internal/prepaid/prepaid_test.go
+++ b/internal/prepaid/prepaid_test.go
@@ -33,6 +33,7 @@
 	fleet struct {
 		store     *store.Memory
 		away      atomic.Bool // Whether all calls of the store are lost.
+		mute      atomic.Bool // Whether writes are done and not answered.
 		directory atomic.Pointer[inventory.Directory]
 		routers   []*router
 		trip      time.Duration // Of a call to the store or to another router.
@@ -66,9 +67,12 @@
 
 func newFleet(count int, total inventory.Tokens) *fleet {
 	f := &fleet{}
-	f.store = &store.Memory{Fault: func(bool) store.Fault {
-		if f.away.Load() {
+	f.store = &store.Memory{Fault: func(write bool) store.Fault {
+		switch {
+		case f.away.Load():
 			return store.LoseCall
+		case write && f.mute.Load():
+			return store.LoseAnswer
 		}
 		return store.NoFault
 	}}
@@ -305,6 +309,27 @@
 	})
 }
 
+// Guards against overspending after an unanswered write that made a grant smaller and took effect: a later write, which
+// cannot take effect any more, must not let the router spend more than the first one has left.
+func TestUnansweredShrinkBoundsTheGrant(t *testing.T) {
+	inFleet(t, 2, 10*total, func(t *testing.T, is *is.I, f *fleet) {
+		f.trip = 20 * time.Millisecond
+		r := f.routers[0]
+		spent := r.spend(t, 10*total, 100, 50*time.Millisecond)
+		is.True(!r.ledger.Load().Lend(t.Context(), "other/1", account, int64(10*total))) // Another router is short.
+		f.mute.Store(true)
+		spent += r.spend(t, 10*total, 300, 10*time.Millisecond)
+		r.kill()
+		f.mute.Store(false)
+		time.Sleep(700 * time.Millisecond)
+		r.start(t.Context())
+		time.Sleep(3 * time.Second)
+		closed := f.sum(t).Closed
+		t.Logf("%d spent, %d closed", spent, closed)
+		is.True(closed >= spent)
+	})
+}
+
 // Guards against a grant that counts as unused although its dead holder was autonomous: a process that is started long
 // after the last sign of the one before must count all of its grant.
 func TestLongDeadRouterIsChargedItsGrant(t *testing.T) {
--- a/internal/prepaid/write.go
+++ b/internal/prepaid/write.go
@@ -175,7 +175,7 @@
 	case float64(amount-base) > shrinkFactor*float64(size.Open+size.Reserve) && l.surplus(a, surplus):
 		amount = base + size.Open + size.Reserve
 		opened = min(opened, base+size.Open)
-		a.cap = opened
+		a.lower(opened)
 	case a.used()+int64(reopenPart*float64(size.Open)) > int64(a.own.Opened) && a.own.Opened < a.own.Amount:
 		next.own.Opened = int(min(opened, amount))
 		return l.single(a, next)
@@ -192,6 +192,14 @@
 	return l.both(a, next)
 }
 
+// lower bounds what may be spent until a write is answered that makes the grant smaller. Of several writes without an
+// answer any one may have taken effect, so that the smallest bound holds.
+func (a *account) lower(limit int64) {
+	if a.cap < 0 || limit < a.cap {
+		a.cap = limit
+	}
+}
+
 // fallShort refuses the waiting requests that the budget does not cover, once the account's row is fresh.
 func (l *Ledger) fallShort(a *account) (store.Write, planned, bool) {
 	if l.Now().Sub(a.read) > freshRow {
