Let prompts wait for the server that holds their prefix

Servers differ in speed by 2.4, and the picker compared only the request's own time: the prefix was read anew on a fast server as soon as that answered a little sooner, though the wait at its home was far below the goal. A prompt's reading also takes time from the streams beside it, which no request's own time shows.

Change: Picker.Reading weighs a prompt's reading beyond its own wait, by the fleet's mean speed; 2 on entry hosts, none elsewhere.

--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -38,6 +38,9 @@
 	allServers = 1 << 16
 	// scoreNoise is the random part of a server's score. A prompt that is spilled is read again, so that it is small.
 	scoreNoise = 0.01
+	// readingWeight makes a prompt wait at the server that holds its prefix for longer than it would take to read it anew
+	// elsewhere, because that takes time from other requests and memory for a second copy.
+	readingWeight = 2
 	// crashPause is the time between two changes of the recorded crashes that are taken.
 	crashPause = 500 * time.Millisecond
 )
@@ -111,6 +114,7 @@
 		Block:   dispatch.PrefixBlock,
 		Home:    1,
 		Subset:  allServers,
+		Reading: readingWeight,
 		Noise:   scoreNoise,
 		Metrics: r.scope.SubScope("routing"),
 		Logger:  r.Logger,
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -28,6 +28,7 @@
 		LongOpen  time.Duration    // Longest wait of an open circuit; 15 s if zero.
 		Grace     time.Duration    // Time after which a request probes an open circuit that no poll probed; 2 s if zero.
 		Home      float64          // Part of a prefix that its home is expected to hold without a hint; 0.9 if zero.
+		Reading   float64          // Weight of a prompt's reading beyond its own wait, since it holds up the streams beside it; none if zero.
 		Noise     float64          // Relative random part of a score, which spreads the load; 0.05 if zero.
 		Reports   float64          // Responses per second that are asked for load reports; 8 if zero.
 		Now       func() time.Time // time.Now if nil.
--- a/internal/routing/picker_test.go
+++ b/internal/routing/picker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -326,3 +327,62 @@
 	}
 	return result
 }
+
+// Guards against prompts that are read anew at a second server although the one that holds their prefix would answer soon.
+func TestReadingKeepsPromptsAtTheirHome(t *testing.T) {
+	const (
+		servers = 12
+		things  = 60
+		shared  = 13 // Blocks of a thousand tokens that all requests about one thing share.
+		own     = 4000
+		rate    = 25 * time.Millisecond // Between two requests.
+		answer  = 300 * time.Millisecond
+	)
+	readAgain := func(weight float64) (again int) {
+		c := &clock{time: time.Unix(1_000_000, 0)}
+		random := rand.New(rand.NewPCG(1, 2))
+		p := &routing.Picker{Router: "r", Now: c.now, Rand: random.Float64, Home: 1, Block: 1000, Reading: weight}
+		p.Update(plainServers(servers))
+		held := make(map[string]bool) // Server and thing.
+		seen := make(map[int]bool)
+		var running []*routing.Choice
+		for i := range 2000 {
+			c.time = c.time.Add(rate)
+			if len(running) > int(answer/rate) {
+				running[0].First()
+				running[0].Done(routing.Finished{Output: 20, Duration: answer, Cached: -1})
+				running = running[1:]
+			}
+			thing := random.IntN(things)
+			prefix := make([]uint64, shared)
+			for block := range prefix {
+				prefix[block] = uint64(thing*shared + block + 1)
+			}
+			choice, err := p.Pick(&routing.Request{Service: "plan", Prompt: shared*1000 + own, Prefix: prefix, Home: prefix[shared-1], Idempotent: true})
+			if err != nil {
+				t.Fatalf("request %d: %v", i, err)
+			}
+			choice.Started()
+			running = append(running, choice)
+			place := fmt.Sprint(choice.Server.Name, "/", thing)
+			if seen[thing] && !held[place] {
+				again++
+			}
+			seen[thing], held[place] = true, true
+		}
+		return again
+	}
+	is := is.New(t)
+	without, with := readAgain(0), readAgain(2)
+	t.Logf("prompts read again: %d without the weight, %d with it", without, with)
+	is.True(with*2 < without)
+}
+
+// plainServers returns servers of a service whose models are not known.
+func plainServers(n int) []routing.Server {
+	var result []routing.Server
+	for i := range n {
+		result = append(result, routing.Server{BackendServer: inventory.BackendServer{Name: fmt.Sprint("p", i), Service: "plan"}})
+	}
+	return result
+}
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -78,7 +78,8 @@
 	work := baseTokens + ahead + float64(r.Prompt-cached)
 	first := s.speed.first.at(now, p.fleet.first, firstUnit) * work * (baseBatch + batch) / baseBatch
 	gap := s.speed.gap.at(now, p.fleet.gap, gapUnit) * (baseBatch + batch + 1)
-	score := (first + gapWeight*gap) / p.ramp(s, now)
+	reading := p.Reading * p.fleet.first.at(now, p.fleet.first, firstUnit) * float64(r.Prompt-cached)
+	score := (first + gapWeight*gap + reading) / p.ramp(s, now)
 	return estimate{score: score, first: first, gap: gap, cached: cached, batch: batch}
 }
 
