Open less ahead of scarce budgets, and let routers go on alone after 1.5 s

Cause: after a loss of all processes the new ones count as spent what the dead ones had opened ahead: 2 s of demand of each holder, up to a tenth of what is left.

Change: 1.4 s are opened ahead below 35 in 100 of a total (2 s below 30 before), and 6 in 100 of what is left at most (10 before); routers spend their reserve after 1.5 s of silence (2 s before), over 7 s (6 s before), so that a slow restart still loses less than half of the reserve.

What remains stranded are the reserves of holders that lose power for four seconds.

--- a/internal/prepaid/autonomy.go
+++ b/internal/prepaid/autonomy.go
@@ -5,10 +5,10 @@
 const (
 	// AutonomyDelay is how long a router goes without an answer of the store before it may spend what it has not opened.
 	// It exceeds the time in which a killed process is started again, which proves that it had not begun to.
-	AutonomyDelay = 2 * time.Second
+	AutonomyDelay = 1500 * time.Millisecond
 	// AutonomyRise is the time from then on over which it may spend more and more of that, up to its whole grant. A process
 	// that was dead for longer than AutonomyDelay so loses a part of the grant of the one before it, and not all.
-	AutonomyRise = 6 * time.Second
+	AutonomyRise = 7 * time.Second
 )
 
 // Spendable returns how much of a grant its holder may have spent after a time without an answer of the store.
--- a/internal/prepaid/size.go
+++ b/internal/prepaid/size.go
@@ -11,9 +11,12 @@
 	// openTime is the demand that is opened ahead while a budget is ample. More than AutonomyDelay is left of it when more
 	// is opened.
 	openTime = 5 * time.Second
+	// scarceOpenTime is the demand that is opened ahead when a budget is no longer ample and what a killed router has opened
+	// is missed. It covers nearly AutonomyDelay, so that few requests are refused at the begin of an outage.
+	scarceOpenTime = 1400 * time.Millisecond
 	// openShare and reserveShare bound what a router has opened and reserved, as parts of what is left. Shares are not
 	// equal: the balancer may send most of an account's requests to one router.
-	openShare    = 0.1
+	openShare    = 0.06
 	reserveShare = 0.45
 	// leastDemand is the demand in tokens a second below which a router holds nothing of an account.
 	leastDemand = 1
@@ -23,7 +26,7 @@
 	scarceShare = 0.03
 	// ampleShare is the part of the total above which more is opened than the demand, because a killed router's loss is
 	// not missed then.
-	ampleShare = 0.3
+	ampleShare = 0.35
 	// leastOpened is the smallest amount that is worth opening ahead, in tokens.
 	leastOpened = 3000
 	// demandTime is the time over which demand is averaged.
@@ -62,7 +65,7 @@
 		return Size{}
 	}
 	rest := float64(n.Rest)
-	span := AutonomyDelay
+	span := scarceOpenTime
 	if rest > ampleShare*float64(n.Total) {
 		span = openTime
 	}
