Keep a host whose link was full out of the balancer for a minute

Cause: the balancer sends a caller to the first ready host of an order of the caller's own.

Requests and sends are still held back only while the link is full.

--- a/internal/dial/meter.go
+++ b/internal/dial/meter.go
@@ -24,6 +24,9 @@
 	chokedShare = 0.85
 	// fullTime is the shortest time for which a link counts as full.
 	fullTime = 3 * time.Second
+	// filledTime is how long a host whose link was full asks callers to stay with other hosts. The balancer sends a caller
+	// to the first host of the caller's own order that is ready, so that a busy caller returns as soon as that one is.
+	filledTime = time.Minute
 )
 
 type (
@@ -36,11 +39,12 @@
 		received atomic.Int64
 		sent     atomic.Int64
 
-		mu   sync.Mutex
-		in   flow
-		out  flow
-		last time.Time
-		full time.Time // When the link was last found full; zero if it is not.
+		mu     sync.Mutex
+		in     flow
+		out    flow
+		last   time.Time
+		full   time.Time // When the link was last found full; zero if it is not.
+		filled time.Time // When the link was last found full, also if it no longer is.
 	}
 
 	// flow is the rate of one direction.
@@ -97,12 +101,23 @@
 		return false
 	case most > fullShare*m.Bandwidth:
 		m.full = now
+		m.filled = now
 	case !m.full.IsZero() && now.Sub(m.full) > fullTime && most < freeShare*m.Bandwidth:
 		m.full = time.Time{}
 	}
 	return !m.full.IsZero()
 }
 
+// Filled reports whether the link is full or was full shortly before, so that callers had better stay with other hosts.
+func (m *Meter) Filled() bool {
+	if m.Full() {
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.filled.IsZero() && m.Now().Sub(m.filled) < filledTime
+}
+
 // Choked reports whether the link is so full that a large request would time out on it.
 func (m *Meter) Choked() bool {
 	m.mu.Lock()
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -241,7 +241,7 @@
 
 // ready reports whether the router can serve, is not about to stop, and has room on its host's link.
 func (r *Router) ready() bool {
-	full := r.Meter.Full()
+	full := r.Meter.Filled()
 	ready := r.directory.Load() != nil && r.roster.Filled() && !r.stopping.Load() && !full
 	if r.wasReady.Swap(ready) != ready {
 		in, out := r.Meter.Rates()
