Read the routers' rows less often in large fleets, and take changes of servers together

Each router lists the rows of all others every 2 s.

Change: the time between two readings grows by 30 ms a row, 9 s at 300; a row counts as gone after four readings without a change. Changes of servers within 150 ms come in one call. TestLargeFleetIsReadLessOften.

--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -41,6 +41,9 @@
 	// readingWeight makes a prompt wait at the server that holds its prefix for longer than it would take to read it anew
 	// elsewhere, because that takes time from other requests and memory for a second copy.
 	readingWeight = 2
+	// serverPause is the time between two changes of the backend servers that are taken. It is short against the time for
+	// which a leaving server still takes requests.
+	serverPause = 150 * time.Millisecond
 	// crashPause is the time between two changes of the recorded crashes that are taken.
 	crashPause = 500 * time.Millisecond
 )
@@ -140,7 +143,7 @@
 		Logger:    r.Logger,
 		Directory: r.directory.Load,
 	}
-	r.servers = &store.Follower{Store: r.Store, Table: r.ServerTable, Apply: r.takeServers, Logger: r.Logger}
+	r.servers = &store.Follower{Store: r.Store, Table: r.ServerTable, Apply: r.takeServers, Pause: serverPause, Logger: r.Logger}
 	drain := func() time.Duration { return r.current.Load().Drain }
 	r.lag = &dispatch.Lag{
 		Drain:  drain,
--- a/internal/prepaid/alive.go
+++ b/internal/prepaid/alive.go
@@ -19,10 +19,12 @@
 	heartbeat = 500 * time.Millisecond
 	// sumPause is the time between two changes of the accounts' rows that are taken.
 	sumPause = time.Second
-	// memberInterval is the time between two readings of the other routers' rows.
+	// memberInterval is the least time between two readings of the other routers' rows, memberSpacing the time for each row.
+	// Both the rows and their readers grow with the fleet; the spacing keeps the bytes that one router reads the same.
 	memberInterval = 2 * time.Second
-	// memberLife is the age of a row's last change at which its router no longer counts.
-	memberLife = 8 * time.Second
+	memberSpacing  = 30 * time.Millisecond
+	// memberLife is the number of readings in which a row has not changed after which its router no longer counts.
+	memberLife = 4
 )
 
 type (
@@ -87,6 +89,11 @@
 	return c.started - time.Duration(clock)*time.Millisecond
 }
 
+// interval returns the time between two readings of the rows.
+func (m *members) interval() time.Duration {
+	return max(memberInterval, time.Duration(m.count())*memberSpacing)
+}
+
 // count returns the number of routers, at least one.
 func (m *members) count() int { return max(len(m.rows), 1) }
 
@@ -95,7 +102,7 @@
 	l.await(ctx)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { delay.Every(ctx, heartbeat, func() { l.beat(ctx) }); return nil })
-	group.Go(func() error { delay.Every(ctx, memberInterval, func() { l.readMembers(ctx) }); return nil })
+	group.Go(func() error { return l.followMembers(ctx) })
 	group.Go(func() error { delay.Every(ctx, stepInterval, l.step); return nil })
 	sums := &store.Follower{Store: l.Store, Table: sumTable, Apply: l.takeSums, Pause: sumPause, Logger: l.Logger}
 	group.Go(func() error { return sums.Run(ctx) })
@@ -195,6 +202,18 @@
 	e.Log(l.Logger).Dur("age", l.contact.age(l.Now())).Send()
 }
 
+// followMembers reads the rows of all routers again and again.
+func (l *Ledger) followMembers(ctx context.Context) error {
+	for ctx.Err() == nil {
+		l.readMembers(ctx)
+		l.mu.Lock()
+		interval := l.members.interval()
+		l.mu.Unlock()
+		delay.For(ctx, interval)
+	}
+	return nil
+}
+
 // readMembers reads the rows of all routers.
 func (l *Ledger) readMembers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, writeTime)
@@ -218,7 +237,7 @@
 		if old, ok := l.members.rows[row.Name]; ok && old.version == row.Version {
 			m.changed = old.changed
 		}
-		if m.Address != "" && now.Sub(m.changed) < memberLife {
+		if m.Address != "" && now.Sub(m.changed) < memberLife*l.members.interval() {
 			rows[row.Name] = m
 		}
 	}
--- a/internal/prepaid/prepaid_test.go
+++ b/internal/prepaid/prepaid_test.go
@@ -39,6 +39,7 @@
 		trip      time.Duration // Of a call to the store or to another router.
 		alone     atomic.Bool   // Whether no router reaches another one.
 		writes    atomic.Int64  // Writes of grants.
+		lists     atomic.Int64  // Readings of the routers' rows.
 	}
 
 	// router is one host, on which one process runs after the other.
@@ -106,6 +107,9 @@
 	if c.router.cut.Load() {
 		return store.Result{}, store.ErrUnavailable
 	}
+	if table == "alive" {
+		c.router.fleet.lists.Add(1)
+	}
 	return c.Store.List(ctx, table, part)
 }
 
@@ -342,6 +346,34 @@
 	})
 }
 
+// Guards against routers that read the rows of all others as often in a large fleet as in a small one, and against routers
+// that count as gone between two such readings.
+func TestLargeFleetIsReadLessOften(t *testing.T) {
+	const routers = 300
+	inFleet(t, 1, total, func(t *testing.T, is *is.I, f *fleet) {
+		beat := func() {
+			w := store.Write{}
+			for i := range routers {
+				row, err := json.Marshal(wire.PrepaidAlive{Holder: "other", Address: fmt.Sprint("other-", i)})
+				is.NoErr(err)
+				w.Puts = append(w.Puts, store.Put{Key: store.Key{Table: "alive", Name: fmt.Sprint("other-", i)}, Value: row})
+			}
+			is.NoErr(f.store.Force(w))
+		}
+		for range 20 {
+			beat()
+			time.Sleep(500 * time.Millisecond)
+		}
+		before := f.lists.Load()
+		for range 120 {
+			beat()
+			time.Sleep(500 * time.Millisecond)
+			is.Equal(f.routers[0].ledger.Load().Routers(), routers+1)
+		}
+		is.True(f.lists.Load()-before <= 8) // In a minute.
+	})
+}
+
 // Guards against a grant that counts as unused although its dead holder was autonomous: a process that is started long
 // after the last sign of the one before must count all of its grant.
 func TestLongDeadRouterIsChargedItsGrant(t *testing.T) {
