Drop lists of servers that are older than what is known

The router (front-dooars-c-9) learned of the removal from the store at 25.638 s (version 7421). At 25.683 s the answer of another router arrived, a whole list of version 7292 that was asked for before. It still had the entry, which ended the grace after which the router would have dropped the server; the store did not tell of the removal again. Such a list also takes servers out that are newer than it.

Change: the roster drops whole lists of an older version, and the rows for other routers follow it. TestLateListsAreDropped failed and passes. Ruled out: the wait of 150 ms between two changes of servers; the wrong list came through the relay, which has none.

--- a/internal/dispatch/roster.go
+++ b/internal/dispatch/roster.go
@@ -34,6 +34,7 @@
 		mu      sync.Mutex
 		entries map[string]*rosterEntry
 		filled  bool
+		version int64 // Of the newest change that was taken.
 	}
 
 	rosterEntry struct {
@@ -43,10 +44,15 @@
 	}
 )
 
-// Apply takes changed entries, or all of them.
-func (r *Roster) Apply(change store.Change) {
+// Apply takes changed entries, or all of them, and reports whether it did. A list that is older than what is known is
+// dropped: answers of other routers may arrive later than the store's own.
+func (r *Roster) Apply(change store.Change) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if change.Whole && change.Version < r.version {
+		return false
+	}
+	r.version = max(r.version, change.Version)
 	if r.entries == nil {
 		r.entries = make(map[string]*rosterEntry)
 	}
@@ -72,7 +78,8 @@
 	r.filled = true
 	r.publish()
 	event.ServersChanged.Log(r.Logger).Int("before", before).Int("servers", len(r.entries)).Int("changed", len(change.Rows)).
-		Bool("whole", change.Whole).Int64("version", change.Version).Send()
+		Bool("whole", change.Whole).Int64("version", change.Version).Str("source", change.Source).Send()
+	return true
 }
 
 // Filled reports whether the entries were read at least once.
--- a/internal/dispatch/roster_test.go
+++ b/internal/dispatch/roster_test.go
@@ -102,3 +102,21 @@
 	r.Apply(store.Change{Rows: []store.Row{row("a", "ready again", 2), row("b", "", 3)}, Outage: noOutage})
 	is.Equal(down, []string{"a"}) // A planned leave is no crash.
 }
+
+// Guards against a removed server that comes back to use, and a new one that falls out of it, because another router's list
+// from before arrives late.
+func TestLateListsAreDropped(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	r := newRoster(&now)
+	before := []store.Row{row("a", "ready", 1)}
+	is.True(r.Apply(store.Change{Whole: true, Rows: before, Version: 5, Outage: noOutage}))
+	outage := 100 * time.Millisecond
+	is.True(r.Apply(store.Change{Rows: []store.Row{row("a", "", 8), row("b", "ready", 9)}, Version: 9, Outage: outage}))
+	is.True(!r.Apply(store.Change{Whole: true, Rows: before, Version: 7}))
+	now = now.Add(2 * time.Second)
+	r.Sweep()
+	for range 10 {
+		is.Equal(picked(r), "b")
+	}
+}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -59,11 +59,13 @@
 		y.servers = make(map[string]store.Row)
 	}
 	for _, row := range change.Rows {
-		if row.Deleted {
+		switch {
+		case y.servers[row.Name].Version > row.Version:
+		case row.Deleted:
 			delete(y.servers, row.Name)
-			continue
+		default:
+			y.servers[row.Name] = row
 		}
-		y.servers[row.Name] = row
 	}
 	y.version = max(y.version, change.Version)
 }
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -223,8 +223,9 @@
 
 // takeServers takes changed entries of backend servers.
 func (r *Router) takeServers(change store.Change) {
-	r.relay.putServers(change)
-	r.roster.Apply(change)
+	if r.roster.Apply(change) {
+		r.relay.putServers(change)
+	}
 }
 
 func (r *Router) putDirectory(next *inventory.Directory, source string) {
