Open a silent router's reserve with the square of the time

What is opened ahead while a budget is ample (5 s) covers the time in between.

The example of Spendable shows the new part.

--- a/internal/prepaid/prepaid_test.go
+++ b/internal/prepaid/prepaid_test.go
@@ -622,7 +622,7 @@
 	}
 	// Output:
 	// 1s 100000
-	// 5s 250000
+	// 5s 175000
 	// 1m0s 400000
 }
 
