Say in the log what happened when a connection ends and when a grant is given back

Change: event 505 tells of a connection that ended; event 242 is logged only for grants that this process takes. Fields of the configuration that nothing reads are no longer decoded.

--- a/internal/event/peer.go
+++ b/internal/event/peer.go
@@ -7,6 +7,7 @@
 	PeerListening        = register(500, zerolog.InfoLevel, "peer listener open", "None.")
 	PeerRefused          = register(501, zerolog.WarnLevel, "peer connection refused", "Compare the certificates and the required name on both routers.")
 	PeerMessageRejected  = register(502, zerolog.WarnLevel, "peer connection closed after an invalid message", "Check that all routers run compatible releases.")
+	PeerDisconnected     = register(505, zerolog.InfoLevel, "peer connection ended", "None; calls connect again. If it repeats, check the network between the two routers.")
 	CertificatesLoaded   = register(503, zerolog.InfoLevel, "peer certificates loaded", "None.")
 	CertificatesRejected = register(504, zerolog.ErrorLevel, "peer certificates cannot be loaded, the previous ones stay in use", "Replace the files; see docs/CONFIG.md.")
 	MemberJoined         = register(510, zerolog.InfoLevel, "member joined", "None.")
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -68,13 +68,22 @@
 
 // Printf logs one message of the library.
 func (l rpcLog) Printf(_ string, args ...any) {
-	e := event.PeerMessageRejected.Log(l.logger)
 	for _, arg := range args {
 		if err, ok := arg.(error); ok {
-			e = e.Err(err)
+			rejection(err).Log(l.logger).Err(err).Send()
+			return
 		}
 	}
-	e.Send()
+	event.PeerMessageRejected.Log(l.logger).Send()
+}
+
+// rejection tells a connection that ended from one that carried something invalid.
+func rejection(err error) event.Event {
+	var op *net.OpError
+	if errors.As(err, &op) || errors.Is(err, net.ErrClosed) || errors.Is(err, io.EOF) {
+		return event.PeerDisconnected
+	}
+	return event.PeerMessageRejected
 }
 
 // ReadObject reads one message.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -11,11 +11,13 @@
 	"io"
 	"net"
 	"os"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"citronslip/internal/certificate"
 	"citronslip/internal/peer"
@@ -33,6 +35,14 @@
 	return a
 }
 
+// logLines is a writer that passes each log line on.
+type logLines chan string
+
+func (l logLines) Write(line []byte) (int, error) {
+	l <- string(line)
+	return len(line), nil
+}
+
 // issue returns the settings of a router whose certificate carries the identity.
 func issue(t testing.TB, a *certificate.Authority, name, identity string, validity time.Duration) *peer.TLS {
 	files, err := a.Issue(name, identity, validity)
@@ -80,6 +90,26 @@
 	// Output: a-1 running <nil>
 }
 
+// Guards against a warning of invalid messages whenever another router stops or a connection is reset.
+func TestEndedConnectionIsNoInvalidMessage(t *testing.T) {
+	is := is.New(t)
+	lines := make(logLines, 16)
+	logger := zerolog.New(lines)
+	address := start(t, &peer.Server{Logger: &logger, Methods: &peer.Methods{State: echo}})
+	<-lines // Listener open.
+	var raw net.Conn
+	client := &peer.Client{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		var err error
+		raw, err = (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		return raw, err
+	}}
+	_, err := client.State(t.Context(), address, wire.RequestQuery{Request: "a-1"})
+	is.NoErr(err)
+	is.NoErr(raw.(*net.TCPConn).SetLinger(0))
+	is.NoErr(raw.Close())
+	is.True(strings.Contains(<-lines, `"event":505`))
+}
+
 // Guards against a router outside the fleet that can call, or be called by, a router of the fleet.
 func TestOnlyTheFleetIsAccepted(t *testing.T) {
 	own, other := authority(t), authority(t)
--- a/internal/prepaid/prepaid_test.go
+++ b/internal/prepaid/prepaid_test.go
@@ -1,10 +1,12 @@
 package prepaid_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -475,6 +477,19 @@
 	})
 }
 
+// Guards against a planned stop whose log says that a grant of an earlier process was taken over.
+func TestPlannedStopLogsNoTakeover(t *testing.T) {
+	inFleet(t, 1, total, func(t *testing.T, is *is.I, f *fleet) {
+		r := f.routers[0]
+		var lines bytes.Buffer
+		logger := zerolog.New(&lines)
+		r.ledger.Load().Logger = &logger
+		r.spend(t, total, 5, 100*time.Millisecond)
+		is.NoErr(r.ledger.Load().Close(t.Context()))
+		is.Equal(strings.Count(lines.String(), `"event":242`), 1) // The one at the first request.
+	})
+}
+
 // Guards against tokens that stay with a router after its planned stop.
 func TestPlannedStopReturnsTheGrant(t *testing.T) {
 	inFleet(t, 2, total, func(t *testing.T, is *is.I, f *fleet) {
--- a/internal/prepaid/write.go
+++ b/internal/prepaid/write.go
@@ -357,7 +357,7 @@
 		a.read = l.Now()
 	}
 	a.cap = -1
-	if before.Holder != a.own.Holder {
+	if a.own.Holder == l.Instance && before.Holder != l.Instance {
 		event.PrepaidTaken.Log(l.Logger).Str("account", a.name).Str("before", before.Holder).Int("amount", before.Amount).
 			Int("opened", before.Opened).Dur("silence", l.contact.silence(before)).Int("charged", l.charge(before)).Send()
 	}
--- a/pkg/inventory/directory.go
+++ b/pkg/inventory/directory.go
@@ -65,19 +65,13 @@
 
 	// EntryService is a service as entry hosts use it.
 	EntryService struct {
-		Name        string
-		Health      string // Path of the health check.
-		Connections int    // Most connections to one backend server, of all routers together.
-		Engine      *Engine
+		Name   string
+		Engine *Engine
 	}
 
 	// Engine is what is known of a service's model engines.
 	Engine struct {
-		Slots     int    // Requests in a batch.
-		Memory    Tokens // Tokens that fit into the memory of one engine.
-		Stride    int    // Most tokens in one event of a stream.
-		TokenSize int64  // Bytes of KV cache for one token.
-		Moves     bool   // Whether a running request can be moved.
+		Stride int // Most tokens in one event of a stream.
 	}
 
 	// Limits bound what callers send.
