--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -16,12 +16,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
 	"citronslip/internal/event"
-	"citronslip/internal/rendezvous"
 	"citronslip/internal/table"
 )
 
@@ -366,22 +364,6 @@
 	}
 }
 
-// first returns the name that rank puts first, empty if there is none.
-func first(fingerprint string, names []string) string {
-	return rendezvous.First(names, weigher(fingerprint))
-}
-
-// rank orders names by rendezvous hashing on the fingerprint.
-func rank(fingerprint string, names []string) []string {
-	return rendezvous.Order(names, weigher(fingerprint))
-}
-
-// weigher returns the weights of names for a fingerprint.
-func weigher(fingerprint string) func(name string) uint64 {
-	seed := xxhash.Sum64String(fingerprint)
-	return func(name string) uint64 { return rendezvous.Mix(seed ^ xxhash.Sum64String(name)) }
-}
-
 func (g *Guard) now() time.Time {
 	if g.Now == nil {
 		return time.Now()
