--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -158,6 +158,19 @@
 	n.done.Go(n.observe)
 }
 
+// startAll runs all routers until the function that it returns is called, and waits until they know each other.
+func (w *world) startAll() (stop func()) {
+	for i := range routers {
+		w.start(i)
+	}
+	time.Sleep(3 * time.Second)
+	return func() {
+		for i := range routers {
+			w.kill(i)
+		}
+	}
+}
+
 func seeds() []string {
 	var result []string
 	for i := range routers {
@@ -382,15 +395,7 @@
 		bubble(t, func(t *testing.T) {
 			is := is.New(rt)
 			w := newWorld()
-			for i := range routers {
-				w.start(i)
-			}
-			defer func() {
-				for i := range routers {
-					w.kill(i)
-				}
-			}()
-			time.Sleep(3 * time.Second)
+			defer w.startAll()()
 			rt.Repeat(map[string]func(*rapid.T){
 				"commit": func(rt *rapid.T) {
 					w.setFault(rapid.SampledFrom([]table.Fault{table.FaultNone, table.FaultNone, table.FaultLose, table.FaultRefuse}).Draw(rt, "fault"))
--- a/internal/config/join_test.go
+++ b/internal/config/join_test.go
@@ -199,15 +199,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
 			w := newWorld()
-			for i := range routers {
-				w.start(i)
-			}
-			defer func() {
-				for i := range routers {
-					w.kill(i)
-				}
-			}()
-			time.Sleep(3 * time.Second)
+			defer w.startAll()()
 			_, _, err := w.commit(t.Context(), 1)
 			is.NoErr(err)
 			time.Sleep(5 * time.Second)
--- a/internal/prepaid/prepaid_test.go
+++ b/internal/prepaid/prepaid_test.go
@@ -185,6 +185,16 @@
 	<-r.done
 }
 
+// successor starts the next process and returns what counts as spent of the account once it has ended the dead one's grant.
+func (r *router) successor(t *testing.T) int {
+	t.Helper()
+	r.start(t.Context())
+	time.Sleep(3 * time.Second)
+	closed := r.fleet.sum(t).Closed
+	t.Logf("%d closed", closed)
+	return closed
+}
+
 func (f *fleet) start(ctx context.Context) {
 	for _, r := range f.routers {
 		r.start(ctx)
@@ -336,11 +346,7 @@
 		r.kill()
 		f.mute.Store(false)
 		time.Sleep(700 * time.Millisecond)
-		r.start(t.Context())
-		time.Sleep(3 * time.Second)
-		closed := f.sum(t).Closed
-		t.Logf("%d spent, %d closed", spent, closed)
-		is.True(closed >= spent)
+		is.True(r.successor(t) >= spent)
 	})
 }
 
@@ -394,11 +400,7 @@
 		spent += r.spend(t, total, 80, 100*time.Millisecond) // The last six seconds of these are autonomous.
 		r.kill()
 		r.cut.Store(false)
-		r.start(t.Context())
-		time.Sleep(3 * time.Second)
-		closed := f.sum(t).Closed
-		t.Logf("%d spent, %d closed", spent, closed)
-		is.True(closed >= spent)
+		is.True(r.successor(t) >= spent)
 	})
 }
 
