Count the calls to the store and their bytes by table

Change: store.Usage counts calls, sent and received bytes by table and operation, as metrics and as event 762 every 10 s.

--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -56,6 +56,7 @@
 		Path     string                   // Settings file, watched for changes.
 
 		Store           store.Store
+		Usage           *store.Usage // Of the store; optional.
 		Backend         dispatch.Backend
 		DecodeDirectory func(data []byte) (*inventory.Directory, error)
 		DecodeServer    func(name string, data []byte) (dispatch.Server, error)
@@ -92,6 +93,9 @@
 	r.scope = scope
 	r.started = time.Now()
 	r.current.Store(&r.Settings)
+	if r.Usage != nil {
+		r.Usage.Metrics = scope.SubScope("store")
+	}
 	r.build()
 	event.RouterStarted.Log(r.Logger).Str("node", r.Settings.Node).Str("place", r.Settings.Place).
 		Str("address", r.Settings.Caller).Str("store", r.Settings.Store).Send()
@@ -195,6 +199,9 @@
 			return serveHTTP(ctx, r.Settings.Ready, &http.Server{Handler: r.Readiness(r.ready)})
 		},
 	}
+	if r.Usage != nil {
+		list = append(list, r.Usage.Run)
+	}
 	if r.Settings.Metrics != "" {
 		list = append(list, func(ctx context.Context) error {
 			return serveHTTP(ctx, r.Settings.Metrics, &http.Server{Handler: scrape})
--- a/internal/event/store.go
+++ b/internal/event/store.go
@@ -15,5 +15,6 @@
 	SettingsFault   = register(758, zerolog.ErrorLevel, "settings unreadable, those before stay in force", "Correct the settings file.")
 	ReadinessTurned = register(759, zerolog.InfoLevel, "readiness changed", "None.")
 	SendsHeld       = register(761, zerolog.WarnLevel, "sends to backend servers held back or resumed, link of the host full", "Look at the traffic of the host if it repeats; callers are sent to other hosts.")
+	StoreUsage      = register(762, zerolog.InfoLevel, "calls to the store since the start", "None. The bytes are those of the bodies.")
 	RelayFailed     = register(760, zerolog.InfoLevel, "another router did not tell what it has of the store", "Check the router named if it repeats.")
 )
--- /dev/null
+++ b/internal/store/usage.go
@@ -0,0 +1,115 @@
+package store
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"citronslip/internal/delay"
+	"citronslip/internal/event"
+)
+
+const (
+	// usageInterval is the time between two log lines for each table.
+	usageInterval = 10 * time.Second
+)
+
+const (
+	// CallWrite is a transaction.
+	CallWrite Operation = "write"
+	// CallList is a listing of a part.
+	CallList Operation = "list"
+	// CallFeed is a question for changes.
+	CallFeed Operation = "feed"
+)
+
+type (
+	// Operation is a kind of call.
+	Operation string
+
+	// Usage counts the calls to the store and their bytes by table and operation. Set the fields before the first call of
+	// Add. The zero value counts and tells nobody.
+	Usage struct {
+		Metrics tally.Scope     // Optional.
+		Logger  *zerolog.Logger // Optional.
+
+		mu    sync.Mutex
+		total map[usageKey]*Traffic
+	}
+
+	// Traffic is a number of calls and the bytes of their bodies.
+	Traffic struct {
+		Calls    int64
+		Sent     int64
+		Received int64
+	}
+
+	usageKey struct {
+		table     string
+		operation Operation
+	}
+)
+
+// Add counts one call, answered or not.
+func (u *Usage) Add(table string, operation Operation, sent, received int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	key := usageKey{table, operation}
+	t := u.total[key]
+	if t == nil {
+		if u.total == nil {
+			u.total = make(map[usageKey]*Traffic)
+		}
+		t = &Traffic{}
+		u.total[key] = t
+	}
+	t.Calls++
+	t.Sent += int64(sent)
+	t.Received += int64(received)
+	if u.Metrics == nil {
+		return
+	}
+	scope := u.Metrics.Tagged(map[string]string{"table": table, "operation": string(operation)})
+	scope.Counter("calls").Inc(1)
+	scope.Counter("sent_bytes").Inc(int64(sent))
+	scope.Counter("received_bytes").Inc(int64(received))
+}
+
+// Total returns what one table's calls of a kind have taken so far.
+func (u *Usage) Total(table string, operation Operation) Traffic {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if t := u.total[usageKey{table, operation}]; t != nil {
+		return *t
+	}
+	return Traffic{}
+}
+
+// Run logs the totals until the context ends.
+func (u *Usage) Run(ctx context.Context) error {
+	for delay.For(ctx, usageInterval) {
+		u.log()
+	}
+	return nil
+}
+
+// log writes a line for each table and operation.
+func (u *Usage) log() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	keys := slices.SortedFunc(maps.Keys(u.total), func(a, b usageKey) int {
+		return cmp.Or(strings.Compare(a.table, b.table), strings.Compare(string(a.operation), string(b.operation)))
+	})
+	for _, key := range keys {
+		t := u.total[key]
+		event.StoreUsage.Log(u.Logger).Str("table", key.table).Str("operation", string(key.operation)).Int64("calls", t.Calls).
+			Int64("sent", t.Sent).Int64("received", t.Received).Send()
+	}
+}
