--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -51,15 +51,30 @@
 		body    strings.Builder
 		ended   bool
 		aborted bool
-		left    bool // Whether writes fail because the caller has left.
+		left    bool          // Whether writes fail because the caller has left.
+		pause   time.Duration // How long the caller takes to read each part.
 	}
 
+	// paced is a body that sends its parts one after the other, each after a pause, and then nothing until it is closed.
+	paced struct {
+		ctx   context.Context
+		parts []string
+		pause time.Duration
+		stop  chan struct{}
+		once  sync.Once
+	}
+
+	// endless is a body without an end.
+	endless struct{}
+
 	// torn is a body that breaks off.
 	torn struct {
 		io.Reader
 	}
 )
 
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
 func (t torn) Read(p []byte) (int, error) {
 	n, err := t.Reader.Read(p)
 	if err == io.EOF {
@@ -68,6 +83,35 @@
 	return n, err
 }
 
+func newPaced(ctx context.Context, pause time.Duration, parts ...string) *paced {
+	return &paced{ctx: ctx, parts: parts, pause: pause, stop: make(chan struct{})}
+}
+
+func (p *paced) Read(data []byte) (int, error) {
+	pause := time.After(p.pause)
+	if len(p.parts) == 0 {
+		pause = nil
+	}
+	select {
+	case <-p.ctx.Done():
+		return 0, p.ctx.Err()
+	case <-p.stop:
+		return 0, errReset
+	case <-pause:
+	}
+	part := p.parts[0]
+	p.parts = p.parts[1:]
+	if part == "" {
+		return 0, io.EOF
+	}
+	return copy(data, part), nil
+}
+
+func (p *paced) Close() error {
+	p.once.Do(func() { close(p.stop) })
+	return nil
+}
+
 func (b *budget) Reserve(_ context.Context, c dispatch.Claim) (dispatch.Hold, dispatch.Refusal) {
 	if b.refuse != "" {
 		return nil, dispatch.Refusal{Reason: b.refuse}
@@ -92,6 +136,7 @@
 	if a.left {
 		return errReset
 	}
+	time.Sleep(a.pause)
 	a.body.Write(data)
 	return nil
 }
@@ -125,6 +170,9 @@
 	}
 	for i := range directory.Routes {
 		directory.Routes[i].Timeout = 2 * time.Second
+		if directory.Routes[i].Stream {
+			directory.Routes[i].Timeout = 15 * time.Second
+		}
 		directory.Routes[i].Shares = []inventory.Share{{Service: "s", Weight: 1}}
 	}
 	directory.Prepare()
@@ -177,6 +225,15 @@
 	return a
 }
 
+// patient serves a request whose caller sets no time limit of its own.
+func (b *bench) patient(path string) *answer {
+	a := &answer{}
+	r := request(path)
+	r.Patience = 0
+	b.Serve(context.Background(), r, a)
+	return a
+}
+
 // Guards against a second run of a request that is not idempotent, and against a refusal that promises that it did not run.
 func TestLostAnswerOfNonIdempotentRequestIsNotRepeated(t *testing.T) {
 	is := is.New(t)
@@ -408,3 +465,73 @@
 	now = now.Add(11 * time.Second)
 	is.True(r.Again("s")) // The window has passed.
 }
+
+// Guards against slow streams that are cut although their events come within the caller's patience.
+func TestSlowStreamIsNotCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		for path, pause := range map[string]time.Duration{"/frail/1": 1900 * time.Millisecond, "/stream/1": 900 * time.Millisecond} {
+			b := newBench(func(ctx context.Context, _ int, _ dispatch.Attempt) dispatch.Outcome {
+				return dispatch.Answered{Success: true, Length: -1, Body: newPaced(ctx, pause, events(1, 1), events(2, 2), events(3, 3), "")}
+			})
+			a := b.patient(path)
+			is.True(a.ended && !a.aborted)
+			is.Equal(a.body.String(), events(1, 3))
+			is.Equal(len(b.sends), 1)
+		}
+	})
+}
+
+// Guards against streams that end only at the time limit although they send no whole event, only a byte now and then, and
+// against a resumable one that stays at such a server.
+func TestStalledStreamIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		drip := append([]string{events(1, 1), "id: 2\ndata: "}, strings.Split(strings.Repeat("x", 1000), "")...)
+		b := newBench(func(ctx context.Context, number int, a dispatch.Attempt) dispatch.Outcome {
+			if number == 1 {
+				return dispatch.Answered{Success: true, Length: -1, Body: newPaced(ctx, 100*time.Millisecond, drip...)}
+			}
+			is.Equal(a.LastEvent, "1")
+			return whole(events(2, 3))
+		})
+		begin := time.Now()
+		a := b.patient("/stream/1")
+		is.Equal(a.body.String(), events(1, 3))
+		is.True(a.ended)
+		is.True(time.Since(begin) < 2*time.Second)
+		begin = time.Now()
+		b.sends = nil
+		a = b.patient("/frail/1")
+		is.True(a.aborted)
+		is.True(time.Since(begin) < 3*time.Second)
+		is.Equal(len(b.sends), 1)
+	})
+}
+
+// Guards against a slow caller whose reading is taken for a stall of the server.
+func TestSlowCallerIsNoStall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(func(ctx context.Context, _ int, _ dispatch.Attempt) dispatch.Outcome {
+			return dispatch.Answered{Success: true, Length: -1, Body: newPaced(ctx, 0, events(1, 1), events(2, 2), "")}
+		})
+		a := &answer{pause: 4 * time.Second}
+		r := request("/frail/1")
+		r.Patience = 0
+		b.Serve(context.Background(), r, a)
+		is.True(a.ended && !a.aborted)
+	})
+}
+
+// Guards against a server that sends a body without a length and without an end.
+func TestBodyWithoutAnEndIsBounded(t *testing.T) {
+	is := is.New(t)
+	b := newBench(func(context.Context, int, dispatch.Attempt) dispatch.Outcome {
+		return dispatch.Answered{Success: true, Length: -1, Body: io.NopCloser(endless{})}
+	})
+	a := b.serve("/safe/1")
+	is.True(a.aborted)
+	is.True(a.body.Len() <= 8<<20)
+	is.Equal(len(b.sends), 1) // The caller has a part of it.
+}
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -13,10 +13,18 @@
 	// wholeBytes is the longest body of a plain answer that is read whole before it is passed on. A shorter answer that
 	// breaks off is never shown to the caller in part.
 	wholeBytes = 256 << 10
+	// unsizedBytes is the same for an answer that tells no length, of which a faulty server may send without end.
+	unsizedBytes = 64 << 10
+	// mostUnsized is the longest body without a length that is passed on.
+	mostUnsized = 8 << 20
 	// copyBytes is the buffer for the rest of a longer body.
 	copyBytes = 32 << 10
 )
 
+var (
+	errEndless = errors.New("dispatch: body without a length exceeds the limit")
+)
+
 type (
 	// spare is a whole answer in which a server reports an error of its own.
 	spare struct {
@@ -27,14 +35,18 @@
 
 // plain passes on an answer that is no stream of events.
 func (c *call) plain(ctx context.Context, server *Server, choice *routing.Choice, o Answered) (bool, Reason) {
-	whole, err := io.ReadAll(io.LimitReader(o.Body, wholeBytes))
+	first := wholeBytes
+	if o.Length < 0 {
+		first = unsizedBytes
+	}
+	whole, err := io.ReadAll(io.LimitReader(o.Body, int64(first)))
 	if err != nil {
 		choice.Done(c.broken(ctx, routing.Broken{}))
 		c.suspect(ctx, server)
 		c.lost(server, false, err)
 		return c.again(ctx)
 	}
-	if !o.Success && len(whole) < wholeBytes {
+	if !o.Success && len(whole) < first {
 		if again, _ := c.again(ctx); again {
 			choice.Done(routing.Broken{})
 			c.spare = &spare{head: o.Head, body: whole}
@@ -49,8 +61,9 @@
 		c.end("caller left", "")
 		return false, ""
 	}
-	if err := c.copy(whole, o.Body); err != nil {
+	if err := c.copy(whole, first, o); err != nil {
 		choice.Done(c.broken(ctx, routing.Broken{}))
+		c.lost(server, false, err)
 		c.response.Abort()
 		c.end("aborted", Broken)
 		return false, ""
@@ -60,17 +73,21 @@
 	return false, ""
 }
 
-// copy passes on the part of a body that was read and the rest.
-func (c *call) copy(whole []byte, rest io.Reader) error {
+// copy passes on the part of a body that was read, of at most first bytes, and the rest.
+func (c *call) copy(whole []byte, first int, o Answered) error {
 	if err := c.response.Write(whole); err != nil {
 		return err
 	}
-	if len(whole) < wholeBytes {
+	if len(whole) < first {
 		return nil
 	}
 	buffer := make([]byte, copyBytes)
+	passed := len(whole)
 	for {
-		n, err := rest.Read(buffer)
+		n, err := o.Body.Read(buffer)
+		if passed += n; o.Length < 0 && passed > mostUnsized {
+			return errEndless
+		}
 		if n > 0 {
 			if err := c.response.Write(buffer[:n]); err != nil {
 				return err
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -3,12 +3,13 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"io"
 )
 
 const (
-	// MaxBytes is the longest event.
+	// MaxBytes is the longest event unless the reader says otherwise.
 	MaxBytes = 1 << 20
 	// leastBytes is the size of a reader's buffer unless an event needs more. Token events are far shorter, and a router
 	// keeps one buffer for each open stream.
@@ -18,7 +19,7 @@
 )
 
 var (
-	// ErrLong says that an event is longer than MaxBytes.
+	// ErrLong says that an event is longer than allowed.
 	ErrLong = errors.New("sse: event too long")
 	// ErrLine says that a line ends with a carriage return alone. Parsers differ in what they make of it, so that the
 	// reader's events might not be those of the stream's receiver.
@@ -30,9 +31,10 @@
 )
 
 type (
-	// Reader returns the whole events of a stream. Source is set before the first use.
+	// Reader returns the whole events of a stream. The fields are set before the first use.
 	Reader struct {
 		Source io.Reader
+		Most   int // Longest event in bytes; MaxBytes if zero.
 
 		buffer []byte // Bytes that were read; those before start were returned.
 		start  int
@@ -49,9 +51,9 @@
 	r.release()
 	for {
 		if event := r.find(); event != nil {
-			return event, check(event)
+			return event, check(event, r.most())
 		}
-		if len(r.buffer)-r.start > MaxBytes {
+		if len(r.buffer)-r.start > r.most() {
 			return nil, ErrLong
 		}
 		if r.err != nil {
@@ -79,8 +81,10 @@
 	return nil
 }
 
-func check(event []byte) error {
-	if len(event) > MaxBytes {
+func (r *Reader) most() int { return cmp.Or(r.Most, MaxBytes) }
+
+func check(event []byte, most int) error {
+	if len(event) > most {
 		return ErrLong
 	}
 	for rest := event; ; {
