--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -65,6 +65,7 @@
 		first     time.Duration // From arrival to the first byte of the answer.
 		result    string
 		reason    Reason
+		after     time.Duration // Until a server takes requests again; zero if that is not known.
 	}
 )
 
@@ -169,6 +170,7 @@
 		server, choice, err := c.Pool.Pick(c.want())
 		if err != nil {
 			c.unplaced()
+			c.after = restOf(err)
 			c.fail(ctx, NoServer)
 			return
 		}
@@ -224,6 +226,7 @@
 	case Refused:
 		c.tried = append(c.tried, server.Name)
 		c.Pool.Report(server, o.Load)
+		c.depart(server, o.Leaving)
 		choice.Done(routing.Refused{Reason: o.Reason, After: o.After})
 		c.line(event.AttemptRefused).Str("server", server.Name).Int("reason", int(o.Reason)).Send()
 		return c.more() && c.Repeats.Again(c.service), Busy
@@ -239,6 +242,8 @@
 		c.ran = true
 		defer func() { _ = o.Body.Close() }()
 		c.Pool.Report(server, o.Load)
+		c.depart(server, o.Leaving)
+		c.Pool.Rest(server, o.Rest)
 		switch {
 		case o.Success && c.route.Stream:
 			return c.stream(ctx, server, choice, o)
@@ -254,6 +259,14 @@
 	return false, Broken
 }
 
+// depart takes a server that says that it is leaving out of use.
+func (c *call) depart(server *Server, leaving bool) {
+	if leaving {
+		c.line(event.ServerLeaving).Str("server", server.Name).Int64("born", server.Born).Send()
+		c.Pool.Leave(server)
+	}
+}
+
 func (c *call) describe(server *Server) Attempt {
 	a := Attempt{Request: c.request, Server: server, Left: time.Until(c.limit()), Rank: c.route.Priority, LastEvent: c.lastEvent}
 	if c.account != nil {
@@ -320,8 +333,17 @@
 	case !c.ran && !reason.NotRun():
 		c.refuse(Overload, retryAfter)
 	default:
-		c.refuse(reason, 0)
+		c.refuse(reason, c.after)
+	}
+}
+
+// restOf returns when a server takes requests again, if that is why none was found.
+func restOf(err error) time.Duration {
+	var resting *routing.RestError
+	if errors.As(err, &resting) {
+		return resting.After
 	}
+	return 0
 }
 
 func (c *call) refuse(reason Reason, after time.Duration) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -120,13 +120,16 @@
 		Length  int64
 		Body    io.ReadCloser
 		Load    *routing.Load // Nil if the answer did not tell.
+		Leaving bool          // Whether the server says that it is about to be taken away.
+		Rest    time.Duration // How long the server wants no requests from this router; zero if it did not say.
 	}
 
 	// Refused says that the server did not run the request and never will.
 	Refused struct {
-		Reason routing.Reason
-		After  time.Duration
-		Load   *routing.Load
+		Reason  routing.Reason
+		After   time.Duration // How long the server wants no requests from this router; zero if it did not say.
+		Load    *routing.Load
+		Leaving bool // Whether the server says that it is about to be taken away.
 	}
 
 	// Unreached says that nothing of the request was sent.
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -7,6 +7,15 @@
 	"citronslip/pkg/inventory"
 )
 
+const (
+	// leastRest is how long a server gets no new work after it refused a request for lack of room.
+	leastRest = 100 * time.Millisecond
+	// mostRest bounds what a server may ask for, so that a faulty one is tried again.
+	mostRest = time.Minute
+	// restSpread is the random part by which a rest is longer, relative to it.
+	restSpread = 0.1
+)
+
 type (
 	// Choice is a picked server for one attempt. Its methods are called in order: Started when the request is sent,
 	// First at the first byte of the answer, Progress now and then while a stream runs, and Done exactly once.
@@ -162,7 +171,25 @@
 		c.fail(1, now)
 	default:
 		s.circuit.abandon(c.probe)
-		s.busy = now.Add(min(max(o.After, 100*time.Millisecond), time.Second))
+		c.picker.rested(s, max(o.After, leastRest), now)
+	}
+}
+
+// Rest notes that the server wants no new work for a time.
+func (p *Picker) Rest(name string, span time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.servers[name]; s != nil {
+		p.rested(s, span, p.now())
+	}
+}
+
+// rested keeps new work from the server for a time. The random part keeps many routers from coming back together.
+func (p *Picker) rested(s *server, span time.Duration, now time.Time) {
+	span = min(span, mostRest)
+	span += time.Duration(p.random() * restSpread * float64(span))
+	if until := now.Add(span); until.After(s.busy) {
+		s.busy = until
 	}
 }
 
