Let one router tell the others who runs, and read only the accounts that a router spends from

Change: one router, the keeper, lists the heartbeats and writes the addresses of the live routers as one packed row, which the others read. The row is written on condition of its version and shows the keeper alive; after three readings without a new version, or in the process after the keeper's, another router takes it over. In fleets in which a router holds grants of few accounts it reads the rows of those that it spends from, two a second at most, and not the changes of all.

--- a/internal/event/prepaid.go
+++ b/internal/event/prepaid.go
@@ -13,5 +13,6 @@
 	PrepaidBorrowed  = register(246, zerolog.InfoLevel, "tokens reserved at another router", "None.")
 	PrepaidUnlent    = register(247, zerolog.InfoLevel, "another router did not answer the question for tokens", "Check the router named if it repeats.")
 	PrepaidUnsettled = register(248, zerolog.WarnLevel, "consumption not reported to the router that reserved it; it counts the whole reservation", "None.")
+	KeeperTaken      = register(250, zerolog.InfoLevel, "this router tells the others which routers run", "None.")
 	MembersRead      = register(249, zerolog.InfoLevel, "number of running routers changed", "None.")
 )
--- a/internal/prepaid/alive.go
+++ b/internal/prepaid/alive.go
@@ -15,12 +15,12 @@
 )
 
 const (
-	// heartbeat is the time between two writes of the row that shows this router alive.
-	heartbeat = 500 * time.Millisecond
+	// beatInterval is the time between two writes of the row that shows this router alive.
+	beatInterval = 500 * time.Millisecond
+	// awaitInterval is the time between two tries to read what the process before this one has left.
+	awaitInterval = 100 * time.Millisecond
 	// returnSpacing is the time for each router in which the grants of dead processes are given back that nobody waits for.
 	returnSpacing = 20 * time.Millisecond
-	// sumPause is the time between two changes of the accounts' rows that are taken.
-	sumPause = time.Second
 )
 
 type (
@@ -76,41 +76,58 @@
 func (l *Ledger) Run(ctx context.Context) error {
 	l.await(ctx)
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { delay.Every(ctx, heartbeat, func() { l.beat(ctx) }); return nil })
+	group.Go(func() error { delay.Every(ctx, beatInterval, func() { l.beat(ctx) }); return nil })
 	group.Go(func() error { return l.followMembers(ctx) })
 	group.Go(func() error { delay.Every(ctx, stepInterval, l.step); return nil })
-	sums := &store.Follower{Store: l.Store, Table: sumTable, Apply: l.takeSums, Pause: sumPause, Logger: l.Logger}
+	sums := &store.Follower{
+		Store: l.Store, Table: sumTable, Apply: l.takeSums, Pause: sumPause, Skip: l.holdsFew, Logger: l.Logger,
+	}
 	group.Go(func() error { return sums.Run(ctx) })
+	group.Go(func() error { delay.Every(ctx, sumPause, func() { l.readSums(ctx) }); return nil })
 	return group.Wait()
 }
 
-// await reads the members until that succeeds. Before that no grant is taken, because the row of the process before
-// this one is the evidence of what it can have spent.
+// await reads the view and the row of the process before this one until that succeeds. Before that no grant is taken,
+// because that row is the evidence of what the process can have spent.
 func (l *Ledger) await(ctx context.Context) {
 	for ctx.Err() == nil {
-		l.readMembers(ctx)
-		l.mu.Lock()
-		if l.members.whole {
-			l.contact.before = l.members.rows[l.Node].PrepaidAlive
-			l.contact.ready = true
-			for _, name := range l.contact.before.Accounts {
-				l.inherit(l.account(name))
-			}
-			for _, a := range l.accounts {
-				if len(a.waiting) > 0 {
-					l.kick(a)
-				}
-			}
-		}
-		ready := l.contact.ready
-		l.mu.Unlock()
-		if ready {
+		if l.readView(ctx) == nil && l.readBefore(ctx) == nil {
 			return
 		}
-		delay.For(ctx, 100*time.Millisecond)
+		delay.For(ctx, awaitInterval)
 	}
 }
 
+// readBefore reads the row of the process before this one, and starts the writers of what it may have left and of what
+// requests wait for.
+func (l *Ledger) readBefore(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTime)
+	defer cancel()
+	sent := l.Now()
+	result, err := l.Store.Row(ctx, aliveKey(l.Node))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	l.contact.answered(sent, l.Now(), result.Clock, l.Started)
+	for _, row := range result.Rows {
+		if err := decode(row, &l.contact.before); err != nil {
+			event.PrepaidRow.Log(l.Logger).Err(err).Send()
+		}
+	}
+	l.contact.ready = true
+	for _, name := range l.contact.before.Accounts {
+		l.inherit(l.account(name))
+	}
+	for _, a := range l.accounts {
+		if len(a.waiting) > 0 {
+			l.kick(a)
+		}
+	}
+	return nil
+}
+
 // inherit notes that the process before this one may have left a grant. Where a few routers hold most of an account, the
 // others give back what they find one after the other, so that many that start at once do not compete for its row.
 func (l *Ledger) inherit(a *account) {
@@ -226,24 +243,6 @@
 	}
 }
 
-// takeSums takes over the accounts' rows that other routers have written.
-func (l *Ledger) takeSums(change store.Change) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, row := range change.Rows {
-		a := l.accounts[row.Part]
-		if a == nil || !a.loaded || row.Deleted || row.Version <= a.sum.version {
-			continue
-		}
-		next := sumState{version: row.Version}
-		if err := decode(row, &next.PrepaidSum); err != nil {
-			event.PrepaidRow.Log(l.Logger).Str("account", row.Part).Err(err).Send()
-			continue
-		}
-		a.sum = next
-	}
-}
-
 // Age returns the time since the last answer of the store.
 func (l *Ledger) Age() time.Duration {
 	l.mu.Lock()
--- a/internal/prepaid/holders.go
+++ b/internal/prepaid/holders.go
@@ -54,7 +54,7 @@
 		return a.ranking
 	}
 	nodes := []string{l.Node}
-	for node := range l.members.rows {
+	for node := range l.members.addresses {
 		if node != l.Node {
 			nodes = append(nodes, node)
 		}
@@ -63,7 +63,7 @@
 	a.ranking = &ranking{generation: l.members.generation, place: slices.Index(nodes, l.Node)}
 	for _, node := range nodes {
 		if node != l.Node {
-			a.ranking.addresses = append(a.ranking.addresses, l.members.rows[node].Address)
+			a.ranking.addresses = append(a.ranking.addresses, l.members.addresses[node])
 		}
 	}
 	return a.ranking
--- a/internal/prepaid/prepaid.go
+++ b/internal/prepaid/prepaid.go
@@ -18,10 +18,13 @@
 	sumTable   = "budget"
 	grantTable = "grant"
 	aliveTable = "alive"
+	viewTable  = "members"
 	sumName    = "sum"
 )
 
 var (
+	viewKey = store.Key{Table: viewTable, Name: "view"}
+
 	errRow = errors.New("prepaid: unreadable row")
 )
 
--- a/internal/prepaid/prepaid_test.go
+++ b/internal/prepaid/prepaid_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -44,6 +45,8 @@
 		alone     atomic.Bool   // Whether no router reaches another one.
 		writes    atomic.Int64  // Writes of grants.
 		lists     atomic.Int64  // Readings of the routers' rows.
+		read      atomic.Int64  // Bytes of the rows that were read.
+		calls     atomic.Int64  // All calls to the store.
 		turn      chan struct{} // Writes of grants that are being done; nil if any number may be.
 	}
 
@@ -100,6 +103,7 @@
 		<-ctx.Done()
 		return store.Result{}, store.ErrUnknown
 	}
+	c.router.fleet.calls.Add(1)
 	if len(w.Expect) > 0 {
 		c.router.fleet.writes.Add(1)
 	}
@@ -120,14 +124,31 @@
 	if table == "alive" {
 		c.router.fleet.lists.Add(1)
 	}
-	return c.Store.List(ctx, table, part)
+	return c.counted(c.Store.List(ctx, table, part))
+}
+
+func (c cutStore) Row(ctx context.Context, key store.Key) (store.Result, error) {
+	if c.router.cut.Load() {
+		return store.Result{}, store.ErrUnavailable
+	}
+	return c.counted(c.Store.Row(ctx, key))
+}
+
+// counted counts a reading and the bytes of its rows as they are sent.
+func (c cutStore) counted(result store.Result, err error) (store.Result, error) {
+	const rowBytes = 100 // Names, version and punctuation.
+	c.router.fleet.calls.Add(1)
+	for _, row := range result.Rows {
+		c.router.fleet.read.Add(int64(rowBytes + base64.StdEncoding.EncodedLen(len(row.Value))))
+	}
+	return result, err
 }
 
 func (c cutStore) Feed(ctx context.Context, table string, after int64, wait time.Duration) (store.Result, error) {
 	if c.router.cut.Load() {
 		return store.Result{}, store.ErrUnavailable
 	}
-	return c.Store.Feed(ctx, table, after, wait)
+	return c.counted(c.Store.Feed(ctx, table, after, wait))
 }
 
 func (p peers) Reserve(ctx context.Context, address, name, account string, tokens int64) (bool, error) {
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -24,6 +24,8 @@
 	// leastBackoff and mostBackoff bound the wait after a failed call.
 	leastBackoff = 50 * time.Millisecond
 	mostBackoff  = 400 * time.Millisecond
+	// skipInterval is the time after which a follower that makes no calls looks whether it is to make some.
+	skipInterval = time.Second
 	// never is the age of what has not happened.
 	never = time.Duration(math.MaxInt64)
 )
@@ -37,6 +39,7 @@
 		Apply  func(Change)
 		Newest bool          // Whether only the newest state counts, so that the table is read anew after an outage.
 		Pause  time.Duration // Time between two changes that are taken; changes in between come together.
+		Skip   func() bool   // Whether no calls are to be made now; optional.
 		Logger *zerolog.Logger
 
 		seen atomic.Pointer[time.Time] // Time of the last answer.
@@ -61,6 +64,10 @@
 	wait := leastBackoff
 	down := false
 	for ctx.Err() == nil {
+		if f.Skip != nil && f.Skip() {
+			delay.For(ctx, skipInterval)
+			continue
+		}
 		next, err := f.step(ctx, version)
 		if errors.Is(err, ErrHistory) {
 			event.StoreHistory.Log(f.Logger).Str("table", f.Table).Int64("version", version).Send()
--- a/internal/store/memory.go
+++ b/internal/store/memory.go
@@ -85,6 +85,20 @@
 	return result, nil
 }
 
+// Row returns one row.
+func (m *Memory) Row(ctx context.Context, key Key) (Result, error) {
+	if err := m.read(ctx); err != nil {
+		return Result{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	result := m.result()
+	if row, ok := m.rows[key]; ok {
+		result.Rows = append(result.Rows, row)
+	}
+	return result, nil
+}
+
 // Feed returns the changes of a table after a version.
 func (m *Memory) Feed(ctx context.Context, table string, after int64, wait time.Duration) (Result, error) {
 	if err := m.read(ctx); err != nil {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -67,6 +67,8 @@
 		Write(ctx context.Context, w Write) (Result, error)
 		// List returns all rows of a part, as of one moment.
 		List(ctx context.Context, table, part string) (Result, error)
+		// Row returns one row, or none if it does not exist.
+		Row(ctx context.Context, key Key) (Result, error)
 		// Feed returns the changed rows of a table after a version. It waits for the first one.
 		Feed(ctx context.Context, table string, after int64, wait time.Duration) (Result, error)
 	}
--- a/internal/store/usage.go
+++ b/internal/store/usage.go
@@ -26,6 +26,8 @@
 	CallWrite Operation = "write"
 	// CallList is a listing of a part.
 	CallList Operation = "list"
+	// CallRow is a reading of one row.
+	CallRow Operation = "row"
 	// CallFeed is a question for changes.
 	CallFeed Operation = "feed"
 )
--- a/internal/wire/prepaid.go
+++ b/internal/wire/prepaid.go
@@ -37,6 +37,15 @@
 
 type PrepaidJson map[string]interface{}
 
+// PrepaidRouter is a running router.
+type PrepaidRouter struct {
+	// Address for other routers.
+	Address string `json:"address"`
+
+	// Name of the router's host.
+	Node string `json:"node"`
+}
+
 // PrepaidSum is the row of an account's prepaid tokens. Closed plus granted never
 // exceeds the total.
 type PrepaidSum struct {
@@ -52,3 +61,13 @@
 	// Configuration version that declared the total.
 	Version int `json:"version"`
 }
+
+// PrepaidView is the row in which one router, the keeper, tells the others which
+// routers run.
+type PrepaidView struct {
+	// Instance of the router that wrote the row.
+	Keeper string `json:"keeper"`
+
+	// Routers whose rows were seen to change.
+	Routers []PrepaidRouter `json:"routers"`
+}
