--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -44,6 +44,8 @@
 	// serverPause is the time between two changes of the backend servers that are taken. It is short against the time for
 	// which a leaving server still takes requests.
 	serverPause = 150 * time.Millisecond
+	// firstSnapshot is how long the first start of the whole system waits for the servers' snapshot, before traffic comes.
+	firstSnapshot = 2 * time.Second
 	// crashPause is the time between two changes of the recorded crashes that are taken.
 	crashPause = 500 * time.Millisecond
 )
@@ -147,7 +149,16 @@
 		Logger:    r.Logger,
 		Directory: r.directory.Load,
 	}
-	r.servers = &store.Follower{Store: r.Store, Table: r.ServerTable, Apply: r.takeServers, Pause: serverPause, Logger: r.Logger}
+	r.servers = &store.Follower{
+		Store:        r.Store,
+		Table:        r.ServerTable,
+		Apply:        r.takeServers,
+		Pause:        serverPause,
+		Snapshot:     &store.Snapshot{Store: r.Store, Table: r.ServerTable},
+		SnapshotWait: firstSnapshot,
+		Expect:       func() bool { return r.Settings.First && !r.ledger.Keeper() },
+		Logger:       r.Logger,
+	}
 	drain := func() time.Duration { return r.current.Load().Drain }
 	r.lag = &dispatch.Lag{
 		Drain:  drain,
@@ -188,6 +199,7 @@
 	list := []func(context.Context) error{
 		directory.Run,
 		r.servers.Run,
+		r.saveServers,
 		crashes.Run,
 		r.ledger.Run,
 		r.peers.Run,
--- a/internal/event/store.go
+++ b/internal/event/store.go
@@ -16,5 +16,6 @@
 	ReadinessTurned = register(759, zerolog.InfoLevel, "readiness changed", "None.")
 	SendsHeld       = register(761, zerolog.WarnLevel, "sends to backend servers held back or resumed, link of the host full", "Look at the traffic of the host if it repeats; callers are sent to other hosts.")
 	StoreUsage      = register(762, zerolog.InfoLevel, "calls to the store since the start", "None. The bytes are those of the bodies.")
+	SnapshotFault   = register(763, zerolog.WarnLevel, "snapshot of a table cannot be read or written, the table itself is read", "Check the store if it repeats.")
 	RelayFailed     = register(760, zerolog.InfoLevel, "another router did not tell what it has of the store", "Check the router named if it repeats.")
 )
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -26,6 +26,8 @@
 	mostBackoff  = 400 * time.Millisecond
 	// skipInterval is the time after which a follower that makes no calls looks whether it is to make some.
 	skipInterval = time.Second
+	// snapshotInterval is the time between two looks for a snapshot that is about to be written.
+	snapshotInterval = 300 * time.Millisecond
 	// never is the age of what has not happened.
 	never = time.Duration(math.MaxInt64)
 )
@@ -40,10 +42,18 @@
 		Newest bool          // Whether only the newest state counts, so that the table is read anew after an outage.
 		Pause  time.Duration // Time between two changes that are taken; changes in between come together.
 		Skip   func() bool   // Whether no calls are to be made now; optional.
-		Logger *zerolog.Logger
+		// Snapshot is read in place of all rows where there is one; optional. The first reading waits up to SnapshotWait for
+		// it while Expect reports that another process is about to write it.
+		Snapshot     *Snapshot
+		SnapshotWait time.Duration
+		Expect       func() bool
+		Logger       *zerolog.Logger
 
-		seen atomic.Pointer[time.Time] // Time of the last answer.
-		lost time.Time                 // Time of the last failure.
+		seen    atomic.Pointer[time.Time] // Time of the last answer.
+		version atomic.Int64              // Up to which the table is known.
+		lost    time.Time                 // Time of the last failure.
+		stale   bool                      // Whether the snapshot was too old when it was last read.
+		begun   time.Time                 // When the first reading began.
 	}
 
 	// Change is what a follower learned.
@@ -72,6 +82,7 @@
 		if errors.Is(err, ErrHistory) {
 			event.StoreHistory.Log(f.Logger).Str("table", f.Table).Int64("version", version).Send()
 			version = -1
+			f.stale = true
 			continue
 		}
 		if err != nil {
@@ -99,21 +110,18 @@
 			delay.For(ctx, f.Pause)
 		}
 		version = next
+		f.version.Store(version)
 	}
 	return nil
 }
 
+// Version returns the version of the store up to which the table is known.
+func (f *Follower) Version() int64 { return f.version.Load() }
+
 // step makes one call and returns the version up to which the table is known.
 func (f *Follower) step(ctx context.Context, version int64) (int64, error) {
 	if version < 0 {
-		ctx, cancel := context.WithTimeout(ctx, listTime)
-		defer cancel()
-		result, err := f.Store.List(ctx, f.Table, f.Part)
-		if err != nil {
-			return version, err
-		}
-		f.take(result, true)
-		return result.Version, nil
+		return f.read(ctx)
 	}
 	ctx, cancel := context.WithTimeout(ctx, feedWait+feedMargin)
 	defer cancel()
@@ -121,11 +129,52 @@
 	if err != nil {
 		return version, err
 	}
-	f.take(result, false)
+	f.take(result, false, "store")
 	return max(result.Version, version), nil
 }
 
-func (f *Follower) take(result Result, whole bool) {
+// read takes all rows, from the snapshot if there is one that the feed can go on from.
+func (f *Follower) read(ctx context.Context) (int64, error) {
+	if version, ok := f.readSnapshot(ctx); ok {
+		return version, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, listTime)
+	defer cancel()
+	result, err := f.Store.List(ctx, f.Table, f.Part)
+	if err != nil {
+		return -1, err
+	}
+	f.stale = false
+	f.take(result, true, "store")
+	return result.Version, nil
+}
+
+func (f *Follower) readSnapshot(ctx context.Context) (int64, bool) {
+	if f.Snapshot == nil || f.stale {
+		return 0, false
+	}
+	if f.begun.IsZero() {
+		f.begun = time.Now()
+	}
+	for {
+		trial, cancel := context.WithTimeout(ctx, listTime)
+		result, err := f.Snapshot.Load(trial)
+		cancel()
+		if err == nil && len(result.Rows) > 0 {
+			f.take(result, true, "snapshot")
+			return result.Version, true
+		}
+		if err != nil {
+			event.SnapshotFault.Log(f.Logger).Str("table", f.Table).Err(err).Send()
+			return 0, false
+		}
+		if f.Expect == nil || !f.Expect() || time.Since(f.begun) > f.SnapshotWait || !delay.For(ctx, snapshotInterval) {
+			return 0, false
+		}
+	}
+}
+
+func (f *Follower) take(result Result, whole bool, source string) {
 	now := time.Now()
 	f.seen.Store(&now)
 	if !whole && len(result.Rows) == 0 {
@@ -135,7 +184,7 @@
 	if !f.lost.IsZero() {
 		outage = now.Sub(f.lost)
 	}
-	f.Apply(Change{Whole: whole, Rows: result.Rows, Version: result.Version, Outage: outage, Source: "store"})
+	f.Apply(Change{Whole: whole, Rows: result.Rows, Version: result.Version, Outage: outage, Source: source})
 }
 
 // Age returns the time since the last answer of the store.
