--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -44,8 +44,6 @@
 	// serverPause is the time between two changes of the backend servers that are taken. It is short against the time for
 	// which a leaving server still takes requests.
 	serverPause = 150 * time.Millisecond
-	// firstSnapshot is how long the first start of the whole system waits for the servers' snapshot, before traffic comes.
-	firstSnapshot = 2 * time.Second
 	// crashPause is the time between two changes of the recorded crashes that are taken.
 	crashPause = 500 * time.Millisecond
 )
@@ -150,14 +148,12 @@
 		Directory: r.directory.Load,
 	}
 	r.servers = &store.Follower{
-		Store:        r.Store,
-		Table:        r.ServerTable,
-		Apply:        r.takeServers,
-		Pause:        serverPause,
-		Snapshot:     &store.Snapshot{Store: r.Store, Table: r.ServerTable},
-		SnapshotWait: firstSnapshot,
-		Expect:       func() bool { return r.Settings.First && !r.ledger.Keeper() },
-		Logger:       r.Logger,
+		Store:    r.Store,
+		Table:    r.ServerTable,
+		Apply:    r.takeServers,
+		Pause:    serverPause,
+		Snapshot: &store.Snapshot{Store: r.Store, Table: r.ServerTable},
+		Logger:   r.Logger,
 	}
 	drain := func() time.Duration { return r.current.Load().Drain }
 	r.lag = &dispatch.Lag{
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -13,7 +13,6 @@
 		Peer       string // Address for other routers.
 		Metrics    string // Address of the metrics; none if empty.
 		Seeds      []string
-		First      bool // Whether the whole system starts for the first time.
 		Store      string
 		Memory     int64         // Bytes that the process may use.
 		Bandwidth  float64       // Bytes a second of the host's link; zero if unknown.
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -26,8 +26,6 @@
 	mostBackoff  = 400 * time.Millisecond
 	// skipInterval is the time after which a follower that makes no calls looks whether it is to make some.
 	skipInterval = time.Second
-	// snapshotInterval is the time between two looks for a snapshot that is about to be written.
-	snapshotInterval = 300 * time.Millisecond
 	// never is the age of what has not happened.
 	never = time.Duration(math.MaxInt64)
 )
@@ -42,18 +40,14 @@
 		Newest bool          // Whether only the newest state counts, so that the table is read anew after an outage.
 		Pause  time.Duration // Time between two changes that are taken; changes in between come together.
 		Skip   func() bool   // Whether no calls are to be made now; optional.
-		// Snapshot is read in place of all rows where there is one; optional. The first reading waits up to SnapshotWait for
-		// it while Expect reports that another process is about to write it.
-		Snapshot     *Snapshot
-		SnapshotWait time.Duration
-		Expect       func() bool
-		Logger       *zerolog.Logger
+		// Snapshot is read in place of all rows where there is one that the feed can go on from; optional.
+		Snapshot *Snapshot
+		Logger   *zerolog.Logger
 
 		seen    atomic.Pointer[time.Time] // Time of the last answer.
 		version atomic.Int64              // Up to which the table is known.
 		lost    time.Time                 // Time of the last failure.
 		stale   bool                      // Whether the snapshot was too old when it was last read.
-		begun   time.Time                 // When the first reading began.
 	}
 
 	// Change is what a follower learned.
@@ -153,25 +147,18 @@
 	if f.Snapshot == nil || f.stale {
 		return 0, false
 	}
-	if f.begun.IsZero() {
-		f.begun = time.Now()
+	ctx, cancel := context.WithTimeout(ctx, listTime)
+	defer cancel()
+	result, err := f.Snapshot.Load(ctx)
+	if err != nil {
+		event.SnapshotFault.Log(f.Logger).Str("table", f.Table).Err(err).Send()
+		return 0, false
 	}
-	for {
-		trial, cancel := context.WithTimeout(ctx, listTime)
-		result, err := f.Snapshot.Load(trial)
-		cancel()
-		if err == nil && len(result.Rows) > 0 {
-			f.take(result, true, "snapshot")
-			return result.Version, true
-		}
-		if err != nil {
-			event.SnapshotFault.Log(f.Logger).Str("table", f.Table).Err(err).Send()
-			return 0, false
-		}
-		if f.Expect == nil || !f.Expect() || time.Since(f.begun) > f.SnapshotWait || !delay.For(ctx, snapshotInterval) {
-			return 0, false
-		}
+	if len(result.Rows) == 0 {
+		return 0, false
 	}
+	f.take(result, true, "snapshot")
+	return result.Version, true
 }
 
 func (f *Follower) take(result Result, whole bool, source string) {
