Do not hold sends back for the link while the store turns calls away

Change: the age that the decision takes is that of the last call that was answered or turned away at once.

--- a/internal/dispatch/lag.go
+++ b/internal/dispatch/lag.go
@@ -24,7 +24,7 @@
 		Drain  func() time.Duration // From the news that a server leaves to the last request that may reach it; zero if unlimited.
 		Full   func() bool          // Whether the link is full.
 		Choked func() bool          // Whether large requests would time out on it.
-		Age    func() time.Duration // Time since the last answer of the store.
+		Age    func() time.Duration // Time since the store last answered or turned a call away at once.
 		Trip   func() time.Duration // How long the last heartbeat to the store took.
 		News   func() time.Duration // Time since the last answer of the store about the servers.
 		Now    func() time.Time
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -160,7 +160,7 @@
 		Drain:  drain,
 		Full:   r.Meter.Full,
 		Choked: r.Meter.Choked,
-		Age:    r.ledger.Age,
+		Age:    r.ledger.Reached,
 		Trip:   r.ledger.Trip,
 		News:   r.servers.Age,
 		Now:    time.Now,
--- a/internal/prepaid/alive.go
+++ b/internal/prepaid/alive.go
@@ -17,6 +17,8 @@
 const (
 	// beatInterval is the time between two writes of the row that shows this router alive.
 	beatInterval = 500 * time.Millisecond
+	// quickTrip is the time within which a call that fails was turned away, and was not lost on the way.
+	quickTrip = 200 * time.Millisecond
 	// awaitInterval is the time between two tries to read what the process before this one has left.
 	awaitInterval = 100 * time.Millisecond
 	// returnSpacing is the time for each router in which the grants of dead processes are given back that nobody waits for.
@@ -29,6 +31,7 @@
 		heard   time.Time     // When the newest answer came.
 		clock   time.Duration // Store's clock in it.
 		trip    time.Duration // How long the last heartbeat took, answered or not.
+		reached time.Time     // When the store last answered a heartbeat or turned it away at once.
 		started time.Duration // Store's clock at the start of this process, at the latest.
 		proof   time.Duration // Store's clock up to which nothing beyond the opened parts was spent.
 		before  wire.PrepaidAlive
@@ -154,6 +157,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.contact.trip = l.Now().Sub(sent)
+	if err == nil || l.contact.trip < quickTrip {
+		l.contact.reached = l.Now()
+	}
 	away := l.contact.age(l.Now()) > awayAge
 	if err != nil {
 		l.note(false)
@@ -250,6 +256,17 @@
 	return l.contact.age(l.Now())
 }
 
+// Reached returns the time since the store last answered a heartbeat or turned it away at once. It stays short while the
+// store refuses all calls, and grows while calls get no answer.
+func (l *Ledger) Reached() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.contact.reached.IsZero() {
+		return AutonomyDelay
+	}
+	return l.Now().Sub(l.contact.reached)
+}
+
 // Trip returns how long the last heartbeat to the store took.
 func (l *Ledger) Trip() time.Duration {
 	l.mu.Lock()
--- a/internal/prepaid/members_test.go
+++ b/internal/prepaid/members_test.go
@@ -123,3 +123,19 @@
 		is.True(!first.Keeper())
 	})
 }
+
+// Guards against a store that turns calls away and is taken for one whose answers are late on the way, so that requests are
+// refused because of the host's link.
+func TestRefusingStoreIsReached(t *testing.T) {
+	inFleet(t, 1, total, func(t *testing.T, is *is.I, f *fleet) {
+		ledger := f.routers[0].ledger.Load()
+		f.refusing.Store(true)
+		time.Sleep(5 * time.Second)
+		is.True(ledger.Age() > 4*time.Second)
+		is.True(ledger.Reached() < time.Second)
+		f.refusing.Store(false)
+		f.away.Store(true)
+		time.Sleep(5 * time.Second)
+		is.True(ledger.Reached() > 4*time.Second)
+	})
+}
--- a/internal/prepaid/prepaid_test.go
+++ b/internal/prepaid/prepaid_test.go
@@ -39,6 +39,7 @@
 		store     *store.Memory
 		away      atomic.Bool // Whether all calls of the store are lost.
 		mute      atomic.Bool // Whether writes are done and not answered.
+		refusing  atomic.Bool // Whether the store turns all calls away.
 		directory atomic.Pointer[inventory.Directory]
 		routers   []*router
 		trip      time.Duration // Of a call to the store or to another router.
@@ -80,6 +81,8 @@
 		switch {
 		case f.away.Load():
 			return store.LoseCall
+		case f.refusing.Load():
+			return store.Refuse
 		case write && f.mute.Load():
 			return store.LoseAnswer
 		}
@@ -573,6 +576,8 @@
 			return store.NoFault
 		case f.away.Load():
 			return store.Refuse
+		case f.refusing.Load():
+			return store.Refuse
 		case write && f.mute.Load():
 			return store.LoseAnswer
 		case number(100) < faults:
