--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -103,9 +103,11 @@
 	serving, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, serving := errgroup.WithContext(serving)
-	for _, run := range r.controllers(scrape) {
-		group.Go(func() error { return run(serving) })
+	for _, c := range r.controllers(scrape) {
+		group.Go(func() error { return r.guarded(serving, c) })
 	}
+	// The grants' locks may be held where a panic ends the ledger; its process starts again from the rows of the store.
+	group.Go(func() error { return r.ledger.Run(serving) })
 	group.Go(func() error {
 		defer cancel()
 		return r.serve(ctx, serving)
@@ -186,34 +188,33 @@
 }
 
 // controllers returns what runs beside the requests.
-func (r *Router) controllers(scrape http.Handler) []func(context.Context) error {
+func (r *Router) controllers(scrape http.Handler) []controller {
 	directory := &store.Follower{
 		Store: r.Store, Table: r.DirectoryKey.Table, Part: r.DirectoryKey.Part, Apply: r.takeDirectory, Newest: true, Logger: r.Logger,
 	}
 	r.relay.age = r.ledger.Age
 	crashes := &store.Follower{Store: r.Store, Table: crash.Table, Apply: r.crashes.Apply, Pause: crashPause, Logger: r.Logger}
-	list := []func(context.Context) error{
-		directory.Run,
-		r.servers.Run,
-		r.saveServers,
-		crashes.Run,
-		r.ledger.Run,
-		r.peers.Run,
-		r.fetch,
-		r.servePeers,
-		r.roster.Run,
-		r.watchSettings,
-		func(ctx context.Context) error {
+	list := []controller{
+		{"directory", directory.Run},
+		{"servers", r.servers.Run},
+		{"snapshot", r.saveServers},
+		{"crashes", crashes.Run},
+		{"peers", r.peers.Run},
+		{"fetch", r.fetch},
+		{"serve peers", r.servePeers},
+		{"roster", r.roster.Run},
+		{"settings", r.watchSettings},
+		{"ready", func(ctx context.Context) error {
 			return serveHTTP(ctx, r.Settings.Ready, &http.Server{Handler: r.Readiness(r.ready)})
-		},
+		}},
 	}
 	if r.Usage != nil {
-		list = append(list, r.Usage.Run)
+		list = append(list, controller{"usage", r.Usage.Run})
 	}
 	if r.Settings.Metrics != "" {
-		list = append(list, func(ctx context.Context) error {
+		list = append(list, controller{"metrics", func(ctx context.Context) error {
 			return serveHTTP(ctx, r.Settings.Metrics, &http.Server{Handler: scrape})
-		})
+		}})
 	}
 	return list
 }
