--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -40,7 +40,9 @@
 	idleConnections = 256
 	dialTimeout     = 2 * time.Second
 	idleTimeout     = 90 * time.Second
-	refusalBytes    = 4 << 10
+	// headBytes bounds the head of an answer.
+	headBytes    = 32 << 10
+	refusalBytes = 4 << 10
 )
 
 var (
@@ -122,6 +124,8 @@
 			MaxIdleConns:        0,
 			MaxIdleConnsPerHost: idleConnections,
 			IdleConnTimeout:     idleTimeout,
+
+			MaxResponseHeaderBytes: headBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
