--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -26,6 +26,8 @@
 	fetchInterval = 300 * time.Millisecond
 	// fetchAge is the age of the store's last answer at which other routers are asked.
 	fetchAge = 1500 * time.Millisecond
+	// mostLent bounds the tokens that another router asks for at once, so that sums stay within 64 bits.
+	mostLent = 1 << 41
 	// fetchPeers is the number of routers asked at a time.
 	fetchPeers = 2
 )
@@ -174,7 +176,7 @@
 }
 
 func (r *Router) lend(ctx context.Context, ask wire.BudgetReserve) (wire.BudgetAnswer, error) {
-	if len(ask.Keys) != 1 || ask.Bound <= 0 {
+	if len(ask.Keys) != 1 || ask.Bound <= 0 || ask.Bound > mostLent {
 		return wire.BudgetAnswer{}, nil
 	}
 	return wire.BudgetAnswer{Done: r.ledger.Lend(ctx, ask.Attempt, ask.Keys[0].Account, int64(ask.Bound))}, nil
