--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -63,7 +63,9 @@
 	}
 	if err := c.copy(whole, first, o); err != nil {
 		choice.Done(c.broken(ctx, routing.Broken{}))
-		c.lost(server, false, err)
+		if errors.Is(err, errEndless) {
+			c.lost(server, false, err)
+		}
 		c.response.Abort()
 		c.end("aborted", Broken)
 		return false, ""
--- a/internal/entry/guard.go
+++ b/internal/entry/guard.go
@@ -32,7 +32,7 @@
 	failures := r.scope.Tagged(map[string]string{"controller": c.name}).Counter("controller_failures")
 	for wait := leastRestart; ; wait = min(2*wait, mostRestart) {
 		begin := time.Now()
-		cause, err := attempt(ctx, c)
+		cause, err := runOnce(ctx, c)
 		if cause == "" {
 			return err
 		}
@@ -47,8 +47,8 @@
 	}
 }
 
-// attempt runs a controller once and returns the cause of a panic, if it ended in one.
-func attempt(ctx context.Context, c controller) (cause string, err error) {
+// runOnce runs a controller once and returns the cause of a panic, if it ended in one.
+func runOnce(ctx context.Context, c controller) (cause string, err error) {
 	defer func() {
 		if value := recover(); value != nil {
 			cause = fmt.Sprintf("%v\n%s", value, debug.Stack())
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -7,15 +7,6 @@
 	"citronslip/pkg/inventory"
 )
 
-const (
-	// leastRest is how long a server gets no new work after it refused a request for lack of room.
-	leastRest = 100 * time.Millisecond
-	// mostRest bounds what a server may ask for, so that a faulty one is tried again.
-	mostRest = time.Minute
-	// restSpread is the random part by which a rest is longer, relative to it.
-	restSpread = 0.1
-)
-
 type (
 	// Choice is a picked server for one attempt. Its methods are called in order: Started when the request is sent,
 	// First at the first byte of the answer, Progress now and then while a stream runs, and Done exactly once.
@@ -175,24 +166,6 @@
 	}
 }
 
-// Rest notes that the server wants no new work for a time.
-func (p *Picker) Rest(name string, span time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if s := p.servers[name]; s != nil {
-		p.rested(s, span, p.now())
-	}
-}
-
-// rested keeps new work from the server for a time. The random part keeps many routers from coming back together.
-func (p *Picker) rested(s *server, span time.Duration, now time.Time) {
-	span = min(span, mostRest)
-	span += time.Duration(p.random() * restSpread * float64(span))
-	if until := now.Add(span); until.After(s.busy) {
-		s.busy = until
-	}
-}
-
 // fail counts a failure, of which the given number in a row opens the circuit.
 func (c *Choice) fail(threshold int, now time.Time) {
 	c.picker.fail(c.server, c.probe, threshold, now)
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -333,21 +333,6 @@
 	}
 }
 
-// rest returns the time until the first server that only rests takes work again, or zero if there is none.
-func (p *Picker) rest(servers []*server, now time.Time) time.Duration {
-	var least time.Duration
-	for _, s := range servers {
-		after := s.busy.Sub(now)
-		if after <= 0 || s.conf.Leaving || s.leaving || s.circuit.state != closed {
-			continue
-		}
-		if least == 0 || after < least {
-			least = after
-		}
-	}
-	return least
-}
-
 // choose records the decision in the server's own work.
 func (p *Picker) choose(found best, r *Request, now time.Time) *Choice {
 	s := found.server
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -3,7 +3,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"time"
 
 	"citronslip/pkg/inventory"
@@ -17,12 +16,6 @@
 )
 
 type (
-	// RestError says that the servers which hold what the request needs want no new work before a time. It wraps
-	// ErrUnavailable.
-	RestError struct {
-		After time.Duration // Until the first of them takes work again.
-	}
-
 	// Server is one backend server as the picker knows it.
 	Server struct {
 		inventory.BackendServer
@@ -89,9 +82,3 @@
 		Out     string        `json:"out,omitempty"` // Why the server is no candidate.
 	}
 )
-
-// Error returns the message with the time.
-func (e *RestError) Error() string { return fmt.Sprintf("%v for %v", ErrUnavailable, e.After) }
-
-// Unwrap returns ErrUnavailable.
-func (e *RestError) Unwrap() error { return ErrUnavailable }
--- a/internal/store/snapshot_test.go
+++ b/internal/store/snapshot_test.go
@@ -98,26 +98,15 @@
 				is.NoErr(m.Force(store.Write{Remove: []store.Key{{Table: "servers", Name: "b"}}}))
 				put("c", "1")
 				prepare(is, m, s)
-				seen := make(map[string]string)
-				f := &store.Follower{Store: m, Table: "servers", Snapshot: s, Logger: &logger, Apply: func(c store.Change) {
-					if c.Whole {
-						clear(seen)
-					}
-					for _, row := range c.Rows {
-						if row.Deleted {
-							delete(seen, row.Name)
-							continue
-						}
-						seen[row.Name] = string(row.Value)
-					}
-				}}
+				seen := make(values)
+				f := &store.Follower{Store: m, Table: "servers", Snapshot: s, Logger: &logger, Apply: seen.apply}
 				ctx, cancel := context.WithCancel(t.Context())
 				done := make(chan error, 1)
 				go func() { done <- f.Run(ctx) }()
 				time.Sleep(time.Second)
 				cancel()
 				is.NoErr(<-done)
-				is.Equal(seen, map[string]string{"a": "2", "c": "1"})
+				is.Equal(seen, values{"a": "2", "c": "1"})
 			})
 		})
 	}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -19,6 +19,24 @@
 	key = store.Key{Table: "t", Name: "a"}
 )
 
+type (
+	// values are the rows' values by name, as a follower told them.
+	values map[string]string
+)
+
+func (v values) apply(c store.Change) {
+	if c.Whole {
+		clear(v)
+	}
+	for _, row := range c.Rows {
+		if row.Deleted {
+			delete(v, row.Name)
+			continue
+		}
+		v[row.Name] = string(row.Value)
+	}
+}
+
 // Guards against a write whose condition does not hold, and against a conflict that does not tell the row.
 func TestConditions(t *testing.T) {
 	is := is.New(t)
@@ -38,19 +56,8 @@
 		var fault atomic.Int32
 		m := &store.Memory{Fault: func(bool) store.Fault { return store.Fault(fault.Load()) }}
 		logger := zerolog.Nop()
-		seen := make(map[string]string)
-		f := &store.Follower{Store: m, Table: "t", Logger: &logger, Apply: func(c store.Change) {
-			if c.Whole {
-				clear(seen)
-			}
-			for _, row := range c.Rows {
-				if row.Deleted {
-					delete(seen, row.Name)
-					continue
-				}
-				seen[row.Name] = string(row.Value)
-			}
-		}}
+		seen := make(values)
+		f := &store.Follower{Store: m, Table: "t", Logger: &logger, Apply: seen.apply}
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
 		go func() { done <- f.Run(ctx) }()
