--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -65,6 +65,7 @@
 	if err != nil {
 		return err
 	}
+	r.listening.Store(true)
 	c := &callers{handler: r.Callers(r.dispatcher, bodies, r.lag)}
 	c.use(firstLimits, listener)
 	go c.accept(ctx, listener)
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -81,6 +81,7 @@
 		relay      relay
 		peers      *peer.Client
 		started    time.Time
+		listening  atomic.Bool // Whether callers' connections are taken.
 		stopping   atomic.Bool
 		wasReady   atomic.Bool
 	}
@@ -259,10 +260,10 @@
 	})
 }
 
-// ready reports whether the router can serve, is not about to stop, and has room on its host's link.
+// ready reports whether the router takes connections and can serve, is not about to stop, and has room on its host's link.
 func (r *Router) ready() bool {
 	full := r.Meter.Filled()
-	ready := r.directory.Load() != nil && r.roster.Filled() && !r.stopping.Load() && !full
+	ready := r.listening.Load() && r.directory.Load() != nil && r.roster.Filled() && !r.stopping.Load() && !full
 	if r.wasReady.Swap(ready) != ready {
 		in, out := r.Meter.Rates()
 		event.ReadinessTurned.Log(r.Logger).Bool("ready", ready).Bool("stopping", r.stopping.Load()).Bool("full", full).
