--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -4,7 +4,7 @@
 
 // Events of the process, 900 to 999.
 var (
-	ControllerFailed = register(906, zerolog.ErrorLevel, "controller ended in a panic and starts again", "Report the cause with its stack; what the controller keeps is old until it runs.")
+	ControllerFailed = register(912, zerolog.ErrorLevel, "controller ended in a panic and starts again", "Report the cause with its stack; what the controller keeps is old until it runs.")
 	RouterStarted    = register(900, zerolog.InfoLevel, "router started", "None.")
 	RouterReady      = register(901, zerolog.InfoLevel, "router ready", "None.")
 	StopRequested    = register(902, zerolog.InfoLevel, "planned stop requested", "None.")
