--- a/internal/prepaid/alive.go
+++ b/internal/prepaid/alive.go
@@ -256,15 +256,16 @@
 	return l.contact.age(l.Now())
 }
 
-// Reached returns the time since the store last answered a heartbeat or turned it away at once. It stays short while the
+// Reached returns the time since the store last answered any call or turned a heartbeat away at once. It stays short while the
 // store refuses all calls, and grows while calls get no answer.
 func (l *Ledger) Reached() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := l.Now()
 	if l.contact.reached.IsZero() {
-		return AutonomyDelay
+		return l.contact.age(now)
 	}
-	return l.Now().Sub(l.contact.reached)
+	return min(l.contact.age(now), now.Sub(l.contact.reached))
 }
 
 // Trip returns how long the last heartbeat to the store took.
--- a/internal/prepaid/members_test.go
+++ b/internal/prepaid/members_test.go
@@ -139,3 +139,14 @@
 		is.True(ledger.Reached() > 4*time.Second)
 	})
 }
+
+// Guards against a store that answers some calls and is taken for one that is out of reach, because heartbeats get no answer.
+func TestAnsweredReadingShowsTheStoreReached(t *testing.T) {
+	inFleet(t, 1, total, func(t *testing.T, is *is.I, f *fleet) {
+		ledger := f.routers[0].ledger.Load()
+		f.mute.Store(true)
+		time.Sleep(5 * time.Second)
+		is.True(ledger.Age() < 3*time.Second)
+		is.True(ledger.Reached() <= ledger.Age())
+	})
+}
