Name the shared parts of a prompt in the log of requests

Cause: no log line told which parts a request has, so that requests that crash servers could not be compared with each other or with answered ones.

Change: events 100 and 122 have the IDs of all parts but the last.

--- a/internal/dispatch/log.go
+++ b/internal/dispatch/log.go
@@ -68,7 +68,7 @@
 // logNoResponse logs an attempt that may have been executed and got no usable response.
 func (c *call) logNoResponse(server *Server, reset bool, err error) {
 	c.logEvent(event.AttemptLost).Str("server", server.Name).Str("address", server.Address).Bool("sent", true).Bool("reset", reset).
-		Int64("events", c.events).Err(err).Send()
+		Int64("events", c.events).Strs("parts", c.request.Prompt.sharedParts()).Err(err).Send()
 }
 
 // logRequest logs the end of the request and records its metrics.
@@ -85,7 +85,7 @@
 		line.Str("account", c.account.Name)
 	}
 	if p := c.request.Prompt; p != nil {
-		line.Int64("input", p.Tokens).Int64("most", p.Most).Int64("events", c.events)
+		line.Int64("input", p.Tokens).Int64("most", p.Most).Int64("events", c.events).Strs("parts", p.sharedParts())
 	}
 	if c.responseStarted {
 		line.Dur("first", c.timeToFirstByte)
--- a/internal/dispatch/prompt.go
+++ b/internal/dispatch/prompt.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "citronslip/pkg/inventory"
+import (
+	"strconv"
+
+	"citronslip/pkg/inventory"
+)
 
 const (
 	// PrefixBlockTokens is the number of prompt tokens for each prefix hash. The field Block of routing.Picker must be
@@ -32,6 +36,19 @@
 // MaxTokens returns the maximum number of tokens that the request can consume.
 func (p *Prompt) MaxTokens() inventory.Tokens { return inventory.Tokens(p.Tokens + p.Most) }
 
+// sharedParts returns the IDs of the parts that other requests may have too: all but the last, which is unique to the
+// request or its session. A nil prompt has none.
+func (p *Prompt) sharedParts() []string {
+	if p == nil || len(p.Parts) == 0 {
+		return nil
+	}
+	ids := make([]string, 0, len(p.Parts)-1)
+	for _, part := range p.Parts[:len(p.Parts)-1] {
+		ids = append(ids, strconv.FormatUint(part.ID, hexadecimal))
+	}
+	return ids
+}
+
 // prefixHashes returns the cumulative hashes of the prompt's blocks. A part is hashed once for each block that it
 // fills, so that two prompts share as many hashes as blocks.
 func (p *Prompt) prefixHashes() []uint64 {
