Show that requests sharing a harmful prompt part crash server after server

The test plays 1 to 60 routers and 4 to 60 servers on simulated time. Servers crash when they begin to answer a request with one of the prompt parts; no two requests are alike, and sound ones share the other parts.

--- /dev/null
+++ b/internal/dispatch/crash_fleet_test.go
@@ -0,0 +1,252 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"citronslip/internal/crash"
+	"citronslip/internal/dispatch"
+	"citronslip/internal/store"
+)
+
+const (
+	// newsDelay is the time after a crash within which all routers that reach the store must know of it.
+	newsDelay = 3 * time.Second
+	// maxLateArrivals is the number of harmful requests that may reach servers later than newsDelay after the fifth crash.
+	maxLateArrivals = 3
+	crashDowntime   = 3 * time.Second
+	harmfulPart     = 0xbad
+)
+
+type (
+	// crashFleet is a number of routers that share a store and backend servers, on simulated time. A server crashes when it
+	// begins to answer a request with harmfulPart.
+	crashFleet struct {
+		memory  *store.Memory
+		routers []*testDispatcher
+		random  *rand.Rand
+
+		mu       sync.Mutex
+		servers  map[string]*crashServer
+		crashes  []time.Time
+		arrivals []time.Time // Of harmful requests at servers.
+		sound    []soundResult
+	}
+
+	// crashServer is the state of a backend server.
+	crashServer struct {
+		dispatch.Server
+		down    chan struct{} // Closed when the process ends.
+		running bool
+	}
+
+	// soundResult is the result of a request without harmfulPart.
+	soundResult struct {
+		at     time.Time
+		served bool
+	}
+)
+
+// newCrashFleet returns a fleet whose routers follow the crashes in the store until the test ends.
+func newCrashFleet(t *testing.T, seed uint64, routerCount, serverCount int) *crashFleet {
+	t.Helper()
+	f := &crashFleet{memory: &store.Memory{}, random: rand.New(rand.NewPCG(seed, 0)), servers: make(map[string]*crashServer)}
+	for i := range serverCount {
+		name := fmt.Sprintf("i-%d", i)
+		f.servers[name] = &crashServer{Server: dispatch.Server{Name: name, Service: "s", Address: name, Born: 1}, down: make(chan struct{}), running: true}
+	}
+	logger := zerolog.Nop()
+	for range routerCount {
+		router := newTestDispatcher(f.send)
+		router.Crashes = f.newTracker(&logger)
+		follower := &store.Follower{
+			Store: f.memory, Table: crash.Table, Apply: router.Crashes.Apply, Pause: 500 * time.Millisecond, Logger: &logger,
+		}
+		go func() { _ = follower.Run(t.Context()) }()
+		f.routers = append(f.routers, router)
+	}
+	f.updatePools()
+	return f
+}
+
+func (f *crashFleet) newTracker(logger *zerolog.Logger) *crash.Tracker {
+	return &crash.Tracker{Store: f.memory, Now: time.Now, Logger: logger}
+}
+
+// updatePools tells all routers of the servers, including those that are down, as the store does.
+func (f *crashFleet) updatePools() {
+	var list []dispatch.Server
+	for _, server := range f.servers {
+		list = append(list, server.Server)
+	}
+	for _, router := range f.routers {
+		router.Pool.Update(slices.Clone(list))
+	}
+}
+
+// send runs an attempt on its server. It is the Backend of all routers.
+func (f *crashFleet) send(ctx context.Context, _ int, a dispatch.Attempt) dispatch.Outcome {
+	harmful := slices.ContainsFunc(a.Request.Prompt.Parts, func(p dispatch.PromptPart) bool { return p.ID == harmfulPart })
+	f.mu.Lock()
+	server := f.servers[a.Server.Name]
+	if !server.running {
+		f.mu.Unlock()
+		return dispatch.NotSent{Err: errReset}
+	}
+	if harmful {
+		f.arrivals = append(f.arrivals, time.Now())
+	}
+	down := server.down
+	work := time.Duration(100+f.random.IntN(400)) * time.Millisecond
+	f.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return dispatch.NoResponse{Err: ctx.Err()}
+	case <-down:
+		return dispatch.NoResponse{Reset: true, Err: errReset}
+	case <-time.After(work):
+	}
+	if harmful {
+		f.crash(server)
+		return dispatch.NoResponse{Reset: true, Err: errReset}
+	}
+	return dispatch.Answered{Success: true, Length: -1, Body: streamUntil(ctx, down)}
+}
+
+// streamUntil returns a stream of 20 events in a second that breaks off when the channel is closed.
+func streamUntil(ctx context.Context, down <-chan struct{}) io.ReadCloser {
+	reader, writer := io.Pipe()
+	go func() {
+		for i := range 20 {
+			if _, err := fmt.Fprintf(writer, "id: %d\ndata: x\n\n", i+1); err != nil {
+				return
+			}
+			select {
+			case <-ctx.Done():
+				_ = writer.CloseWithError(ctx.Err())
+				return
+			case <-down:
+				_ = writer.CloseWithError(errReset)
+				return
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+		_ = writer.Close()
+	}()
+	return reader
+}
+
+// crash ends a server's process. A new one starts after crashDowntime, of which all routers learn.
+func (f *crashFleet) crash(server *crashServer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !server.running {
+		return
+	}
+	server.running = false
+	close(server.down)
+	f.crashes = append(f.crashes, time.Now())
+	time.AfterFunc(crashDowntime, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		server.running = true
+		server.down = make(chan struct{})
+		server.Born++
+		for _, router := range f.routers {
+			router.Crashes.RecordServerDown(context.Background(), server.Name)
+		}
+		f.updatePools()
+	})
+}
+
+// play sends requests through random routers for a time: sound ones of several subjects below the same first part, and
+// harmful ones with a share.
+func (f *crashFleet) play(t *testing.T, duration time.Duration, rate int, share float64) {
+	t.Helper()
+	var group sync.WaitGroup
+	for i := range int(duration.Seconds()) * rate {
+		router := f.routers[f.random.IntN(len(f.routers))]
+		harmful := f.random.Float64() < share
+		subject := uint64(0x100 + f.random.IntN(5))
+		if harmful {
+			subject = harmfulPart
+		}
+		r := request("/stream/x")
+		r.ID, r.Body, r.Patience = fmt.Sprint(i), []byte(fmt.Sprint("content ", i)), 10*time.Second
+		r.Prompt = &dispatch.Prompt{Tokens: 100, Most: 20, Parts: []dispatch.PromptPart{{ID: 0xa, Tokens: 50}, {ID: subject, Tokens: 30}, {ID: uint64(i) + 0x10000, Tokens: 20}}}
+		group.Go(func() {
+			begin := time.Now()
+			var response callerResponse
+			router.Serve(t.Context(), r, &response)
+			if !harmful {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.sound = append(f.sound, soundResult{at: begin, served: response.ended && response.refusal == nil})
+			}
+		})
+		time.Sleep(time.Second / time.Duration(rate))
+	}
+	group.Wait()
+}
+
+// lateArrivals returns how many harmful requests reached servers later than newsDelay after the fifth crash.
+func (f *crashFleet) lateArrivals() int {
+	const free = 5
+	if len(f.crashes) < free {
+		return 0
+	}
+	late := 0
+	for _, at := range f.arrivals {
+		if at.After(f.crashes[free-1].Add(newsDelay)) {
+			late++
+		}
+	}
+	return late
+}
+
+// soundServedAfter returns the number of sound requests that came after a time, and of those that were served.
+func (f *crashFleet) soundServedAfter(after time.Time) (served, total int) {
+	for _, r := range f.sound {
+		if r.at.After(after) {
+			total++
+			if r.served {
+				served++
+			}
+		}
+	}
+	return served, total
+}
+
+// Guards against requests that share one harmful prompt part and crash one server after the other, each of them new, and
+// against sound requests with the same first part that are refused for them.
+func TestPartThatCrashesServersIsFoundAmongSoundOnes(t *testing.T) {
+	for _, c := range []struct {
+		routers, servers int
+		share            float64
+	}{{1, 4, 0.05}, {6, 18, 0.02}, {6, 18, 0.2}, {60, 60, 0.05}} {
+		for seed := range uint64(5) {
+			t.Run(fmt.Sprintf("%d-routers-%v-seed-%d", c.routers, c.share, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newCrashFleet(t, seed, c.routers, c.servers)
+					f.play(t, 30*time.Second, 40, c.share)
+					if late := f.lateArrivals(); late > maxLateArrivals {
+						t.Errorf("%d harmful requests reached servers %v after the fifth crash, %d servers crashed", late, newsDelay, len(f.crashes))
+					}
+					served, total := f.soundServedAfter(f.crashes[min(len(f.crashes), 5)-1].Add(2 * newsDelay))
+					if served*20 < total*19 {
+						t.Errorf("%d of %d sound requests were served after the news of the fifth crash", served, total)
+					}
+				})
+			})
+		}
+	}
+}
