Find the part of requests that crashes servers and block requests with it

Cause: crashes were counted by the fingerprint of the whole request. Requests that share a harmful part have a fingerprint each, so that none was counted three times, while harmless requests were, when they were retried. A crash was recorded when the server was back, 3 s later. The class of fault: evidence is kept by the identity of a request where the cause is something that many requests have in common.

Change: records of crashes name the parts of the requests in flight. Requests that servers have begun to answer prove their parts harmless. Each router finds the content that explains the crashes from the same records and proofs; requests with it are refused or withdrawn, one is tried when the block ends.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -56,7 +56,10 @@
 		route           *inventory.Route
 		account         *inventory.ClientAccount
 		service         string
-		fingerprint     string // Result of Request.fingerprint.
+		content         crash.Request // Identity of the request's content.
+		trial           bool          // Whether the request is sent only to learn whether its content crashes servers.
+		endWatch        func()        // Ends the watch of the current attempt.
+		answerBegun     bool          // Whether the server of the current attempt has begun to answer.
 		reservation     Reservation
 		triedServers    []string         // Names of the servers that received the request.
 		responseStarted bool             // Whether the caller has received a part of the response.
@@ -77,7 +80,7 @@
 	c := &call{Dispatcher: d, request: request, response: response, directory: d.Directory.Load()}
 	defer c.logRequest()
 	if reason := c.resolve(); reason != "" {
-		c.refuse(reason, 0)
+		c.refuse(reason, c.retryAfter)
 		return
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline())
@@ -109,14 +112,29 @@
 	if c.route.Model && c.request.Prompt == nil {
 		return Malformed
 	}
-	c.fingerprint = c.request.fingerprint()
-	if c.Crashes.Blocked(c.fingerprint) {
+	c.content = crash.Request{Fingerprint: c.request.fingerprint(), Parts: c.request.Prompt.sharedParts()}
+	if c.isBlocked() {
 		return CrashesServers
 	}
 	c.service = c.route.ChooseService(rand.Float64())
 	return ""
 }
 
+// isBlocked reports whether the request may not be sent because its content crashes servers.
+func (c *call) isBlocked() bool {
+	if c.trial {
+		return false
+	}
+	switch decision := c.Crashes.Check(c.content).(type) {
+	case crash.Blocked:
+		c.retryAfter = decision.After
+		return true
+	case crash.Trial:
+		c.trial = true
+	}
+	return false
+}
+
 // deadline returns the time at which the router gives the request up.
 func (c *call) deadline() time.Time {
 	timeout := c.route.Timeout
@@ -182,6 +200,11 @@
 			c.fail(ctx, DeadlineExceeded)
 			return
 		}
+		if c.isBlocked() {
+			choice.Done(routing.Cancelled{})
+			c.fail(ctx, CrashesServers)
+			return
+		}
 		retry, reason := c.attempt(ctx, server, choice)
 		if reason == "" {
 			return
@@ -216,6 +239,11 @@
 // ended. Otherwise it tells why the attempt failed, and retry reports whether the request may be sent to another
 // server.
 func (c *call) attempt(ctx context.Context, server *Server, choice *routing.Choice) (retry bool, reason Reason) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c.answerBegun = false
+	c.endWatch = c.Crashes.Watch(c.content, func() { c.withdraw(server, cancel) })
+	defer c.endWatch()
 	choice.Started()
 	c.logSent(server, choice)
 	outcome := c.Backend.Send(ctx, c.newAttempt(server))
@@ -224,7 +252,7 @@
 		choice.Done(c.outcomeOrCancelled(ctx, routing.ConnectionRefused{}))
 		c.logNotSent(server, o.Err)
 		if ctx.Err() == nil {
-			c.Crashes.RecordServerDown(context.WithoutCancel(ctx), server.Name)
+			c.Crashes.RecordServerDown(server.Name)
 		}
 		return ctx.Err() == nil && c.Repeats.Allow(c.service), NoServerAvailable
 	case Refused:
@@ -321,10 +349,26 @@
 // recordSuspect records that the request may have crashed the server.
 func (c *call) recordSuspect(ctx context.Context, server *Server) {
 	if ctx.Err() == nil {
-		c.Crashes.AddSuspect(c.fingerprint, server.Name, server.process().String())
+		process := crash.Process{Server: server.Name, ID: server.process().String(), Address: server.Address}
+		c.Crashes.AddSuspect(c.content, process, c.answerBegun)
 	}
 }
 
+// recordAnswerBegun records that the server of the current attempt has begun to answer.
+func (c *call) recordAnswerBegun() {
+	if !c.answerBegun {
+		c.answerBegun = true
+		c.endWatch()
+		c.Crashes.RecordBegun(c.content)
+	}
+}
+
+// withdraw ends the current attempt because the content of the request crashes servers.
+func (c *call) withdraw(server *Server, cancel context.CancelFunc) {
+	event.RequestWithdrawn.Log(c.Logger).Str("request", c.request.ID).Str("server", server.Name).Strs("parts", c.content.Parts).Send()
+	cancel()
+}
+
 // fail ends a request that got no successful response.
 func (c *call) fail(ctx context.Context, reason Reason) {
 	switch {
--- a/internal/dispatch/crash_fleet_test.go
+++ b/internal/dispatch/crash_fleet_test.go
@@ -16,6 +16,7 @@
 	"citronslip/internal/crash"
 	"citronslip/internal/dispatch"
 	"citronslip/internal/store"
+	"citronslip/pkg/inventory"
 )
 
 const (
@@ -33,13 +34,15 @@
 	crashFleet struct {
 		memory  *store.Memory
 		routers []*testDispatcher
-		random  *rand.Rand
+		random  *rand.Rand // Chooses the requests.
+		begin   time.Time
 
-		mu       sync.Mutex
-		servers  map[string]*crashServer
-		crashes  []time.Time
-		arrivals []time.Time // Of harmful requests at servers.
-		sound    []soundResult
+		mu        sync.Mutex
+		workTimes *rand.Rand
+		servers   map[string]*crashServer
+		crashes   []time.Time
+		arrivals  []time.Time // Of harmful requests at servers.
+		sound     []soundResult
 	}
 
 	// crashServer is the state of a backend server.
@@ -49,6 +52,9 @@
 		running bool
 	}
 
+	// ampleBudgets reserves any number of tokens.
+	ampleBudgets struct{}
+
 	// soundResult is the result of a request without harmfulPart.
 	soundResult struct {
 		at     time.Time
@@ -56,10 +62,19 @@
 	}
 )
 
+func (ampleBudgets) Reserve(context.Context, dispatch.ReservationRequest) (dispatch.Reservation, dispatch.Refusal) {
+	return ampleBudgets{}, dispatch.Refusal{}
+}
+
+func (ampleBudgets) Settle(inventory.Tokens) {}
+
 // newCrashFleet returns a fleet whose routers follow the crashes in the store until the test ends.
 func newCrashFleet(t *testing.T, seed uint64, routerCount, serverCount int) *crashFleet {
 	t.Helper()
-	f := &crashFleet{memory: &store.Memory{}, random: rand.New(rand.NewPCG(seed, 0)), servers: make(map[string]*crashServer)}
+	f := &crashFleet{
+		memory: &store.Memory{}, begin: time.Now(), servers: make(map[string]*crashServer),
+		random: rand.New(rand.NewPCG(seed, 0)), workTimes: rand.New(rand.NewPCG(seed, 1)),
+	}
 	for i := range serverCount {
 		name := fmt.Sprintf("i-%d", i)
 		f.servers[name] = &crashServer{Server: dispatch.Server{Name: name, Service: "s", Address: name, Born: 1}, down: make(chan struct{}), running: true}
@@ -67,11 +82,12 @@
 	logger := zerolog.Nop()
 	for range routerCount {
 		router := newTestDispatcher(f.send)
-		router.Crashes = f.newTracker(&logger)
+		router.Crashes, router.Budgets = f.newTracker(&logger), ampleBudgets{}
 		follower := &store.Follower{
-			Store: f.memory, Table: crash.Table, Apply: router.Crashes.Apply, Pause: 500 * time.Millisecond, Logger: &logger,
+			Store: f.memory, Table: crash.Table, Apply: router.Crashes.Apply, Pause: 200 * time.Millisecond, Logger: &logger,
 		}
 		go func() { _ = follower.Run(t.Context()) }()
+		go func() { _ = router.Crashes.Run(t.Context()) }()
 		f.routers = append(f.routers, router)
 	}
 	f.updatePools()
@@ -79,7 +95,16 @@
 }
 
 func (f *crashFleet) newTracker(logger *zerolog.Logger) *crash.Tracker {
-	return &crash.Tracker{Store: f.memory, Now: time.Now, Logger: logger}
+	return &crash.Tracker{
+		Store: f.memory, Now: time.Now, Clock: func() time.Duration { return time.Since(f.begin) }, Refuses: f.refuses, Logger: logger,
+	}
+}
+
+// refuses reports whether the server at an address is down.
+func (f *crashFleet) refuses(_ context.Context, address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.servers[address].running
 }
 
 // updatePools tells all routers of the servers, including those that are down, as the store does.
@@ -106,7 +131,7 @@
 		f.arrivals = append(f.arrivals, time.Now())
 	}
 	down := server.down
-	work := time.Duration(100+f.random.IntN(400)) * time.Millisecond
+	work := time.Duration(100+f.workTimes.IntN(400)) * time.Millisecond
 	f.mu.Unlock()
 	select {
 	case <-ctx.Done():
@@ -162,7 +187,7 @@
 		server.down = make(chan struct{})
 		server.Born++
 		for _, router := range f.routers {
-			router.Crashes.RecordServerDown(context.Background(), server.Name)
+			router.Crashes.RecordServerDown(server.Name)
 		}
 		f.updatePools()
 	})
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -36,7 +36,7 @@
 	DeadlineTooShort Reason = "deadline cannot be met"
 	// LinkFull means that the network link of the router's host has no bandwidth left.
 	LinkFull Reason = "link of the host full"
-	// CrashesServers means that identical requests have crashed backend servers.
+	// CrashesServers means that requests with the same content, or with a part of it, have crashed backend servers.
 	CrashesServers Reason = "request crashes backend servers"
 	// Malformed means that the request lacks required data or contains invalid data.
 	Malformed Reason = "malformed request"
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -156,6 +156,7 @@
 // newTestDispatcher returns a dispatcher with three servers and a route of each kind.
 func newTestDispatcher(respond func(ctx context.Context, number int, a dispatch.Attempt) dispatch.Outcome) *testDispatcher {
 	logger := zerolog.Nop()
+	begin := time.Now()
 	directory := &inventory.Directory{
 		Version: 1,
 		Routes: []inventory.Route{
@@ -188,7 +189,7 @@
 		Backend:   b,
 		Budgets:   b.budgets,
 		Repeats:   &dispatch.RetryBudget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Routers: func() int { return 1 }, Now: time.Now},
-		Crashes:   &crash.Tracker{Store: &store.Memory{}, Now: time.Now, Logger: &logger},
+		Crashes:   &crash.Tracker{Store: &store.Memory{}, Now: time.Now, Clock: func() time.Duration { return time.Since(begin) }, Logger: &logger},
 		Limits:    &ratelimit.Limiter{Now: time.Now, Logger: &logger, Metrics: tally.NoopScope},
 		Logger:    &logger,
 		Metrics:   tally.NoopScope,
@@ -436,7 +437,7 @@
 	for range 3 {
 		b.sends = nil
 		is.Equal(b.serve("/single/1").refusal.Reason, dispatch.IncompleteResponse)
-		b.Crashes.RecordServerDown(t.Context(), b.sends[0].Server.Name)
+		b.Crashes.RecordServerDown(b.sends[0].Server.Name)
 	}
 	b.sends = nil
 	a := b.serve("/single/1")
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -55,6 +55,7 @@
 		}
 	}
 	choice.FirstByte()
+	c.recordAnswerBegun()
 	c.timeToFirstByte = time.Since(c.request.Arrived)
 	c.responseStarted = true
 	if err := c.response.Begin(o.Head, o.Length); err != nil {
@@ -107,6 +108,7 @@
 
 // finishResponse ends a complete response.
 func (c *call) finishResponse(success bool) {
+	c.Crashes.RecordFinished(c.content)
 	if err := c.response.End(); err != nil {
 		c.setResult("caller left", "")
 		return
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -89,6 +89,7 @@
 
 // forwardEvent forwards one event and reports whether the caller is still connected.
 func (c *call) forwardEvent(choice *routing.Choice, o Answered, data []byte) bool {
+	c.recordAnswerBegun()
 	if !c.responseStarted {
 		c.timeToFirstByte = time.Since(c.request.Arrived)
 		c.responseStarted = true
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -46,8 +46,6 @@
 	// serverUpdateInterval is the time between two updates of the backend servers. It is short compared with the time
 	// for which a leaving server still accepts requests.
 	serverUpdateInterval = 150 * time.Millisecond
-	// crashUpdateInterval is the time between two updates of the recorded crashes.
-	crashUpdateInterval = 500 * time.Millisecond
 )
 
 type (
@@ -79,6 +77,7 @@
 		serverFollower *store.Follower
 		linkMonitor    *dispatch.LinkMonitor
 		crashes        *crash.Tracker
+		crashFollower  *store.Follower
 		ledger         *prepaid.Ledger
 		limiter        *ratelimit.Limiter
 		limitFollower  *store.Follower
@@ -134,11 +133,11 @@
 		Metrics: r.scope.SubScope("routing"),
 		Logger:  r.Logger,
 	}}
-	r.crashes = &crash.Tracker{Store: r.Store, Now: time.Now, Logger: r.Logger}
+	r.buildCrashes()
 	r.serverRegistry = &dispatch.ServerRegistry{
 		Pool:   r.pool,
 		Decode: r.DecodeServer,
-		Down:   func(server string) { r.crashes.RecordServerDown(context.Background(), server) },
+		Down:   r.crashes.RecordServerDown,
 		Logger: r.Logger,
 		Now:    time.Now,
 	}
@@ -201,12 +200,12 @@
 		Store: r.Store, Table: r.DirectoryKey.Table, Part: r.DirectoryKey.Part, Apply: r.applyDirectory, Newest: true, Logger: r.Logger,
 	}
 	r.relayCache.storeAge = r.ledger.StoreAge
-	crashes := &store.Follower{Store: r.Store, Table: crash.Table, Apply: r.crashes.Apply, Pause: crashUpdateInterval, Logger: r.Logger}
 	list := []controller{
 		{"directory", directory.Run},
 		{"servers", r.serverFollower.Run},
 		{"snapshot", r.saveSnapshots},
-		{"crashes", crashes.Run},
+		{"crashes", r.crashFollower.Run},
+		{"crash rows", r.crashes.Run},
 		{"rate limits", r.limitFollower.Run},
 		{"limiter", r.limiter.Run},
 		{"peers", r.peers.Run},
--- a/internal/prepaid/heartbeat.go
+++ b/internal/prepaid/heartbeat.go
@@ -269,6 +269,16 @@
 	return l.storeStatus.age(l.Now())
 }
 
+// StoreClock returns an estimate of the store's clock, or zero before the first answer.
+func (l *Ledger) StoreClock() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.storeStatus.answeredAt.IsZero() {
+		return 0
+	}
+	return l.storeStatus.storeClock + l.Now().Sub(l.storeStatus.answeredAt)
+}
+
 // TimeSinceReached returns the time since the store last answered any call or rejected a heartbeat at once. It stays
 // short while the store refuses all calls, and grows while calls get no answer.
 func (l *Ledger) TimeSinceReached() time.Duration {
