Find messages that crash backend servers in the product's own front

What callers see: chats that share a harmful message, each with another question, crash one engine after the other; streams beside them break off.

The quarantine knows requests by a fingerprint of account, model and all messages, so that each of these chats is a new one, admitted to two servers of its own.

Change: the front asks the tracker of internal/crash before each attempt; the parts are the messages but the last. Rows are in the table service; a crash report of another router makes them be read at once.

The bound is 8: five crashes, and three more requests.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -58,6 +58,7 @@
 		record        *explain.Attempt
 		startedAt     time.Time
 		firstByteAt   time.Time // Time of the first byte; zero if none came or a chat answer is not streamed.
+		answerBegun   bool      // Whether the server has begun to answer.
 	}
 )
 
@@ -69,6 +70,9 @@
 func (c *call) openAttempt(
 	ctx context.Context, request *routing.Request, bound inventory.Tokens, reduce boundReducer,
 ) (*attempt, *failed) {
+	if refused := c.crashRefusal(); refused != nil {
+		return nil, refused
+	}
 	name := fmt.Sprintf("%s-%d", c.requestID, c.attemptCount)
 	reservation, refusal := c.reserveTokens(ctx, name, bound, reduce)
 	if refusal != nil {
@@ -281,6 +285,7 @@
 	if err != nil || len(body) > maxAnswerBytes {
 		return c.handleRequestError(ctx, a, fmt.Errorf("%w: %v", engine.ErrConnectionLost, err))
 	}
+	c.recordAnswerBegun(a)
 	used, ok := parseUsage(body)
 	if !ok {
 		used = c.fetchUsage(ctx, a)
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -12,6 +12,7 @@
 	"citronslip/internal/admission"
 	"citronslip/internal/budget"
 	"citronslip/internal/claim"
+	"citronslip/internal/crash"
 	"citronslip/internal/event"
 	"citronslip/internal/explain"
 	"citronslip/internal/wire"
@@ -37,6 +38,7 @@
 		headerSent         bool             // Whether the response header was sent.
 		sendStreamError    func(*Refusal)   // Ends a stream by an error event once its header was sent; may be nil.
 		fingerprint        string           // Identity of the request's content; empty if the whole body was not read.
+		content            crash.Request    // The same with the messages that other requests may share; empty for plain services.
 		mayHaveRun         bool             // Whether an attempt may have been run by a backend server.
 		earlierRunsUnknown bool             // Whether the claim does not show earlier submissions of the key.
 		queue              *admission.Queue // Admission queue of the service.
--- a/internal/caller/chat_call.go
+++ b/internal/caller/chat_call.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"citronslip/internal/claim"
+	"citronslip/internal/crash"
 	"citronslip/internal/quarantine"
 	"citronslip/internal/routing"
 	"citronslip/pkg/inventory"
@@ -93,6 +94,7 @@
 	result := &chatCall{call: c, chat: chat, outputLimit: limit}
 	result.tokenBound = chat.PromptBound(model.TemplateOverhead) + chat.OutputBound(limit)
 	c.fingerprint = quarantine.Fingerprint(c.account.Name, chat.Model, chat.Messages)
+	c.content = crash.Request{Fingerprint: c.fingerprint, Parts: messageParts(chat.Messages)}
 	result.engineBody = chat.Encode(limit, c.account.Priority)
 	result.routingRequest = routing.Request{
 		Service:    c.ruleDecision.Service,
--- a/internal/caller/frontend.go
+++ b/internal/caller/frontend.go
@@ -16,6 +16,7 @@
 	"citronslip/internal/budget"
 	"citronslip/internal/burn"
 	"citronslip/internal/claim"
+	"citronslip/internal/crash"
 	"citronslip/internal/engine"
 	"citronslip/internal/explain"
 	"citronslip/internal/quarantine"
@@ -50,6 +51,7 @@
 		Resolver *AttemptResolver
 		Remote   *budget.Remote
 		Guard    *quarantine.Guard // Limits the backend servers that one request can crash.
+		Crashes  *crash.Tracker    // Finds messages that crash backend servers in many requests; optional.
 		Starts   ServerProcesses   // Latest known process of each backend server.
 		Engines  *engine.Client    // Reuses connections to backend servers.
 		Once     *engine.Client    // Opens a connection for each request, so that the transport resends none.
--- a/internal/caller/quarantine.go
+++ b/internal/caller/quarantine.go
@@ -163,6 +163,9 @@
 	if admitted.Fingerprint == "" {
 		return
 	}
+	if c.front.Crashes != nil {
+		c.front.Crashes.RecordFinished(c.content)
+	}
 	// The guard retries if this fails.
 	_ = c.front.Guard.RecordFinished(context.WithoutCancel(ctx), admitted)
 }
@@ -180,6 +183,7 @@
 		c.cancelExecution(ctx, a.admittedCopy)
 		return
 	}
+	c.recordCrash(a)
 	c.front.Guard.RecordServerDown(a.admittedCopy.Server)
 	// The guard retries if this fails; peers are notified at once.
 	_ = c.front.Guard.RecordCrashed(ctx, []quarantine.AdmittedCopy{a.admittedCopy})
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -77,6 +77,7 @@
 		c.relay.capture = c.capture
 	}
 	c.relay.onFirstEvent = func() {
+		c.recordAnswerBegun(a)
 		a.firstByteAt = time.Now()
 		a.choice.FirstByte()
 		if c.headerSent {
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -66,9 +66,14 @@
 		After time.Duration // Time until a request with the content may be tried.
 	}
 
+	// Writer writes the rows of Table.
+	Writer interface {
+		Write(ctx context.Context, w store.Write) (store.Result, error)
+	}
+
 	// Tracker holds the crashes that this router knows. Set the exported fields before the first use.
 	Tracker struct {
-		Store  store.Store
+		Store  Writer
 		Now    func() time.Time
 		Clock  func() time.Duration // Returns an estimate of the store's clock.
 		Logger *zerolog.Logger
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -254,6 +254,18 @@
 	return string(body)
 }
 
+// documentBody returns the body of a chat about a document that other requests may share.
+func documentBody(document, question string) string {
+	body, err := json.Marshal(map[string]any{
+		"model": "planner", "max_tokens": 3,
+		"messages": []any{map[string]any{"role": "system", "content": document}, map[string]any{"role": "user", "content": question}},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return string(body)
+}
+
 // eventually waits until a condition holds, and fails the test after maxWait.
 func eventually(t *testing.T, what string, holds func() bool) {
 	t.Helper()
--- a/internal/router/quarantine.go
+++ b/internal/router/quarantine.go
@@ -140,6 +140,7 @@
 		Slot:        quarantine.Slot(report.Slot),
 		Server:      report.Server,
 	})
+	r.wakeCrashPoll()
 	return wire.QuarantineAnswer{Done: true}, nil
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -20,6 +20,7 @@
 	"citronslip/internal/caller"
 	"citronslip/internal/claim"
 	"citronslip/internal/config"
+	"citronslip/internal/crash"
 	"citronslip/internal/delay"
 	"citronslip/internal/engine"
 	"citronslip/internal/event"
@@ -69,6 +70,9 @@
 		budgetHome       *budget.Home            // Reservations of other routers at this one.
 		remoteBudgets    *budget.Remote          // Reservations of this router at others.
 		quarantine       *quarantine.Guard
+		crashTable       *crashTable
+		crashReports     chan struct{}  // Receives an element when another router reports a crash.
+		crashes          *crash.Tracker // Finds messages that crash backend servers in many requests.
 		placements       placements
 		reportedModels   reportedModels
 		notifySlots      chan struct{} // Semaphore of notify: one element for each notification in flight.
@@ -169,6 +173,7 @@
 		r.peerClient.Run,
 		r.remoteBudgets.Run,
 		r.quarantine.Run,
+		r.runCrashes,
 		r.recoverBills,
 		r.placements.Run,
 		r.membership.Run,
@@ -248,6 +253,7 @@
 	r.buildRequestHandling()
 	r.buildPeers()
 	r.buildQuarantine()
+	r.buildCrashes()
 	r.buildCallerServer()
 	return closer, r.buildOperatorServer()
 }
@@ -328,6 +334,7 @@
 		Resolver:    r.resolver,
 		Remote:      r.remoteBudgets,
 		Guard:       r.quarantine,
+		Crashes:     r.crashes,
 		Burn:        r.burn,
 		Ask:         r.queryClaim,
 		Scope:       r.scope.SubScope("caller"),
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -449,6 +449,39 @@
 	is.Equal(got.status, http.StatusOK)
 }
 
+// Guards against requests that share a harmful message and crash one backend server after the other, each of them new,
+// and against sound requests beside them that are refused.
+func TestSharedMessageThatCrashesServersIsBlocked(t *testing.T) {
+	is := is.New(t)
+	f := start(t, harness.NewInventory(testKey, 4, 10_000_000), 3)
+	for _, engine := range f.standins.Engines {
+		engine.Poison = "poison"
+		engine.Down = 300 * time.Millisecond
+	}
+	chat := func(n int, document string) chatAnswer {
+		got, err := f.chat(n, documentBody(document, fmt.Sprintf("question%d", n)))
+		is.NoErr(err)
+		return got
+	}
+	for n := range 60 {
+		chat(n, "poison in a document")
+		chat(n, "healthy document")
+		time.Sleep(50 * time.Millisecond)
+	}
+	crashes := 0
+	for _, engine := range f.standins.Engines {
+		_, _, count := engine.Counts()
+		crashes += count
+	}
+	t.Logf("%d crashes", crashes)
+	is.True(crashes >= 3)
+	is.True(crashes <= 5+3) // Three more may reach servers after the fifth crash.
+	is.Equal(chat(100, "poison in a document").refusal().Error.Code, "quarantine")
+	for n := range 9 {
+		is.Equal(chat(200+n, "healthy document").status, http.StatusOK)
+	}
+}
+
 // Guards against a declared model version that the engines do not load, and against requests that are refused during
 // the change.
 func TestDeclaredVersionRunsWithoutRefusals(t *testing.T) {
