Exchange crashes between routers that cannot reach the store

Change: the rows that routers fetch from each other in an outage have the latest crashes and proofs, also those that are not written yet.

--- a/internal/crash/rows.go
+++ b/internal/crash/rows.go
@@ -1,9 +1,11 @@
 package crash
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -37,6 +39,11 @@
 	// expiryInterval is the time between two removals of expired rows.
 	expiryInterval = time.Minute
 
+	// recentTime is the age of a crash up to which other routers are told of it while they cannot reach the store,
+	// maxRecentRows the maximum number of crashes and of proofs that they are told of.
+	recentTime    = 20 * time.Second
+	maxRecentRows = 60
+
 	// separator separates the fingerprint from the server process in the name of a record's row.
 	separator = "@"
 	// proofPrefix begins the name of a proof's row.
@@ -70,27 +77,62 @@
 func (t *Tracker) Apply(change store.Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	changed := false
 	for _, row := range change.Rows {
 		var value storedRow
 		if row.Deleted || json.Unmarshal(row.Value, &value) != nil {
 			continue // Ignores removed rows and rows that cannot be decoded.
 		}
-		t.applyRow(row.Name, value)
+		if t.applyRow(row.Name, value) {
+			changed = true
+		}
 	}
-	t.update()
+	if changed {
+		t.update()
+	}
+}
+
+// RecentRows returns the rows of the latest crashes and of the proofs that matter to them, at most maxRecentRows of each,
+// whether they are in the store or not. Routers exchange them while they cannot reach the store.
+func (t *Tracker) RecentRows() []store.Row {
+	if !t.tracking.Load() {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	clock := t.Clock()
+	recent := make([]record, 0, len(t.evidence.records))
+	for _, r := range t.evidence.records {
+		if clock-r.clock < recentTime {
+			recent = append(recent, r)
+		}
+	}
+	slices.SortFunc(recent, func(a, b record) int { return cmp.Compare(b.clock, a.clock) })
+	var rows []store.Row
+	for _, r := range recent[:min(len(recent), maxRecentRows)] {
+		rows = append(rows, newRow(r.put()))
+	}
+	for f, s := range t.suspected {
+		provenAt, proven := t.evidence.proofs[f]
+		if proven && s.processes >= publishThreshold && len(rows) < 2*maxRecentRows {
+			rows = append(rows, newRow(newPut(proofPrefix+string(f), storedRow{Clock: provenAt.Milliseconds()})))
+		}
+	}
+	return rows
 }
 
-// applyRow adds one row. The caller holds the lock.
-func (t *Tracker) applyRow(name string, value storedRow) {
+// newRow returns the row that a put writes.
+func newRow(put store.Put) store.Row { return store.Row{Key: put.Key, Value: put.Value} }
+
+// applyRow adds one row and reports whether it is news. The caller holds the lock.
+func (t *Tracker) applyRow(name string, value storedRow) bool {
 	clock := time.Duration(value.Clock) * time.Millisecond
 	if text, ok := strings.CutPrefix(name, proofPrefix); ok {
-		t.evidence.prove(feature(text), clock)
 		t.markPublished(feature(text), clock)
-		return
-	}
-	if fingerprint, process, ok := strings.Cut(name, separator); ok {
-		t.evidence.add(record{process: process, fingerprint: fingerprint, parts: value.Parts, begun: value.Begun, clock: clock})
+		return t.evidence.prove(feature(text), clock)
 	}
+	fingerprint, process, ok := strings.Cut(name, separator)
+	return ok && t.evidence.add(record{process: process, fingerprint: fingerprint, parts: value.Parts, begun: value.Begun, clock: clock})
 }
 
 // markPublished records that the store has a proof. The caller holds the lock.
--- a/internal/dispatch/crash_fleet_test.go
+++ b/internal/dispatch/crash_fleet_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"citronslip/internal/crash"
+	"citronslip/internal/delay"
 	"citronslip/internal/dispatch"
 	"citronslip/internal/store"
 	"citronslip/pkg/inventory"
@@ -69,10 +70,10 @@
 func (ampleBudgets) Settle(inventory.Tokens) {}
 
 // newCrashFleet returns a fleet whose routers follow the crashes in the store until the test ends.
-func newCrashFleet(t *testing.T, seed uint64, routerCount, serverCount int) *crashFleet {
+func newCrashFleet(t *testing.T, memory *store.Memory, seed uint64, routerCount, serverCount int) *crashFleet {
 	t.Helper()
 	f := &crashFleet{
-		memory: &store.Memory{}, begin: time.Now(), servers: make(map[string]*crashServer),
+		memory: memory, begin: time.Now(), servers: make(map[string]*crashServer),
 		random: rand.New(rand.NewPCG(seed, 0)), workTimes: rand.New(rand.NewPCG(seed, 1)),
 	}
 	for i := range serverCount {
@@ -251,6 +252,35 @@
 	return served, total
 }
 
+// exchange makes each router ask two others for their rows at intervals, as routers do that cannot reach the store.
+func (f *crashFleet) exchange(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for delay.Sleep(t.Context(), 300*time.Millisecond) {
+		for _, router := range f.routers {
+			for range 2 {
+				rows := f.routers[random.IntN(len(f.routers))].Crashes.RecentRows()
+				router.Crashes.Apply(store.Change{Rows: rows})
+			}
+		}
+	}
+}
+
+// Guards against a harmful part that each router has to find by itself while the store is away.
+func TestHarmfulPartIsFoundWhileTheStoreIsAway(t *testing.T) {
+	for seed := range uint64(2) {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newCrashFleet(t, &store.Memory{Fault: func(bool) store.Fault { return store.RefuseCall }}, seed, 12, 40)
+				go f.exchange(t)
+				f.play(t, 15*time.Second, 40, 0.05)
+				if late := f.lateArrivals(); late > maxLateArrivals {
+					t.Errorf("%d harmful requests reached servers %v after the fifth crash, %d servers crashed", late, newsDelay, len(f.crashes))
+				}
+			})
+		})
+	}
+}
+
 // Guards against requests that share one harmful prompt part and crash one server after the other, each of them new, and
 // against sound requests with the same first part that are refused for them.
 func TestPartThatCrashesServersIsFoundAmongSoundOnes(t *testing.T) {
@@ -261,7 +291,7 @@
 		for seed := range uint64(5) {
 			t.Run(fmt.Sprintf("%d-routers-%v-seed-%d", c.routers, c.share, seed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					f := newCrashFleet(t, seed, c.routers, c.servers)
+					f := newCrashFleet(t, &store.Memory{}, seed, c.routers, c.servers)
 					f.play(t, 30*time.Second, 40, c.share)
 					if late := f.lateArrivals(); late > maxLateArrivals {
 						t.Errorf("%d harmful requests reached servers %v after the fifth crash, %d servers crashed", late, newsDelay, len(f.crashes))
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -132,6 +132,7 @@
 	if answer.Directory != nil {
 		r.applyRelayedDirectory(*answer.Directory, address)
 	}
+	r.applyRelayedCrashes(answer.Crashes, address)
 	if answer.Version <= query.Servers || len(answer.Servers) == 0 {
 		return
 	}
@@ -148,6 +149,31 @@
 	r.applyServers(change)
 }
 
+// answerRelay returns the rows that another router asks for.
+func (r *Router) answerRelay(ctx context.Context, query wire.RelayQuery) (wire.RelayAnswer, error) {
+	answer, err := r.relayCache.answer(ctx, query)
+	for _, row := range r.crashes.RecentRows() {
+		answer.Crashes = append(answer.Crashes, *encodeRow(row))
+	}
+	return answer, err
+}
+
+// applyRelayedCrashes adds crashes that another router knows.
+func (r *Router) applyRelayedCrashes(rows []wire.RelayRow, address string) {
+	change := store.Change{Source: address}
+	for _, w := range rows {
+		row, err := decodeRow(w)
+		if err != nil {
+			event.RelayFailed.Log(r.Logger).Str("peer", address).Err(err).Send()
+			return
+		}
+		change.Rows = append(change.Rows, row)
+	}
+	if len(change.Rows) > 0 {
+		r.crashes.Apply(change)
+	}
+}
+
 func (r *Router) applyRelayedDirectory(w wire.RelayRow, address string) {
 	row, err := decodeRow(w)
 	if err != nil {
@@ -173,7 +199,7 @@
 		Listener: listener,
 		Plain:    true, // The platform lets only routers connect to this address.
 		Methods: &peer.Methods{
-			Relay: r.relayCache.answer, Reserve: r.reserveForPeer, Settle: r.settleForPeer, Take: r.limiter.Take, Limit: r.limiter.Report,
+			Relay: r.answerRelay, Reserve: r.reserveForPeer, Settle: r.settleForPeer, Take: r.limiter.Take, Limit: r.limiter.Report,
 		},
 		Timeout: peerTimeout,
 		Logger:  r.Logger,
--- a/internal/wire/relay.go
+++ b/internal/wire/relay.go
@@ -8,6 +8,10 @@
 	// Milliseconds since the router last received a response from the store.
 	Age int `json:"age"`
 
+	// Latest rows of the crash table, including those that the router has not written
+	// yet.
+	Crashes []RelayRow `json:"crashes,omitempty,omitzero"`
+
 	// Configuration row, if it is newer than the sender's.
 	Directory *RelayRow `json:"directory,omitempty,omitzero"`
 
