Log when the store comes back from an older copy

Cause: no log line told a restored store from a dropped history, and none that a router has spent more than the store knows.

Nothing is decided by it yet.

--- a/internal/event/store.go
+++ b/internal/event/store.go
@@ -17,5 +17,6 @@
 	SendsDelayed          = register(761, zerolog.WarnLevel, "requests to backend servers held back or resumed because of a congested host link", "Check the traffic of the host if it repeats. Callers are sent to other hosts.")
 	StoreUsage            = register(762, zerolog.InfoLevel, "calls to the store since the start", "None. The byte counts are those of the bodies.")
 	SnapshotFailed        = register(763, zerolog.WarnLevel, "snapshot of a table cannot be read or written, the table itself is read", "Check the store if it repeats.")
+	StoreRestored         = register(764, zerolog.WarnLevel, "store came back from an older copy, writes that it had confirmed are gone", "Find out why the store was restored. See docs/RESTORE.md.")
 	RelayFailed           = register(760, zerolog.InfoLevel, "another router could not relay its rows of the store", "Check the named router if it repeats.")
 )
--- a/internal/prepaid/write.go
+++ b/internal/prepaid/write.go
@@ -176,6 +176,9 @@
 			Int("opened", previous.Opened).Dur("silence", l.storeStatus.maxSilence(previous)).
 			Int("charged", l.chargedTokens(previous)).Send()
 	}
+	if a.used() > int64(a.grant.Amount) {
+		event.PrepaidSpentUnknown.Log(l.Logger).Str("account", a.name).Int64("used", a.used()).Int("amount", a.grant.Amount).Send()
+	}
 	event.PrepaidGrantWritten.Log(l.Logger).Str("account", a.name).Int("amount", a.grant.Amount).Int("opened", a.grant.Opened).
 		Int64("used", a.used()).Int64("free", a.budget.available()).Int64("version", version).Send()
 	l.admitWaiters(a)
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -47,6 +47,7 @@
 		Logger   *zerolog.Logger
 
 		lastAnswer    atomic.Pointer[time.Time] // Time of the last answer of the store.
+		era           int64                     // Era of the last answer.
 		version       atomic.Int64              // Version of the store up to which the table is known.
 		lastFailure   time.Time                 // Time of the last failed call; zero if none failed.
 		snapshotStale bool                      // Whether to ignore the snapshot because later changes may be gone.
@@ -166,10 +167,19 @@
 	return result.Version, true
 }
 
+// recordEra logs a new era of the store.
+func (f *Follower) recordEra(era, version int64) {
+	if f.era != 0 && era > f.era {
+		event.StoreRestored.Log(f.Logger).Str("table", f.Table).Int64("before", f.era).Int64("era", era).Int64("version", version).Send()
+	}
+	f.era = max(f.era, era)
+}
+
 // applyResult records the answer and passes its rows to Apply, if there are any or if they are all rows of the table.
 func (f *Follower) applyResult(result Result, whole bool, source string) {
 	now := time.Now()
 	f.lastAnswer.Store(&now)
+	f.recordEra(result.Era, result.Version)
 	if !whole && len(result.Rows) == 0 {
 		return
 	}
--- a/internal/store/memory.go
+++ b/internal/store/memory.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -40,8 +41,15 @@
 		history      []Row // Changes, oldest first.
 		historyStart int64 // Version up to which changes were dropped from the history.
 		version      int64
+		restores     int64         // How often Restore was called.
 		changed      chan struct{} // Closed at the next change; nil if no feed waits.
 	}
+
+	// Copy is a copy of a Memory at one time.
+	Copy struct {
+		rows    map[Key]Row
+		version int64
+	}
 )
 
 // Write applies a write, subject to faults.
@@ -111,7 +119,7 @@
 	for {
 		m.mu.Lock()
 		result := m.currentResult()
-		if after < m.historyStart {
+		if after < m.historyStart || after > m.version {
 			m.mu.Unlock()
 			return Result{}, ErrHistory
 		}
@@ -138,6 +146,23 @@
 	}
 }
 
+// Copy returns a copy of all rows.
+func (m *Memory) Copy() Copy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Copy{rows: maps.Clone(m.rows), version: m.version}
+}
+
+// Restore goes back to a copy. What was written since is gone, its versions are used again, and a new era begins.
+func (m *Memory) Restore(c Copy) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rows, m.version = maps.Clone(c.rows), c.version
+	m.history, m.historyStart = nil, c.version
+	m.restores++
+	m.notify()
+}
+
 // DropHistory drops the history of changes, so that feeds from earlier versions fail with ErrHistory.
 func (m *Memory) DropHistory() {
 	m.mu.Lock()
@@ -197,11 +222,16 @@
 			m.history = append(m.history, Row{Key: key, Version: m.version, Deleted: true})
 		}
 	}
+	m.notify()
+	return m.currentResult(), nil
+}
+
+// notify wakes the feeds that wait. The caller must hold the lock.
+func (m *Memory) notify() {
 	if m.changed != nil {
 		close(m.changed)
 		m.changed = nil
 	}
-	return m.currentResult(), nil
 }
 
 // currentResult returns the version and the clock. The caller must hold the lock.
@@ -209,5 +239,5 @@
 	if m.start.IsZero() {
 		m.start = time.Now()
 	}
-	return Result{Version: m.version, Clock: time.Since(m.start)}
+	return Result{Version: m.version, Clock: time.Since(m.start), Era: m.restores + 1}
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -60,6 +60,9 @@
 		Rows    []Row
 		Version int64         // Newest version of the store.
 		Clock   time.Duration // Monotonic clock of the store.
+		// Era rises each time that the store comes back from an older copy, without the writes since then. Versions of
+		// different eras cannot be compared, as the store uses them again. Zero if the store does not tell it.
+		Era int64
 	}
 
 	// Store is the row store. All errors wrap one of the errors of this package.
