Show that a restored store lets a budget be exceeded

The tests play fleets on simulated time whose store goes back to a copy some seconds old: once with 1 to 60 routers, and at random with kills and with routers that do not reach the store.

--- /dev/null
+++ b/internal/prepaid/restore_test.go
@@ -0,0 +1,121 @@
+package prepaid_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"citronslip/internal/dispatch"
+	"citronslip/internal/store"
+	"citronslip/pkg/inventory"
+)
+
+const (
+	// restoreDowntime is how long the store is away before it comes back from a copy.
+	restoreDowntime = 2 * time.Second
+)
+
+type (
+	// restoreFaults are the faults beside the restored store, as probabilities in percent of each step of 100 ms.
+	restoreFaults struct {
+		restores int
+		kills    int
+		cuts     int
+	}
+)
+
+// spendRandomly sends requests of random sizes to random routers for a time, one in each step of 100 ms, and returns the
+// tokens that they spent.
+func (f *fleet) spendRandomly(t *testing.T, random *rand.Rand, budget inventory.Tokens, duration time.Duration) (spent inventory.Tokens) {
+	t.Helper()
+	for range int(duration / (100 * time.Millisecond)) {
+		tokens := inventory.Tokens(1 + random.IntN(2*request))
+		l := f.routers[random.IntN(len(f.routers))].ledger.Load()
+		if reservation, _ := l.Reserve(t.Context(), dispatch.ReservationRequest{Account: account, Total: budget, Tokens: tokens}); reservation != nil {
+			reservation.Settle(tokens)
+			spent += tokens
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return spent
+}
+
+// restore makes the store come back from a copy after restoreDowntime.
+func (f *fleet) restore(c store.Copy) {
+	f.refusesCalls.Store(true)
+	time.Sleep(restoreDowntime)
+	f.store.Restore(c)
+	f.refusesCalls.Store(false)
+}
+
+// Guards against a budget that is exceeded, or whose rest is lost, after the store came back without its latest grants.
+func TestBudgetHoldsAfterStoreIsRestored(t *testing.T) {
+	for _, routers := range []int{1, 6, 12, 60} {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprintf("%d-routers-seed-%d", routers, seed), func(t *testing.T) {
+				withFleet(t, routers, total, func(t *testing.T, is *is.I, f *fleet) {
+					random := rand.New(rand.NewPCG(seed, uint64(routers)))
+					spent := f.spendRandomly(t, random, total, time.Duration(1+seed)*time.Second)
+					saved := f.store.Copy()
+					spent += f.spendRandomly(t, random, total, 9*time.Second)
+					f.restore(saved)
+					for range 8 {
+						spent += f.spendRandomly(t, random, total, 5*time.Second)
+					}
+					t.Logf("%d of %d spent", spent, total)
+					is.True(spent <= total)
+					is.True(spent*100 >= total*95)
+				})
+			})
+		}
+	}
+}
+
+// Guards against a budget that is exceeded when the store comes back from older copies, once or more often, while routers
+// are killed and cut off from it.
+func TestNeverOverspentWhileStoreIsRestored(t *testing.T) {
+	for _, faults := range []restoreFaults{{restores: 2}, {restores: 2, kills: 2}, {restores: 2, kills: 2, cuts: 4}} {
+		for seed := range uint64(40) {
+			t.Run(fmt.Sprintf("%+v-seed-%d", faults, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { f := newFleet(6, total); f.playRestores(t, seed, faults) })
+			})
+		}
+	}
+}
+
+// playRestores plays random faults on a new fleet and checks that the budget is not exceeded.
+func (f *fleet) playRestores(t *testing.T, seed uint64, faults restoreFaults) {
+	t.Helper()
+	f.start(t.Context())
+	defer f.stop()
+	random := rand.New(rand.NewPCG(seed, 2))
+	var copies []store.Copy // One for each second.
+	spent := inventory.Tokens(0)
+	for step := range 400 {
+		if step%10 == 0 {
+			copies = append(copies, f.store.Copy())
+		}
+		if random.IntN(100) < faults.restores {
+			age := min(1+random.IntN(10), len(copies)) // In seconds.
+			f.restore(copies[len(copies)-age])
+		}
+		if random.IntN(100) < faults.kills {
+			r := f.routers[random.IntN(len(f.routers))]
+			r.kill()
+			time.Sleep(time.Duration(random.IntN(3000)) * time.Millisecond)
+			r.start(t.Context())
+		}
+		if random.IntN(100) < faults.cuts {
+			f.routers[random.IntN(len(f.routers))].storeUnreachable.Store(random.IntN(2) == 0)
+		}
+		spent += f.spendRandomly(t, random, total, 100*time.Millisecond)
+		if spent > total {
+			t.Fatalf("%d spent of %d in step %d", spent, total, step)
+		}
+	}
+	t.Logf("%d of %d spent", spent, total)
+}
