Keep budgets when the store comes back from an older copy

What the users saw: after the store was away for 2 s and came back as it had been 9 s before, accounts consumed more than their prepaid budgets.

Cause: the store forgets grants that routers hold and spend. A router took its older row as its grant, with what it had spent only in memory, and the budget row showed the tokens of all forgotten grants as free. The class of fault: state is taken from a row because it is stored, although a later one had been acknowledged.

Change: rows carry the era of the store and a sequence number. In a new era the routers reconcile each budget row with the newest content that any of them knows, write their own grants again, and grant no tokens for 2 s. Grant rows of dead processes from before return nothing. Unanswered writes are resolved after that. The new part of a grant is not spent autonomously before others can know of it. Followers read a table in full in a new era.

--- a/internal/prepaid/budget_rows.go
+++ b/internal/prepaid/budget_rows.go
@@ -44,7 +44,7 @@
 			if err != nil {
 				return err
 			}
-			l.applyBudgetRows(store.Change{Rows: result.Rows, Version: result.Version})
+			l.applyBudgetRows(store.Change{Rows: result.Rows, Version: result.Version, Era: result.Era})
 			l.mu.Lock()
 			defer l.mu.Unlock()
 			if a := l.accountByName(name); sent.After(a.budgetReadAt) {
@@ -85,9 +85,10 @@
 func (l *Ledger) applyBudgetRows(change store.Change) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.enterEra(change.Era)
 	for _, row := range change.Rows {
 		a := l.accounts[row.Part]
-		if a == nil || !a.loaded || row.Deleted || row.Version <= a.budget.version {
+		if a == nil || !a.loaded || a.era != change.Era || row.Deleted || row.Version <= a.budget.version {
 			continue
 		}
 		next := budgetState{version: row.Version}
--- a/internal/prepaid/heartbeat.go
+++ b/internal/prepaid/heartbeat.go
@@ -38,6 +38,8 @@
 		provenClock      time.Duration     // Store clock until which spending stayed within the opened parts of grants.
 		predecessor      wire.PrepaidAlive // Heartbeat row of the previous process of this router.
 		predecessorRead  bool              // Whether that row was read.
+		era              int64             // Era of the latest answer.
+		restoredAt       time.Time         // When this process noticed that the store had come back from an older copy; zero if it has not.
 	}
 )
 
@@ -118,7 +120,7 @@
 	if err != nil {
 		return err
 	}
-	l.storeStatus.recordAnswer(sent, l.Now(), result.Clock, l.Started)
+	l.recordAnswer(sent, result)
 	for _, row := range result.Rows {
 		if err := decode(row, &l.storeStatus.predecessor); err != nil {
 			event.PrepaidRowInvalid.Log(l.Logger).Err(err).Send()
@@ -172,7 +174,7 @@
 		l.logAutonomyChange(false)
 		return
 	}
-	l.storeStatus.recordAnswer(sent, l.Now(), result.Clock, l.Started)
+	l.recordAnswer(sent, result)
 	l.logAutonomyChange(true)
 	if wasUnreachable {
 		l.backoff.reset()
@@ -324,7 +326,14 @@
 			l.mu.Unlock()
 			return nil
 		}
-		next := plannedRows{budget: a.budget}
+		if a.era != l.storeStatus.era {
+			if err := l.reconcileNow(ctx, a); err != nil {
+				return err
+			}
+			continue
+		}
+		next := plannedRows{budget: a.budget, era: a.era, capBefore: a.spendCap, unansweredBefore: a.unanswered}
+		l.countWrite(&next.budget)
 		next.budget.Granted -= a.grant.Amount
 		next.budget.Closed += int(min(a.used(), int64(a.grant.Amount)))
 		grantRow, budgetRow := grantKey(a.name, l.Node), budgetKey(a.name)
@@ -333,7 +342,7 @@
 			Puts:   []store.Put{{Key: budgetRow, Value: encode(next.budget.PrepaidSum)}},
 			Remove: []store.Key{grantRow},
 		}
-		a.lowerSpendCap(a.used())
+		l.lowerSpendCap(a, a.used())
 		l.mu.Unlock()
 		err := l.commit(a, w, next)
 		if err == nil {
--- a/internal/prepaid/members.go
+++ b/internal/prepaid/members.go
@@ -47,6 +47,7 @@
 		leader    string                       // Instance of the leader.
 		version   int64                        // Row version; 0 if there is no row.
 		changedAt time.Time                    // When a new version was last read or written.
+		restored  bool                         // Whether the store came back from an older copy since the row was read.
 		observed  map[string]observedHeartbeat // Heartbeat rows by host; only the leader has them.
 	}
 
@@ -114,7 +115,11 @@
 		return err
 	}
 	now := l.Now()
-	l.storeStatus.recordAnswer(sent, now, result.Clock, l.Started)
+	l.recordAnswer(sent, result)
+	if l.membership.view.restored {
+		l.keepView(result, now)
+		return nil
+	}
 	if len(result.Rows) == 0 || result.Rows[0].Version == l.membership.view.version {
 		return nil
 	}
@@ -124,11 +129,24 @@
 		event.PrepaidRowInvalid.Log(l.Logger).Str("table", membershipTable).Err(err).Send()
 	} else {
 		l.applyView(stored)
+		if stored.Era != 0 && int64(stored.Era) < result.Era {
+			l.storeStatus.restoredAt = now // No leader has written the view since.
+		}
 	}
 	l.membership.view.version, l.membership.view.changedAt = result.Rows[0].Version, now
 	return nil
 }
 
+// keepView takes over the version of a view from an older copy of the store, but not its content, which is older than what
+// this router knows. The caller holds the lock.
+func (l *Ledger) keepView(result store.Result, now time.Time) {
+	v := &l.membership.view
+	v.restored, v.version, v.changedAt = false, 0, now
+	if len(result.Rows) > 0 {
+		v.version = result.Rows[0].Version
+	}
+}
+
 // applyView replaces the leader and the set of routers with those of a stored view. The caller holds the lock.
 func (l *Ledger) applyView(stored wire.PrepaidView) {
 	if stored.Keeper != l.membership.view.leader {
@@ -217,7 +235,7 @@
 // writes the known ones, which makes this router the leader.
 func (l *Ledger) writeView(ctx context.Context, addresses map[string]string) error {
 	l.mu.Lock()
-	next := wire.PrepaidView{Keeper: l.Instance, Routers: []wire.PrepaidRouter{}}
+	next := wire.PrepaidView{Keeper: l.Instance, Routers: []wire.PrepaidRouter{}, Era: int(l.storeStatus.era)}
 	published := addresses
 	if published == nil {
 		published = l.membership.addresses
@@ -240,7 +258,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.storeStatus.recordAnswer(sent, l.Now(), result.Clock, l.Started)
+	l.recordAnswer(sent, result)
 	v := &l.membership.view
 	if v.leader != l.Instance {
 		event.MemberListPublished.Log(l.Logger).Str("before", v.leader).Int64("version", result.Version).Send()
--- a/internal/prepaid/plan.go
+++ b/internal/prepaid/plan.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"citronslip/internal/store"
+	"citronslip/internal/wire"
 )
 
 const (
@@ -33,6 +34,11 @@
 	plannedRows struct {
 		budget budgetState
 		grant  grantState
+		era    int64 // Era of the store in which the write was planned.
+		// capBefore and unansweredBefore are the values of the account before a write that makes the grant smaller.
+		capBefore        int64
+		unansweredBefore *wire.PrepaidBasis
+		resolves         bool // Whether the write settles what became of an unanswered one before the current era.
 	}
 )
 
@@ -42,9 +48,18 @@
 	if l.stopped {
 		return store.Write{}, plannedRows{}, false
 	}
+	if a.era != l.storeStatus.era {
+		return l.planReconcile(a)
+	}
 	if !a.loaded || a.stale {
 		return l.planReread(a)
 	}
+	if l.isSettling(a) {
+		return l.planWhileSettling(a)
+	}
+	if a.hasUnansweredBefore(a.era) {
+		return l.planResolve(a)
+	}
 	if a.grant.Holder != l.Instance {
 		switch {
 		case a.grant.version == 0 && !l.coversFirstWaiter(a):
@@ -78,7 +93,7 @@
 	case float64(amount-required) > shrinkFactor*float64(target.Open+target.Reserve) && l.shouldReturnSurplus(a, surplus):
 		amount = required + target.Open + target.Reserve
 		opened = min(opened, required+target.Open)
-		a.lowerSpendCap(opened)
+		l.lowerSpendCap(a, opened)
 	case a.used()+int64(openThreshold*float64(target.Open)) > int64(a.grant.Opened) && a.grant.Opened < a.grant.Amount:
 		next.grant.Opened = int(min(opened, amount))
 		return l.planGrantWrite(a, next)
@@ -97,7 +112,13 @@
 
 // lowerSpendCap limits spending until a write that shrinks the grant is answered. Any one of several unanswered writes
 // may have taken effect, so the smallest limit applies.
-func (a *account) lowerSpendCap(limit int64) {
+func (l *Ledger) lowerSpendCap(a *account, limit int64) {
+	if a.unanswered == nil {
+		written := a.budget
+		l.countWrite(&written)
+		position := written.position()
+		a.unanswered = &position
+	}
 	if a.spendCap < 0 || limit < a.spendCap {
 		a.spendCap = limit
 	}
@@ -138,8 +159,12 @@
 }
 
 // shouldReturnSurplus reports whether the given number of tokens beyond the target size of a grant is to be returned
-// now. While tokens are scarce, any surplus is.
+// now. While tokens are scarce, any surplus is. None is returned after a failed write: if that write stays unanswered and
+// the store comes back from an older copy, the surplus counts neither as this router's nor as free.
 func (l *Ledger) shouldReturnSurplus(a *account, tokens int64) bool {
+	if l.backoff.interval > 0 {
+		return false
+	}
 	if l.isScarce(a) {
 		return tokens > 0
 	}
@@ -185,7 +210,7 @@
 	next := plannedRows{budget: a.budget, grant: grantState{version: a.grant.version}}
 	next.grant.Holder = l.Instance
 	next.budget.applyTotal(a.totalVersion, a.total)
-	if a.grant.version != 0 {
+	if a.grant.version != 0 && !l.isRestored(a.grant) {
 		next.budget.Granted -= a.grant.Amount
 		next.budget.Closed += l.chargedTokens(a.grant)
 	}
@@ -198,10 +223,18 @@
 	return int(Spendable(int64(g.Opened), int64(g.Amount), l.storeStatus.maxSilence(g)))
 }
 
+// countWrite sets the fields of a budget row that order its writes.
+func (l *Ledger) countWrite(budget *budgetState) {
+	if int64(budget.Era) != l.storeStatus.era {
+		budget.Era, budget.Sequence = int(l.storeStatus.era), 0
+	}
+	budget.Sequence++
+}
+
 // planGrantWrite returns a write of this router's grant row only.
 func (l *Ledger) planGrantWrite(a *account, next plannedRows) (store.Write, plannedRows, bool) {
 	grantRow := grantKey(a.name, l.Node)
-	next.grant.Clock = int(l.storeStatus.storeClock.Milliseconds())
+	next.grant.Clock, next.grant.Era = int(l.storeStatus.storeClock.Milliseconds()), int(l.storeStatus.era)
 	return store.Write{
 		Expect: []store.Condition{{Key: grantRow, Version: a.grant.version}},
 		Puts:   []store.Put{{Key: grantRow, Value: encode(next.grant.PrepaidGrant)}},
@@ -211,7 +244,8 @@
 // planGrantAndBudgetWrite returns a write of this router's grant row and the account's budget row.
 func (l *Ledger) planGrantAndBudgetWrite(a *account, next plannedRows) (store.Write, plannedRows, bool) {
 	grantRow, budgetRow := grantKey(a.name, l.Node), budgetKey(a.name)
-	next.grant.Clock = int(l.storeStatus.storeClock.Milliseconds())
+	l.countWrite(&next.budget)
+	next.grant.Clock, next.grant.Era = int(l.storeStatus.storeClock.Milliseconds()), int(l.storeStatus.era)
 	return store.Write{
 		Expect: []store.Condition{{Key: grantRow, Version: a.grant.version}, {Key: budgetRow, Version: a.budget.version}},
 		Puts: []store.Put{
--- /dev/null
+++ b/internal/prepaid/restore.go
@@ -0,0 +1,325 @@
+package prepaid
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"citronslip/internal/delay"
+	"citronslip/internal/event"
+	"citronslip/internal/store"
+	"citronslip/internal/wire"
+)
+
+const (
+	// settleTime is the time after the first reconciliation of a budget row in a new era in which no tokens are granted, so
+	// that all routers that reach the store can add the grants that it has forgotten.
+	settleTime = 2 * time.Second
+	// restoreNoticeTime is the time after a new era in which a budget without a row may have lost it.
+	restoreNoticeTime = 10 * time.Second
+	// maturityTime is how long the store must have answered after a grant grew before its holder may spend the new part while
+	// the store does not answer. By then other routers have read the budget row, so that they know of the grant if the store
+	// comes back without it.
+	maturityTime = 2 * time.Second
+	// maxBases is the number of earlier eras that a budget row keeps apart, for routers that reach the store only after it
+	// has come back several times.
+	maxBases = 4
+	// reconcileSpacing times the number of routers is the time over which the routers of a large fleet spread the
+	// reconciliation of accounts whose grants they do not hold.
+	reconcileSpacing = 20 * time.Millisecond
+)
+
+var (
+	// errOtherEra is returned when a write was answered in another era of the store than it was planned in.
+	errOtherEra = errors.New("prepaid: the store has come back from an older copy")
+)
+
+type (
+	// accountRows are the rows of an account as the store has returned them.
+	accountRows struct {
+		budget budgetState
+		grant  grantState
+	}
+)
+
+// recordAnswer records an answer of the store to a call that was sent at the given time. The caller holds the lock.
+func (l *Ledger) recordAnswer(sent time.Time, result store.Result) {
+	l.storeStatus.recordAnswer(sent, l.Now(), result.Clock, l.Started)
+	l.enterEra(result.Era)
+}
+
+// enterEra records the era of an answer. In a new era the store has forgotten its latest writes, so that all accounts are
+// reconciled with its rows. The caller holds the lock.
+func (l *Ledger) enterEra(era int64) {
+	before := l.storeStatus.era
+	if era <= before {
+		return
+	}
+	l.storeStatus.era = era
+	if before == 0 {
+		return
+	}
+	event.StoreRestored.Log(l.Logger).Str("table", budgetTable).Int64("before", before).Int64("era", era).Send()
+	l.storeStatus.restoredAt = l.Now()
+	l.membership.view.restored, l.membership.view.observed = true, nil
+	for _, a := range l.accounts {
+		a.restored = nil
+		switch {
+		case !a.loaded:
+		case l.isHolder(a) || a.grant.Holder == l.Instance && a.used() < int64(a.grant.Amount):
+			l.startWriter(a)
+		default:
+			a.idleRetryAt = l.Now().Add(rand.N(time.Duration(l.membership.count()) * reconcileSpacing))
+		}
+	}
+}
+
+// planReconcile returns the next step towards the rows of a new era: reading them, or writing what the store has
+// forgotten. The caller holds the lock.
+func (l *Ledger) planReconcile(a *account) (store.Write, plannedRows, bool) {
+	if a.restored == nil {
+		return l.planReread(a)
+	}
+	next := plannedRows{grant: a.restored.grant}
+	var changed bool
+	next.budget, changed = l.reconcile(a, a.restored.budget.clone())
+	w := store.Write{Expect: []store.Condition{
+		{Key: grantKey(a.name, l.Node), Version: a.restored.grant.version},
+		{Key: budgetKey(a.name), Version: a.restored.budget.version},
+	}}
+	if a.loaded && a.grant.Holder == l.Instance {
+		next.grant.PrepaidGrant = l.knownGrant(a)
+		w.Puts = append(w.Puts, store.Put{Key: grantKey(a.name, l.Node), Value: encode(next.grant.PrepaidGrant)})
+	}
+	if changed {
+		next.budget.applyTotal(a.totalVersion, a.total)
+		w.Puts = append(w.Puts, store.Put{Key: budgetKey(a.name), Value: encode(next.budget.PrepaidSum)})
+	}
+	if len(w.Puts) == 0 {
+		a.budget, a.grant, a.budgetReadAt = next.budget, next.grant, l.Now()
+		a.era, a.restored, a.loaded, a.stale = l.storeStatus.era, nil, true, false
+		return l.planWrite(a)
+	}
+	if !changed {
+		w.Expect = w.Expect[:1] // Other routers may write the budget row meanwhile.
+	}
+	return w, next, true
+}
+
+// reconcile returns the budget row of a new era with what this router knows of the time before, and whether it differs
+// from the one in the store. The first router that writes the row counts on from the latest content that it knows; others
+// that know a later one add the difference.
+func (l *Ledger) reconcile(a *account, restored budgetState) (budgetState, bool) {
+	next := restored
+	if l.isReconciled(a, restored) {
+		if !a.loaded || !next.include(&a.budget) {
+			return next, false
+		}
+		l.countWrite(&next)
+		return next, true
+	}
+	if a.loaded && a.budget.isAfter(restored.position()) {
+		next.PrepaidSum = a.budget.PrepaidSum
+	}
+	next.Bases = appendBasis(next.Bases, next.position())
+	next.Since = int((l.storeStatus.storeClock + l.settleTime()).Milliseconds())
+	l.countWrite(&next)
+	return next, true
+}
+
+// include adds to a row what a content of an earlier era has beyond it, and reports whether there is any.
+func (s *budgetState) include(known *budgetState) bool {
+	position := known.position()
+	if i := s.basisOf(known.Era); i >= 0 {
+		if !known.isAfter(s.Bases[i]) {
+			return false
+		}
+		s.add(s.Bases[i], position)
+		s.Bases[i] = position
+		return true
+	}
+	// The row counts on from a content before that era. Both include a content of some era before, if only that of a row
+	// that did not exist, which has era zero.
+	common := append([]wire.PrepaidBasis{{}}, known.Bases...)
+	for _, basis := range slices.Backward(common) {
+		j := s.basisOf(basis.Era)
+		if j < 0 {
+			continue
+		}
+		s.add(basis, position)
+		if basis.Sequence > s.Bases[j].Sequence {
+			s.add(s.Bases[j], basis)
+			s.Bases[j] = basis
+		}
+		s.Bases = appendBasis(s.Bases, position)
+		return true
+	}
+	if known.Closed+known.Granted <= s.Closed+s.Granted {
+		return false
+	}
+	s.Closed, s.Granted = known.Closed, known.Granted // The eras between are no longer known.
+	s.Bases = appendBasis(s.Bases, position)
+	return true
+}
+
+// add adds the difference of two contents to the row.
+func (s *budgetState) add(before, after wire.PrepaidBasis) {
+	s.Closed += after.Closed - before.Closed
+	s.Granted += after.Granted - before.Granted
+}
+
+// basisOf returns the index of the content of an era that the row includes, or -1.
+func (s *budgetState) basisOf(era int) int {
+	return slices.IndexFunc(s.Bases, func(b wire.PrepaidBasis) bool { return b.Era == era })
+}
+
+// appendBasis returns the latest maxBases contents. It leaves the slice as it is.
+func appendBasis(bases []wire.PrepaidBasis, basis wire.PrepaidBasis) []wire.PrepaidBasis {
+	bases = append(slices.Clone(bases), basis)
+	slices.SortFunc(bases, func(x, y wire.PrepaidBasis) int { return cmp.Compare(x.Era, y.Era) })
+	return bases[max(0, len(bases)-maxBases):]
+}
+
+// isReconciled reports whether a budget row holds what was known of the time before the current era. One of an earlier
+// release, which does not know eras, counts as such for a router that has no later content.
+func (l *Ledger) isReconciled(a *account, restored budgetState) bool {
+	switch {
+	case int64(restored.Era) == l.storeStatus.era:
+		return true
+	case restored.version == 0:
+		return !a.loaded && !l.recentlyRestored()
+	case restored.Era == 0:
+		return !a.loaded || a.budget.Era == 0
+	}
+	return false
+}
+
+// clone returns a copy whose bases can be changed.
+func (s budgetState) clone() budgetState {
+	s.Bases = slices.Clone(s.Bases)
+	return s
+}
+
+// position returns the position of a budget row's content in the order of its writes.
+func (s *budgetState) position() wire.PrepaidBasis {
+	return wire.PrepaidBasis{Era: s.Era, Sequence: s.Sequence, Closed: s.Closed, Granted: s.Granted}
+}
+
+// isAfter reports whether the content of the row was written later than that of a position.
+func (s *budgetState) isAfter(p wire.PrepaidBasis) bool {
+	return s.Era > p.Era || s.Era == p.Era && s.Sequence > p.Sequence
+}
+
+// settleTime returns how long no tokens are granted after a budget row was reconciled: not at all if that comes so late
+// that the other routers have had the time.
+func (l *Ledger) settleTime() time.Duration {
+	if restoredAt := l.storeStatus.restoredAt; !restoredAt.IsZero() && l.Now().Sub(restoredAt) > restoreNoticeTime {
+		return 0
+	}
+	return settleTime
+}
+
+// recentlyRestored reports whether the store came back from an older copy within restoreNoticeTime.
+func (l *Ledger) recentlyRestored() bool {
+	restoredAt := l.storeStatus.restoredAt
+	return !restoredAt.IsZero() && l.Now().Sub(restoredAt) < restoreNoticeTime
+}
+
+// knownGrant returns this router's grant as it is to be written in a new era.
+func (l *Ledger) knownGrant(a *account) wire.PrepaidGrant {
+	grant := a.grant.PrepaidGrant
+	grant.Clock, grant.Era = int(l.storeStatus.storeClock.Milliseconds()), int(l.storeStatus.era)
+	return grant
+}
+
+// hasUnansweredBefore reports whether a write that makes the grant smaller was not answered before the given era. Answers of
+// a later era do not tell whether it was applied.
+func (a *account) hasUnansweredBefore(era int64) bool {
+	return a.unanswered != nil && int64(a.unanswered.Era) < era
+}
+
+// planResolve decides about a write before the new era that would have made the grant smaller and was not answered. If the
+// budget row counts on from a content that may include it, the tokens are another's and the grant is written as smaller.
+// Otherwise they are still counted as this router's.
+func (l *Ledger) planResolve(a *account) (store.Write, plannedRows, bool) {
+	i := a.budget.basisOf(a.unanswered.Era)
+	included := i >= 0 && a.budget.Bases[i].Sequence >= a.unanswered.Sequence
+	smaller := max(a.spendCap, a.used())
+	if !included || a.grant.Holder != l.Instance || smaller >= int64(a.grant.Amount) {
+		a.spendCap, a.unanswered = -1, nil
+		return l.planWrite(a)
+	}
+	next := plannedRows{budget: a.budget, grant: a.grant, resolves: true}
+	next.grant.Amount = int(smaller)
+	next.grant.Opened = min(next.grant.Opened, next.grant.Amount)
+	return l.planGrantWrite(a, next)
+}
+
+// isRestored reports whether a grant row of an earlier process is from an older copy of the store. The process may have
+// written it again or ended it since, which only the budget row tells, if any router knew it. The tokens of the grant then
+// stay counted as granted.
+func (l *Ledger) isRestored(g grantState) bool { return g.Era != 0 && int64(g.Era) < l.storeStatus.era }
+
+// isSettling reports whether no tokens of the budget may be granted yet, because other routers may still add grants that
+// the store has forgotten.
+func (l *Ledger) isSettling(a *account) bool {
+	clock := l.storeStatus.storeClock + l.Now().Sub(l.storeStatus.answeredAt)
+	return clock.Milliseconds() < int64(a.budget.Since)
+}
+
+// planWhileSettling returns a write that opens more of the grant, if one is due.
+func (l *Ledger) planWhileSettling(a *account) (store.Write, plannedRows, bool) {
+	required := a.used()
+	for _, w := range a.waiters {
+		required += w.tokens
+	}
+	target := l.targetSize(a)
+	if a.grant.Holder != l.Instance || a.grant.Opened >= a.grant.Amount || required+int64(openThreshold*float64(target.Open)) <= int64(a.grant.Opened) {
+		return store.Write{}, plannedRows{}, false
+	}
+	next := plannedRows{budget: a.budget, grant: a.grant}
+	next.grant.Opened = int(min(required+target.Open, int64(a.grant.Amount)))
+	if next.grant.Opened <= a.grant.Opened {
+		return store.Write{}, plannedRows{}, false
+	}
+	return l.planGrantWrite(a, next)
+}
+
+// reconcileNow makes the next step towards the rows of a new era for an account whose grant is to be closed. The caller
+// holds the lock, which is released.
+func (l *Ledger) reconcileNow(ctx context.Context, a *account) error {
+	capBefore, unansweredBefore := a.spendCap, a.unanswered
+	w, next, ok := l.planReconcile(a)
+	next.era, next.capBefore, next.unansweredBefore = l.storeStatus.era, capBefore, unansweredBefore
+	l.mu.Unlock()
+	if !ok {
+		return nil
+	}
+	err := l.commit(a, w, next)
+	if err == nil || errors.Is(err, store.ErrConflict) || errors.Is(err, errOtherEra) {
+		return nil
+	}
+	if !delay.Sleep(ctx, minWriteBackoff) {
+		return err
+	}
+	return nil
+}
+
+// recordGrowth records when a grant grew. The caller holds the lock.
+func (l *Ledger) recordGrowth(a *account, previous, next grantState) {
+	if next.Amount <= previous.Amount || l.Now().Sub(a.grownAt) < maturityTime {
+		return
+	}
+	a.grownAt, a.matureAmount = l.Now(), int64(previous.Amount)
+}
+
+// autonomousAmount returns the part of the grant that may be spent while the store does not answer.
+func (l *Ledger) autonomousAmount(a *account) int64 {
+	if l.storeStatus.answeredAt.Sub(a.grownAt) >= maturityTime {
+		return int64(a.grant.Amount)
+	}
+	return min(max(a.matureAmount, int64(a.grant.Opened)), int64(a.grant.Amount))
+}
--- a/internal/prepaid/write.go
+++ b/internal/prepaid/write.go
@@ -69,7 +69,9 @@
 			delay.Sleep(context.Background(), wait)
 		}
 		l.mu.Lock()
+		capBefore, unansweredBefore := a.spendCap, a.unanswered
 		w, next, ok := l.planWrite(a)
+		next.era, next.capBefore, next.unansweredBefore = l.storeStatus.era, capBefore, unansweredBefore
 		if !ok {
 			a.writerRunning = false
 			l.mu.Unlock()
@@ -82,7 +84,7 @@
 			a.writerRunning = false // The next request or grant check reads the row again.
 			l.mu.Unlock()
 			return
-		case errors.Is(err, store.ErrConflict) && w.Expect[0].Version != impossibleVersion:
+		case errors.Is(err, store.ErrConflict) && len(w.Puts) > 0:
 			conflicts++
 			l.waitAfterConflict(a, conflicts)
 		}
@@ -139,9 +141,11 @@
 	conflict := errors.Is(err, store.ErrConflict)
 	if err == nil || conflict {
 		l.backoff.reset()
-		l.storeStatus.recordAnswer(sent, l.Now(), result.Clock, l.Started)
+		l.recordAnswer(sent, result)
 	}
 	switch {
+	case (err == nil || conflict) && result.Era != next.era:
+		return errOtherEra // The rows of the new era are read before the next write.
 	case err == nil:
 		l.applyWritten(a, w, next, result.Version)
 	case conflict:
@@ -152,6 +156,9 @@
 			return unreadable
 		}
 	default:
+		if errors.Is(err, store.ErrUnavailable) {
+			a.spendCap, a.unanswered = next.capBefore, next.unansweredBefore // Nothing was written.
+		}
 		l.backoff.recordFailure(l.Now())
 		a.idleRetryAt = l.Now().Add(time.Duration(rand.Int64N(int64(maxIdleRetryDelay))))
 		event.PrepaidWriteFailed.Log(l.Logger).Str("account", a.name).Err(err).Send()
@@ -163,14 +170,21 @@
 // the lock.
 func (l *Ledger) applyWritten(a *account, w store.Write, next plannedRows, version int64) {
 	previous := a.grant
-	a.grant = next.grant
-	a.grant.version = version
-	if len(w.Expect) > 1 {
-		a.budget = next.budget
-		a.budget.version = version
-		a.budgetReadAt = l.Now()
+	l.recordGrowth(a, previous, next.grant)
+	a.grant, a.budget = next.grant, next.budget
+	for _, p := range w.Puts {
+		switch p.Table {
+		case grantTable:
+			a.grant.version = version
+		case budgetTable:
+			a.budget.version = version
+			a.budgetReadAt = l.Now()
+		}
+	}
+	if next.resolves || !a.hasUnansweredBefore(next.era) {
+		a.spendCap, a.unanswered = -1, nil
 	}
-	a.spendCap = -1
+	a.era, a.restored, a.loaded = next.era, nil, true
 	if a.grant.Holder == l.Instance && previous.Holder != l.Instance {
 		event.PrepaidGrantOpened.Log(l.Logger).Str("account", a.name).Str("before", previous.Holder).Int("amount", previous.Amount).
 			Int("opened", previous.Opened).Dur("silence", l.storeStatus.maxSilence(previous)).
@@ -206,6 +220,10 @@
 			return err
 		}
 	}
+	if a.era != l.storeStatus.era {
+		a.restored = &accountRows{budget: budget, grant: grant}
+		return nil
+	}
 	a.grant = grant
 	if len(w.Expect) > 1 {
 		a.stale = false
@@ -213,7 +231,9 @@
 		a.budgetReadAt = l.Now()
 		a.loaded = true
 	}
-	a.spendCap = -1
+	if !a.hasUnansweredBefore(a.era) {
+		a.spendCap, a.unanswered = -1, nil
+	}
 	event.PrepaidWriteConflict.Log(l.Logger).Str("account", a.name).Int64("own", grant.version).Int64("sum", a.budget.version).Send()
 	return nil
 }
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -47,7 +47,7 @@
 		Logger   *zerolog.Logger
 
 		lastAnswer    atomic.Pointer[time.Time] // Time of the last answer of the store.
-		era           int64                     // Era of the last answer.
+		era           atomic.Int64              // Era of the last answer.
 		version       atomic.Int64              // Version of the store up to which the table is known.
 		lastFailure   time.Time                 // Time of the last failed call; zero if none failed.
 		snapshotStale bool                      // Whether to ignore the snapshot because later changes may be gone.
@@ -58,6 +58,7 @@
 		Whole   bool // Whether Rows holds all rows of the table, not only those that changed.
 		Rows    []Row
 		Version int64
+		Era     int64 // Era of the store; versions of different eras cannot be compared.
 		// Outage is the time since the last failed call, or the largest time.Duration if none failed. It lets Apply
 		// distinguish rows that were lost while the store was unreachable from rows that were removed.
 		Outage time.Duration
@@ -115,6 +116,9 @@
 // Version returns the store's version up to which the table is known; zero before the first answer.
 func (f *Follower) Version() int64 { return f.version.Load() }
 
+// Era returns the era of the last answer of the store; zero before the first one.
+func (f *Follower) Era() int64 { return f.era.Load() }
+
 // fetch makes one call and returns the version up to which the table is known. A negative version reads all rows.
 func (f *Follower) fetch(ctx context.Context, version int64) (int64, error) {
 	if version < 0 {
@@ -127,6 +131,11 @@
 	if err != nil {
 		return version, err
 	}
+	if f.recordEra(result.Era, result.Version) {
+		// The feed goes on after a version that the store has passed again, so that changes may be missing.
+		f.snapshotStale = true
+		return -1, nil
+	}
 	f.applyResult(result, false, "store")
 	return max(result.Version, version), nil
 }
@@ -167,12 +176,18 @@
 	return result.Version, true
 }
 
-// recordEra logs a new era of the store.
-func (f *Follower) recordEra(era, version int64) {
-	if f.era != 0 && era > f.era {
-		event.StoreRestored.Log(f.Logger).Str("table", f.Table).Int64("before", f.era).Int64("era", era).Int64("version", version).Send()
+// recordEra records the era of an answer and reports whether it is a new one.
+func (f *Follower) recordEra(era, version int64) bool {
+	before := f.era.Load()
+	if era <= before {
+		return false
+	}
+	f.era.Store(era)
+	if before == 0 {
+		return false
 	}
-	f.era = max(f.era, era)
+	event.StoreRestored.Log(f.Logger).Str("table", f.Table).Int64("before", before).Int64("era", era).Int64("version", version).Send()
+	return true
 }
 
 // applyResult records the answer and passes its rows to Apply, if there are any or if they are all rows of the table.
@@ -187,7 +202,7 @@
 	if !f.lastFailure.IsZero() {
 		outage = now.Sub(f.lastFailure)
 	}
-	f.Apply(Change{Whole: whole, Rows: result.Rows, Version: result.Version, Outage: outage, Source: source})
+	f.Apply(Change{Whole: whole, Rows: result.Rows, Version: result.Version, Era: result.Era, Outage: outage, Source: source})
 }
 
 // Age returns the time since the last answer of the store, or the largest time.Duration if there was none.
--- a/internal/wire/prepaid.go
+++ b/internal/wire/prepaid.go
@@ -18,6 +18,22 @@
 	Holder string `json:"holder"`
 }
 
+// PrepaidBasis is a content of a budget row in an earlier era, which the later
+// contents of the row include.
+type PrepaidBasis struct {
+	// Tokens charged for grants that had ended.
+	Closed int `json:"closed"`
+
+	// Era in which the content was written.
+	Era int `json:"era"`
+
+	// Sum of the amounts of all grants that were open, in tokens.
+	Granted int `json:"granted"`
+
+	// Number of the write in that era.
+	Sequence int `json:"sequence"`
+}
+
 // PrepaidGrant is the row of the grant of one router on a prepaid budget. Amounts
 // are in tokens and cumulative over the lifetime of the grant.
 type PrepaidGrant struct {
@@ -28,6 +44,9 @@
 	// holder had received when it wrote the row.
 	Clock int `json:"clock"`
 
+	// Era of the store in which the row was written; 0 if unknown.
+	Era int `json:"era"`
+
 	// Instance of the router that holds the grant.
 	Holder string `json:"holder"`
 
@@ -50,12 +69,26 @@
 // PrepaidSum is the row with the totals of the prepaid token budget of one client
 // account. Closed plus Granted never exceeds Total.
 type PrepaidSum struct {
+	// Latest content before each of the last times that the store came back from an
+	// older copy, as far as routers knew it, oldest first.
+	Bases []PrepaidBasis `json:"bases"`
+
 	// Tokens charged for grants that have ended.
 	Closed int `json:"closed"`
 
+	// Era of the store in which the row was written; 0 if unknown.
+	Era int `json:"era"`
+
 	// Sum of the amounts of all open grants, in tokens.
 	Granted int `json:"granted"`
 
+	// Number of writes of the row in its era.
+	Sequence int `json:"sequence"`
+
+	// Time of the store's clock in milliseconds from which on tokens are granted
+	// again after the store came back from an older copy; 0 if it did not.
+	Since int `json:"since"`
+
 	// Tokens that the account may consume.
 	Total int `json:"total"`
 
@@ -66,6 +99,9 @@
 // PrepaidView is the row in which one router, the keeper, publishes the list of
 // running routers for all others.
 type PrepaidView struct {
+	// Era of the store in which the row was written; 0 if unknown.
+	Era int `json:"era"`
+
 	// Instance of the router that wrote the row.
 	Keeper string `json:"keeper"`
 
