--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -98,6 +98,7 @@
 		sent         map[*sentRequest]struct{}    // Requests that no server has begun to answer.
 		answered     [2]map[feature]time.Duration // Store clock of the last answers that this router has seen.
 		published    map[feature]time.Duration    // Store clock of the proofs in the store.
+		era          int64                        // Era of the store of the last change.
 		queue        []store.Put                  // Rows that are still to be written.
 		wake         chan struct{}                // Wakes Run when rows are queued.
 	}
@@ -293,7 +294,7 @@
 // addCrash records that a server crashed while it ran the request, and queues the row of the store. The caller holds the
 // lock.
 func (t *Tracker) addCrash(s suspect) {
-	r := record{process: s.process.ID, fingerprint: s.request.Fingerprint, parts: s.request.Parts, begun: s.begun, clock: s.clock}
+	r := record{process: s.process.ID, fingerprint: s.request.Fingerprint, parts: s.request.Parts, begun: s.begun, clock: s.clock, own: true}
 	if !t.evidence.add(r) {
 		return
 	}
--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -289,3 +289,29 @@
 		is.True(tracker.Records() <= 4000)
 	})
 }
+
+// Guards against crashes that routers which start after a restore of the store do not learn.
+func TestCrashesAreWrittenAgainAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &store.Memory{}
+		saved := s.Copy()
+		tracker, other := newTracker(s), newTracker(s)
+		for _, router := range []*crash.Tracker{tracker, other} {
+			logger := zerolog.Nop()
+			f := &store.Follower{Store: s, Table: crash.Table, Apply: router.Apply, Logger: &logger}
+			go func() { _ = f.Run(t.Context()) }()
+			run(t, router)
+		}
+		time.Sleep(time.Second)
+		for i := range 3 {
+			crashWith(tracker, i, []string{"harmful"})
+		}
+		s.Restore(saved)
+		time.Sleep(6 * time.Second)
+		is.True(blocked(other, "new", "harmful"))
+		started := newTracker(s)
+		applyStoredRows(t, s, started)
+		is.True(blocked(started, "new", "harmful"))
+	})
+}
--- a/internal/crash/evidence.go
+++ b/internal/crash/evidence.go
@@ -43,6 +43,7 @@
 		parts       []string
 		begun       bool          // Whether the server had begun to answer, so that no part can be the cause.
 		clock       time.Duration // Store clock of the crash.
+		own         bool          // Whether this router has written the record.
 	}
 
 	// recordKey identifies a record.
--- a/internal/crash/rows.go
+++ b/internal/crash/rows.go
@@ -87,11 +87,42 @@
 			changed = true
 		}
 	}
+	if t.enterEra(change.Era) {
+		t.writeAgain(change.Rows)
+	}
 	if changed {
 		t.update()
 	}
 }
 
+// enterEra reports whether the store came back from an older copy since the last change. The caller holds the lock.
+func (t *Tracker) enterEra(era int64) bool {
+	before := t.era
+	t.era = max(t.era, era)
+	return before != 0 && era > before
+}
+
+// writeAgain queues the rows that the store has forgotten, if this router wrote them or is the one that deals with them:
+// their writer may have ended. The caller holds the lock.
+func (t *Tracker) writeAgain(rows []store.Row) {
+	listed := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		listed[row.Name] = true
+	}
+	clock := t.Clock()
+	for _, r := range t.evidence.records {
+		put := r.put()
+		if !listed[put.Name] && (r.own || t.isHome(put.Name, clock)) {
+			t.enqueue(put)
+		}
+	}
+	for f := range t.published {
+		if !listed[proofPrefix+string(f)] {
+			delete(t.published, f)
+		}
+	}
+}
+
 // RecentRows returns the rows of the latest crashes and of the proofs that matter to them, at most maxRecentRows of each,
 // whether they are in the store or not. Routers exchange them while they cannot reach the store.
 func (t *Tracker) RecentRows() []store.Row {
--- a/internal/dispatch/server_registry.go
+++ b/internal/dispatch/server_registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -21,6 +22,11 @@
 	outageWindow = 3 * time.Second
 	// sweepInterval is the time between two checks for servers whose rows are missing.
 	sweepInterval = 250 * time.Millisecond
+	// staleEntryTime is the time after a restore of the store from an older copy for which an entry counts as stale if its
+	// server's process had none any more. A stale entry lapses meanwhile; one of a live server changes, or stays.
+	staleEntryTime = 5 * time.Second
+	// removedTTL is how long removed servers are remembered.
+	removedTTL = 2 * time.Minute
 )
 
 type (
@@ -36,6 +42,17 @@
 		entries map[string]*serverEntry
 		synced  bool  // Whether the rows were read at least once.
 		version int64 // Newest version that was applied.
+		era     int64 // Era of the store to which versions belong.
+
+		removed    map[string]removedServer
+		restoredAt time.Time // When the store last came back from an older copy; zero if it has not.
+	}
+
+	// removedServer is a server whose row was removed.
+	removedServer struct {
+		born      int64
+		leaving   bool
+		removedAt time.Time
 	}
 
 	// serverEntry is a server with the version of its row.
@@ -43,6 +60,7 @@
 		server       Server
 		version      int64
 		missingSince time.Time // Zero while the row exists.
+		stale        bool      // Whether the row is from an older copy of the store, of a server that was removed since.
 	}
 )
 
@@ -51,7 +69,7 @@
 func (r *ServerRegistry) Apply(change store.Change) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if change.Whole && change.Version < r.version {
+	if !r.enterEra(change) || change.Whole && change.Version < r.version {
 		return false
 	}
 	r.version = max(r.version, change.Version)
@@ -68,7 +86,7 @@
 			}
 			continue
 		}
-		r.upsert(row)
+		r.upsert(row, change.Whole)
 	}
 	if change.Whole {
 		for name := range r.entries {
@@ -84,6 +102,26 @@
 	return true
 }
 
+// enterEra returns false for a change of an era before the current one. In a new era it forgets the versions of the rows,
+// which cannot be compared with those that follow.
+func (r *ServerRegistry) enterEra(change store.Change) bool {
+	switch {
+	case change.Era == r.era || change.Era == 0:
+		return true
+	case change.Era < r.era:
+		return false
+	}
+	if r.era != 0 {
+		r.restoredAt = r.Now()
+		r.version = 0
+		for _, e := range r.entries {
+			e.version = 0
+		}
+	}
+	r.era = change.Era
+	return true
+}
+
 // Synced reports whether the rows were read at least once.
 func (r *ServerRegistry) Synced() bool {
 	r.mu.Lock()
@@ -99,14 +137,19 @@
 	return nil
 }
 
-// RemoveExpired removes the servers whose rows have been missing for longer than the grace period.
+// RemoveExpired removes the servers whose rows have been missing for longer than the grace period, and uses those again
+// whose rows were stale and have not lapsed.
 func (r *ServerRegistry) RemoveExpired() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	changed := false
 	for name, e := range r.entries {
 		if !e.missingSince.IsZero() && r.Now().Sub(e.missingSince) > missingGracePeriod {
-			delete(r.entries, name)
+			r.forget(name, e)
+			changed = true
+		}
+		if e.stale && r.Now().Sub(r.restoredAt) > staleEntryTime {
+			e.stale = false
 			changed = true
 		}
 	}
@@ -115,7 +158,8 @@
 	}
 }
 
-func (r *ServerRegistry) upsert(row store.Row) {
+// upsert applies a row, which may be one of a list of all.
+func (r *ServerRegistry) upsert(row store.Row, listed bool) {
 	server, err := r.Decode(row.Name, row.Value)
 	if err != nil {
 		event.ServerEntryInvalid.Log(r.Logger).Str("server", row.Name).Int64("version", row.Version).Err(err).Send()
@@ -129,7 +173,25 @@
 	if old != nil && old.server.Born != server.Born {
 		r.reportDown(row.Name)
 	}
-	r.entries[row.Name] = &serverEntry{server: server, version: row.Version}
+	// A process that was leaving does not come back, whatever an older row says.
+	server.Leaving = server.Leaving || old != nil && old.server.Born == server.Born && old.server.Leaving
+	next := &serverEntry{server: server, version: row.Version}
+	if removed, ok := r.removed[row.Name]; ok && old == nil && removed.born == server.Born {
+		next.server.Leaving = server.Leaving || removed.leaving
+		next.stale = listed && !r.restoredAt.IsZero() && r.Now().Sub(r.restoredAt) < staleEntryTime
+	}
+	r.entries[row.Name] = next
+}
+
+// forget removes a server and remembers its process.
+func (r *ServerRegistry) forget(name string, e *serverEntry) {
+	delete(r.entries, name)
+	now := r.Now()
+	maps.DeleteFunc(r.removed, func(_ string, s removedServer) bool { return now.Sub(s.removedAt) > removedTTL })
+	if r.removed == nil {
+		r.removed = make(map[string]removedServer)
+	}
+	r.removed[name] = removedServer{born: e.server.Born, leaving: e.server.Leaving, removedAt: now}
 }
 
 func (r *ServerRegistry) reportDown(name string) {
@@ -148,7 +210,7 @@
 		r.reportDown(name)
 	}
 	if e.server.Leaving || sinceOutage > outageWindow {
-		delete(r.entries, name)
+		r.forget(name, e)
 		return
 	}
 	e.missingSince = r.Now()
@@ -157,7 +219,9 @@
 func (r *ServerRegistry) updatePool() {
 	servers := make([]Server, 0, len(r.entries))
 	for _, e := range r.entries {
-		servers = append(servers, e.server)
+		server := e.server
+		server.Leaving = server.Leaving || e.stale
+		servers = append(servers, server)
 	}
 	r.Pool.Update(servers)
 }
--- a/internal/dispatch/server_registry_test.go
+++ b/internal/dispatch/server_registry_test.go
@@ -119,3 +119,37 @@
 		is.Equal(pickName(r), "b")
 	}
 }
+
+// Guards against entries of an older copy of the store that hide newer ones of lower versions, bring back servers that
+// are leaving or gone, or remove servers for good.
+func TestEntriesAfterStoreIsRestored(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	r := newServerRegistry(&now)
+	list := func(era, version int64, rows ...store.Row) {
+		r.Apply(store.Change{Whole: true, Era: era, Version: version, Rows: rows, Outage: time.Second})
+	}
+	list(1, 100, row("a", "ready", 10), row("b", "leaving", 90), row("c", "ready", 95), row("d", "ready", 96))
+	now = now.Add(time.Minute)
+	r.Apply(store.Change{Era: 1, Version: 101, Rows: []store.Row{row("c", "", 101)}, Outage: noOutage})
+	r.Apply(store.Change{Era: 1, Version: 102, Rows: []store.Row{row("b", "", 102)}, Outage: noOutage})
+	names := func() map[string]bool {
+		result := make(map[string]bool)
+		for range 50 {
+			result[pickName(r)] = true
+		}
+		return result
+	}
+	is.Equal(names(), map[string]bool{"a": true, "d": true})
+	// The copy still has c, which was removed, and b before it left; d had not registered yet.
+	list(2, 60, row("a", "ready", 10), row("b", "leaving", 50), row("c", "ready", 55))
+	is.Equal(names(), map[string]bool{"a": true, "d": true})
+	r.Apply(store.Change{Era: 2, Version: 61, Rows: []store.Row{row("a", "leaving", 61), row("d", "ready", 62)}, Outage: time.Second})
+	is.Equal(names(), map[string]bool{"d": true})
+	r.Apply(store.Change{Whole: true, Era: 1, Version: 500, Rows: []store.Row{row("e", "ready", 499)}, Source: "router"})
+	is.Equal(names(), map[string]bool{"d": true})
+	now = now.Add(6 * time.Second) // The entry of c has not lapsed, so its server lives.
+	r.RemoveExpired()
+	now = now.Add(time.Minute) // The picker sends new servers few requests at first.
+	is.Equal(names(), map[string]bool{"c": true, "d": true})
+}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -5,6 +5,7 @@
 	"encoding/base64"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -29,6 +30,8 @@
 	minFetchStoreAge = 1500 * time.Millisecond
 	// maxLentTokens limits the tokens that another router may reserve at once, so that sums fit into 64 bits.
 	maxLentTokens = 1 << 41
+	// maxStartFetchTime is how long a router that starts tries to ask another one for the configuration.
+	maxStartFetchTime = 5 * time.Second
 	// maxFetchPeers is the number of routers that are asked in one round.
 	maxFetchPeers = 2
 )
@@ -40,8 +43,10 @@
 
 		mu        sync.Mutex
 		directory store.Row
+		config    int64 // Version of the configuration in directory, by its own count.
 		servers   map[string]store.Row
 		version   int64 // Version of the store up to which servers are known.
+		era       int64 // Era of the store to which version belongs.
 	}
 
 	// peerBudgets reserves tokens at other routers.
@@ -50,12 +55,12 @@
 	}
 )
 
-// putDirectory keeps the row of a configuration if it is newer than the one held.
-func (c *relayCache) putDirectory(row store.Row) {
+// putDirectory keeps the row of a configuration if its version, by its own count, is newer than the one held.
+func (c *relayCache) putDirectory(row store.Row, config int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if row.Version > c.directory.Version {
-		c.directory = row
+	if config > c.config {
+		c.directory, c.config = row, config
 	}
 }
 
@@ -63,6 +68,9 @@
 func (c *relayCache) applyServers(change store.Change) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if change.Era > c.era {
+		c.era, c.version = change.Era, 0
+	}
 	if change.Whole || c.servers == nil {
 		c.servers = make(map[string]store.Row)
 	}
@@ -82,11 +90,11 @@
 func (c *relayCache) answer(_ context.Context, query wire.RelayQuery) (wire.RelayAnswer, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	answer := wire.RelayAnswer{Age: int(min(c.storeAge(), time.Hour).Milliseconds()), Version: int(c.version)}
-	if c.directory.Version > int64(query.Directory) {
+	answer := wire.RelayAnswer{Age: int(min(c.storeAge(), time.Hour).Milliseconds()), Version: int(c.version), Era: int(c.era)}
+	if c.config > int64(query.Config) {
 		answer.Directory = encodeRow(c.directory)
 	}
-	if c.version > int64(query.Servers) {
+	if c.era > int64(query.Era) || c.era == int64(query.Era) && c.version > int64(query.Servers) {
 		for _, row := range c.servers {
 			answer.Servers = append(answer.Servers, *encodeRow(row))
 		}
@@ -98,55 +106,63 @@
 func (c *relayCache) query() wire.RelayQuery {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return wire.RelayQuery{Directory: int(c.directory.Version), Servers: int(c.version)}
+	return wire.RelayQuery{Directory: int(c.directory.Version), Servers: int(c.version), Config: int(c.config), Era: int(c.era)}
 }
 
 func encodeRow(row store.Row) *wire.RelayRow {
 	return &wire.RelayRow{Name: row.Name, Value: base64.StdEncoding.EncodeToString(row.Value), Version: int(row.Version)}
 }
 
-// fetchRows fetches rows from other routers while the store does not answer.
+// fetchRows fetches rows from other routers while the store does not answer. A router that starts asks them for the
+// configuration in any case: the store may have come back from a copy that has an older one.
 func (r *Router) fetchRows(ctx context.Context) error {
+	asked := false
 	for delay.Sleep(ctx, fetchInterval) {
-		if r.relayCache.storeAge() < minFetchStoreAge {
+		onlyConfig := r.relayCache.storeAge() < minFetchStoreAge
+		if onlyConfig && (asked || time.Since(r.started) > maxStartFetchTime) {
 			continue
 		}
 		addresses := r.ledger.PeerAddresses()
 		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 		for _, address := range addresses[:min(len(addresses), maxFetchPeers)] {
-			r.fetchRowsFrom(ctx, address)
+			asked = r.fetchRowsFrom(ctx, address, onlyConfig) || asked
 		}
 	}
 	return nil
 }
 
-func (r *Router) fetchRowsFrom(ctx context.Context, address string) {
+// fetchRowsFrom fetches rows from a router, or only its configuration, and reports whether it answered.
+func (r *Router) fetchRowsFrom(ctx context.Context, address string, onlyConfig bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	query := r.relayCache.query()
+	if onlyConfig {
+		query.Era, query.Servers = math.MaxInt, math.MaxInt
+	}
 	answer, err := r.peers.RelayRows(ctx, address, query)
 	if err != nil {
 		event.RelayFailed.Log(r.Logger).Str("peer", address).Err(err).Send()
-		return
+		return false
 	}
 	if answer.Directory != nil {
 		r.applyRelayedDirectory(*answer.Directory, address)
 	}
 	r.applyRelayedCrashes(answer.Crashes, address)
-	if answer.Version <= query.Servers || len(answer.Servers) == 0 {
-		return
+	if len(answer.Servers) == 0 || answer.Era < query.Era || answer.Era == query.Era && answer.Version <= query.Servers {
+		return true
 	}
-	change := store.Change{Whole: true, Version: int64(answer.Version), Source: address}
+	change := store.Change{Whole: true, Version: int64(answer.Version), Era: int64(answer.Era), Source: address}
 	for _, w := range answer.Servers {
 		row, err := decodeRow(w)
 		if err != nil {
 			event.RelayFailed.Log(r.Logger).Str("peer", address).Err(err).Send()
-			return
+			return true
 		}
 		row.Table = r.ServerTable
 		change.Rows = append(change.Rows, row)
 	}
 	r.applyServers(change)
+	return true
 }
 
 // answerRelay returns the rows that another router asks for.
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -240,7 +240,7 @@
 			event.DirectoryInvalid.Log(r.Logger).Int64("row", row.Version).Err(err).Send()
 			continue
 		}
-		r.relayCache.putDirectory(row)
+		r.relayCache.putDirectory(row, directory.Version)
 		r.setDirectory(directory, change.Source)
 		return
 	}
--- a/internal/entry/snapshot.go
+++ b/internal/entry/snapshot.go
@@ -30,14 +30,14 @@
 			continue
 		}
 		// The version is read before the rows, which may be newer: the feed sends such changes to a reader again.
-		version := r.serverFollower.Version()
+		version, era := r.serverFollower.Version(), r.serverFollower.Era()
 		rows := r.relayCache.serverRows()
-		if version <= 0 || len(rows) < minSnapshotServers {
+		if version <= 0 || era != r.serverFollower.Era() || len(rows) < minSnapshotServers {
 			continue
 		}
 		lastSave = time.Now()
 		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-		if err := snapshot.Save(ctx, rows, version); err != nil {
+		if err := snapshot.Save(ctx, rows, version, era); err != nil {
 			event.SnapshotFailed.Log(r.Logger).Str("table", r.ServerTable).Int("rows", len(rows)).Err(err).Send()
 		}
 		cancel()
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -58,6 +58,7 @@
 
 		mu          sync.Mutex
 		limits      map[Process]*limit
+		era         int64                // Era of the store to which the versions of the rows belong.
 		unreachable map[string]time.Time // When routers last failed to answer, by address.
 	}
 
@@ -66,6 +67,7 @@
 		rate         Rate
 		named        wire.RatelimitPermit // Latest permit whose response named the rate.
 		row          issuerRow
+		rowLost      bool      // Whether the store has forgotten the row, so that another router may still issue permits.
 		missingSince time.Time // When the process was first found not to be registered; zero if it is.
 
 		// The following fields are those of the issuer.
--- a/internal/ratelimit/limiter_test.go
+++ b/internal/ratelimit/limiter_test.go
@@ -103,6 +103,32 @@
 	}
 }
 
+// Guards against a limit that is exceeded, or forgotten, when the store comes back from a copy without its row or with one
+// of an earlier issuer.
+func TestLimitHoldsWhenStoreIsRestored(t *testing.T) {
+	for _, routers := range []int{6, 75} {
+		for _, limit := range []ratelimit.Rate{1, 20} {
+			t.Run(fmt.Sprint(routers, " routers, limit ", limit), func(t *testing.T) {
+				withFleet(t, routers, 60/float64(routers), func(is *is.I, f *fleet) {
+					unlimited := f.store.Copy()
+					f.setLimit(limit)
+					time.Sleep(5 * time.Second)
+					f.store.Restore(unlimited)
+					time.Sleep(5 * time.Second)
+					earlier := f.store.Copy()
+					issuer := f.issuer()
+					issuer.kill()
+					issuer.start(time.Second)
+					time.Sleep(8 * time.Second)
+					f.store.Restore(earlier)
+					time.Sleep(20 * time.Second)
+					is.True(f.checkLimit(limit) > 0.2*float64(limit))
+				})
+			})
+		}
+	}
+}
+
 // Guards against the sides of a partition that each use the whole limit: one with the store, one with the issuer.
 func TestLimitHoldsInPartition(t *testing.T) {
 	for _, routers := range []int{6, 300} {
--- a/internal/ratelimit/row.go
+++ b/internal/ratelimit/row.go
@@ -88,14 +88,15 @@
 // lock.
 func (l *Limiter) becomeIssuer(p Process, known *limit, row issuerRow) {
 	if known.row.Issuer == l.Instance {
-		known.row = row
+		known.row, known.rowLost = row, false
 		return
 	}
 	now := l.Now()
 	known.fullRateAt = now
-	if known.row.version != 0 {
+	if known.row.version != 0 || known.rowLost {
 		known.fullRateAt = now.Add(Lease)
 	}
+	known.rowLost = false
 	event.RateIssuerChanged.Log(l.Logger).Str("process", p.String()).Float64("rate", float64(known.rate)).
 		Str("before", known.row.Issuer).Str("issuer", row.Issuer).Int64("version", row.version).Send()
 	known.row = row
@@ -156,14 +157,17 @@
 func (l *Limiter) Apply(change store.Change) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.applyRows(change.Rows)
-	if !change.Whole {
-		return
-	}
 	listed := make(map[string]bool, len(change.Rows))
 	for _, row := range change.Rows {
 		listed[row.Name] = true
 	}
+	if l.enterEra(change.Era) {
+		l.restoreRows(listed)
+	}
+	l.applyRows(change.Rows)
+	if !change.Whole {
+		return
+	}
 	for p, known := range l.limits {
 		if !listed[p.String()] && known.row.version != 0 && known.row.version <= change.Version {
 			l.forget(p, "store")
@@ -171,6 +175,29 @@
 	}
 }
 
+// enterEra reports whether the store came back from an older copy since the last change. The caller holds the lock.
+func (l *Limiter) enterEra(era int64) bool {
+	before := l.era
+	l.era = max(l.era, era)
+	return before != 0 && era > before
+}
+
+// restoreRows forgets the versions of all rows, which the store uses again. Limits whose rows it has forgotten stay; their
+// issuers write them again. The caller holds the lock.
+func (l *Limiter) restoreRows(listed map[string]bool) {
+	for p, known := range l.limits {
+		known.rowLost = known.rowLost || known.row.version != 0
+		known.row.version = 0
+		switch {
+		case listed[p.String()]:
+		case known.row.Issuer == l.Instance:
+			l.claim(p, known)
+		default:
+			known.row = issuerRow{}
+		}
+	}
+}
+
 // applyRows applies rows that are newer than the known ones. The caller holds the lock.
 func (l *Limiter) applyRows(rows []store.Row) {
 	for _, row := range rows {
--- a/internal/store/snapshot.go
+++ b/internal/store/snapshot.go
@@ -30,10 +30,10 @@
 	}
 )
 
-// Save writes the rows of the table as of a version. Later changes may be included. The error wraps ErrPacked if the
+// Save writes the rows of the table as of a version in an era of the store. Later changes may be included. The error wraps ErrPacked if the
 // snapshot is too large; otherwise it is the store's.
-func (s *Snapshot) Save(ctx context.Context, rows []Row, version int64) error {
-	packed, err := Pack(encodeSnapshot(rows, version))
+func (s *Snapshot) Save(ctx context.Context, rows []Row, version, era int64) error {
+	packed, err := Pack(encodeSnapshot(rows, version, era))
 	if err != nil {
 		return err
 	}
@@ -50,7 +50,8 @@
 	return err
 }
 
-// Load returns the rows and their version, or no rows if there is no snapshot. Chunks left over from an earlier, larger
+// Load returns the rows and their version, or no rows if there is no snapshot of the store's era: one of another era may
+// have been written by a router that did not know the new one. Chunks left over from an earlier, larger
 // snapshot are ignored. The error wraps ErrPacked if the snapshot cannot be read; otherwise it is the store's.
 func (s *Snapshot) Load(ctx context.Context) (Result, error) {
 	list, err := s.Store.List(ctx, snapshotTable, s.Table)
@@ -71,7 +72,12 @@
 	if err := Unpack(packed.Bytes(), &snapshot); err != nil {
 		return Result{}, err
 	}
-	return s.toResult(snapshot)
+	if int64(snapshot.Era) != list.Era {
+		return Result{}, nil
+	}
+	result, err := s.toResult(snapshot)
+	result.Era = list.Era
+	return result, err
 }
 
 // chunkKey returns the key of a chunk. The names have two digits, so that a listing sorts the chunks by index.
@@ -100,8 +106,8 @@
 }
 
 // encodeSnapshot returns the form of the rows that is stored. Values that are not valid UTF-8 are encoded in base64.
-func encodeSnapshot(rows []Row, version int64) wire.Snapshot {
-	snapshot := wire.Snapshot{Version: int(version), Rows: make([]wire.SnapshotRow, 0, len(rows))}
+func encodeSnapshot(rows []Row, version, era int64) wire.Snapshot {
+	snapshot := wire.Snapshot{Version: int(version), Era: int(era), Rows: make([]wire.SnapshotRow, 0, len(rows))}
 	for _, row := range rows {
 		r := wire.SnapshotRow{Name: row.Name, Version: int(row.Version)}
 		text := string(row.Value)
--- a/internal/store/snapshot_test.go
+++ b/internal/store/snapshot_test.go
@@ -36,7 +36,7 @@
 	for _, count := range []int{20_000, 3000, 1} {
 		rows := serverRows(count)
 		rows[0].Value = []byte{0xff, 0, 1}
-		is.NoErr(s.Save(t.Context(), rows, int64(count)))
+		is.NoErr(s.Save(t.Context(), rows, int64(count), 1))
 		result, err := s.Load(t.Context())
 		is.NoErr(err)
 		is.Equal(result.Version, int64(count))
@@ -56,7 +56,7 @@
 	m := &store.Memory{}
 	s := &store.Snapshot{Store: m, Table: "servers"}
 	rows := serverRows(3000)
-	is.NoErr(s.Save(t.Context(), rows, 1))
+	is.NoErr(s.Save(t.Context(), rows, 1, 1))
 	list, err := m.List(t.Context(), "snapshot", "servers")
 	is.NoErr(err)
 	whole, packed := 0, 0
@@ -95,7 +95,7 @@
 				s := &store.Snapshot{Store: m, Table: "servers"}
 				list, err := m.List(t.Context(), "servers", "")
 				is.NoErr(err)
-				is.NoErr(s.Save(t.Context(), list.Rows, list.Version))
+				is.NoErr(s.Save(t.Context(), list.Rows, list.Version, list.Era))
 				put("a", "2")
 				is.NoErr(m.WriteDirect(store.Write{Remove: []store.Key{{Table: "servers", Name: "b"}}}))
 				put("c", "1")
@@ -113,3 +113,20 @@
 		})
 	}
 }
+
+// Guards against a snapshot that a router writes after a restore that it has not noticed: a reader would go on behind a
+// version that the store has not reached again.
+func TestSnapshotOfAnotherEraIsNotRead(t *testing.T) {
+	is := is.New(t)
+	m := &store.Memory{}
+	s := &store.Snapshot{Store: m, Table: "servers"}
+	saved := m.Copy()
+	is.NoErr(m.WriteDirect(store.Write{Puts: []store.Put{{Key: store.Key{Table: "servers", Name: "a"}, Value: []byte("1")}}}))
+	list, err := m.List(t.Context(), "servers", "")
+	is.NoErr(err)
+	m.Restore(saved)
+	is.NoErr(s.Save(t.Context(), list.Rows, list.Version, list.Era))
+	read, err := s.Load(t.Context())
+	is.NoErr(err)
+	is.Equal(len(read.Rows), 0)
+}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -93,3 +94,47 @@
 		is.True(f.Age() < 15*time.Second)
 	})
 }
+
+// Guards against a follower that misses changes after the store came back from an older copy and has passed the version
+// again from which the feed goes on.
+func TestFollowerReadsTableAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := &store.Memory{}
+		put := func(name string) {
+			is.NoErr(m.WriteDirect(store.Write{Puts: []store.Put{{Key: store.Key{Table: "t", Name: name}, Value: []byte(name)}}}))
+		}
+		put("before")
+		saved := m.Copy()
+		known := make(map[string]bool)
+		var mu sync.Mutex
+		logger := zerolog.Nop()
+		f := &store.Follower{Store: m, Table: "t", Pause: time.Second, Logger: &logger, Apply: func(c store.Change) {
+			mu.Lock()
+			defer mu.Unlock()
+			if c.Whole {
+				clear(known)
+			}
+			for _, row := range c.Rows {
+				known[row.Name] = true
+			}
+		}}
+		go func() { _ = f.Run(t.Context()) }()
+		time.Sleep(time.Second)
+		for i := range 5 {
+			put(fmt.Sprint("forgotten", i))
+		}
+		time.Sleep(1500 * time.Millisecond)
+		put("delay") // The follower waits until it asks again.
+		time.Sleep(100 * time.Millisecond)
+		m.Restore(saved)
+		for i := range 20 {
+			put(fmt.Sprint("after", i))
+		}
+		time.Sleep(5 * time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		is.True(known["before"] && known["after0"] && known["after19"])
+		is.True(!known["forgotten0"])
+	})
+}
--- a/internal/wire/relay.go
+++ b/internal/wire/relay.go
@@ -15,6 +15,9 @@
 	// Configuration row, if it is newer than the sender's.
 	Directory *RelayRow `json:"directory,omitempty,omitzero"`
 
+	// Era of the store to which the versions belong; 0 if unknown.
+	Era int `json:"era"`
+
 	// Rows of all backend servers, if the router's version of the store is newer than
 	// the sender's.
 	Servers []RelayRow `json:"servers,omitempty,omitzero"`
@@ -29,9 +32,16 @@
 // RelayQuery asks a router for rows of the store that are newer than those of the
 // sender, which cannot reach the store.
 type RelayQuery struct {
+	// Version of the configuration that the sender has, by its own count; 0 if it has
+	// none. It replaces the field directory, whose versions the store may use again.
+	Config int `json:"config"`
+
 	// Version of the configuration row that the sender has; 0 if it has none.
 	Directory int `json:"directory"`
 
+	// Era of the store to which the versions belong; 0 if unknown.
+	Era int `json:"era"`
+
 	// Version of the store up to which the sender has all changes to the rows of
 	// backend servers.
 	Servers int `json:"servers"`
--- a/internal/wire/snapshot.go
+++ b/internal/wire/snapshot.go
@@ -4,6 +4,9 @@
 
 // Snapshot holds all rows of one table at one version of the store.
 type Snapshot struct {
+	// Era of the store in which the snapshot was made; 0 if unknown.
+	Era int `json:"era"`
+
 	// Rows corresponds to the JSON schema field "rows".
 	Rows []SnapshotRow `json:"rows"`
 
