Keep the product's own budgets when the table service is restored

What the users would see: after the product's table service came back from an older copy, accounts consume more than their budgets.

A router whose registration the table had forgotten took itself for replaced and ended; its successor found the tokens of the forgotten grants free. A grant row that was gone was taken as closed by another router, and what had been spent of it was dropped.

Change: a registration that is again that of the process before, and a grant row that is older than the confirmed one or gone while the registration is not fenced, prove a restore.

--- a/internal/budget/alive.go
+++ b/internal/budget/alive.go
@@ -36,6 +36,9 @@
 	if err != nil {
 		return err
 	}
+	if version == 0 && g.isRegistrationForgotten(ctx) {
+		return g.registerAgain()
+	}
 	if version == 0 || row.Fenced {
 		g.stopSpending()
 		return trace.Wrap(ErrFenced)
--- a/internal/budget/grants.go
+++ b/internal/budget/grants.go
@@ -85,6 +85,8 @@
 		grants        map[Key]*grant
 		chargedBefore map[Key]inventory.Tokens // Tokens charged for closed grants of this instance.
 		registered    bool                     // This instance is registered under its address.
+		growthAt      time.Time                // No grant is opened or resized before, because the table was restored.
+		previous      string                   // Instance that was registered before this one, "" if none.
 		fenced        bool                     // This instance may not spend any more.
 		autonomous    bool                     // The ledger was autonomous in the last step.
 		confirmed     time.Time                // Commit time of the last confirmed write, by the table's clock.
--- a/internal/budget/recover.go
+++ b/internal/budget/recover.go
@@ -23,6 +23,7 @@
 		return err
 	}
 	if row.Instance != g.Instance {
+		g.previous = row.Instance
 		_, err = g.commit(ctx, []table.Op{
 			putOp(instanceKey(g.Address), version, InstanceRow{Instance: g.Instance}),
 			putOp(aliveKey(g.Instance), 0, AliveRow{Address: g.Address}),
@@ -67,6 +68,9 @@
 	if version == gr.version {
 		return nil
 	}
+	if gr.isForgotten(row, version) {
+		return g.rewriteGrant(ctx, key, gr, row, version)
+	}
 	if version == 0 {
 		g.handleMissingRow(key, gr)
 		return nil
--- a/internal/budget/resize.go
+++ b/internal/budget/resize.go
@@ -28,6 +28,9 @@
 
 // resize opens, grows, shrinks and closes the grants that are due. A new configuration makes all of them due.
 func (g *GrantController) resize(ctx context.Context) error {
+	if g.now().Before(g.growthAt) {
+		return nil
+	}
 	declared := g.Declared.Load()
 	if declared == nil {
 		return nil
--- a/internal/event/budget.go
+++ b/internal/event/budget.go
@@ -18,6 +18,8 @@
 	AutonomyEnded             = register(221, zerolog.InfoLevel, "writes of budgets are confirmed again", "None.")
 	BudgetTableFailed         = register(222, zerolog.WarnLevel, "call to the table service for budgets failed", "Check the table service if it continues.")
 	RouterRecordedGone        = register(223, zerolog.WarnLevel, "router recorded as gone", "None if the host was removed; otherwise check the host list.")
+	TableRestored             = register(225, zerolog.WarnLevel, "table has forgotten the registration of this router, it registers again", "Find out why the table was restored from an older copy.")
+	GrantRewritten            = register(226, zerolog.WarnLevel, "grant that the table had forgotten written again", "Find out why the table was restored from an older copy. Check the sums of the budget rows.")
 	RegistrationLost          = register(224, zerolog.ErrorLevel, "another instance registered under the address of this router", "Two routers use the same address. Stop one of them.")
 	RemoteReservationsCharged = register(230, zerolog.WarnLevel, "unsettled reservations of another router charged in full", "None.")
 )
--- a/internal/table/memory.go
+++ b/internal/table/memory.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -31,6 +33,13 @@
 		Reads   int64 `json:"reads"`   // Rows read; a call counts as at least one.
 	}
 
+	// Copy is a copy of a Memory at one time.
+	Copy struct {
+		rows    map[string]Row
+		keys    []string
+		version uint64
+	}
+
 	// Memory is an in-memory Table with fault injection. It is safe for concurrent use. The zero value is an empty
 	// table.
 	Memory struct {
@@ -48,6 +57,23 @@
 	}
 )
 
+// Copy returns a copy of all rows.
+func (m *Memory) Copy() Copy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Copy{rows: maps.Clone(m.rows), keys: slices.Clone(m.keys), version: m.version}
+}
+
+// Restore goes back to a copy. What was written since is gone, and its versions are used again.
+func (m *Memory) Restore(c Copy) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rows, m.keys, m.version = maps.Clone(c.rows), slices.Clone(c.keys), c.version
+	if m.rows == nil {
+		m.rows = make(map[string]Row)
+	}
+}
+
 // Stats returns the counts since the table was created.
 func (m *Memory) Stats() Stats {
 	m.mu.Lock()
