--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -38,7 +38,7 @@
 		Account  string
 		Weight   int       // Relative share of the account; 1 if zero.
 		Priority int       // Level of head start, which does not raise the account's share in the long run.
-		Deadline time.Time // Latest time of the first token; Queue.Patience after submission if zero.
+		Deadline time.Time // Latest time of the first token; Queue.MaxWait after submission if zero.
 		Cost     int64     // Expected work in tokens; 1 if zero.
 	}
 
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -15,15 +15,15 @@
 )
 
 const (
-	defaultFirst    = 700 * time.Millisecond
-	defaultGap      = 65 * time.Millisecond
-	defaultLeast    = 4
-	defaultMost     = 4096
-	defaultInitial  = 64
-	defaultLength   = 8192
-	defaultPatience = 30 * time.Second
-	defaultLead     = 16
-	tickInterval    = 100 * time.Millisecond
+	defaultFirst   = 700 * time.Millisecond
+	defaultGap     = 65 * time.Millisecond
+	defaultLeast   = 4
+	defaultMost    = 4096
+	defaultInitial = 64
+	defaultLength  = 8192
+	defaultMaxWait = 30 * time.Second
+	defaultLead    = 16
+	tickInterval   = 100 * time.Millisecond
 	// maxWaitShare is the share of the time to its deadline that a new request may be expected to wait. The rest covers
 	// changes of the drain rate, so that a queued request is rarely refused later.
 	maxWaitShare = 0.7
@@ -35,17 +35,17 @@
 	// Queue admits requests up to an adaptive concurrency limit. Set the fields before first use; the zero value of
 	// each setting selects its default. Run does the periodic work.
 	Queue struct {
-		First    time.Duration    // Target time to the first token, by which the limit is adjusted; 700 ms if zero.
-		Gap      time.Duration    // Target time between tokens, by which the limit is adjusted; 65 ms if zero.
-		Least    int              // Minimum concurrency limit; 4 if zero.
-		Most     int              // Maximum concurrency limit; 4096 if zero.
-		Initial  int              // Initial concurrency limit; 64 if zero.
-		Length   int              // Maximum number of queued requests; 8192 if zero.
-		Patience time.Duration    // Time to the deadline of requests without one; 30 s if zero.
-		Lead     float64          // Head start per priority level, in mean request costs; 16 if zero.
-		Now      func() time.Time // time.Now if nil.
-		Metrics  tally.Scope      // Optional.
-		Logger   *zerolog.Logger  // Optional.
+		First   time.Duration    // Target time to the first token, by which the limit is adjusted; 700 ms if zero.
+		Gap     time.Duration    // Target time between tokens, by which the limit is adjusted; 65 ms if zero.
+		Least   int              // Minimum concurrency limit; 4 if zero.
+		Most    int              // Maximum concurrency limit; 4096 if zero.
+		Initial int              // Initial concurrency limit; 64 if zero.
+		Length  int              // Maximum number of queued requests; 8192 if zero.
+		MaxWait time.Duration    // Time to the deadline of requests without one; 30 s if zero.
+		Lead    float64          // Head start per priority level, in mean request costs; 16 if zero.
+		Now     func() time.Time // time.Now if nil.
+		Metrics tally.Scope      // Optional.
+		Logger  *zerolog.Logger  // Optional.
 
 		mu             sync.Mutex
 		initialized    bool
@@ -129,7 +129,7 @@
 	request.Weight = max(request.Weight, 1)
 	request.Cost = max(request.Cost, 1)
 	if request.Deadline.IsZero() {
-		request.Deadline = now.Add(cmp.Or(q.Patience, defaultPatience))
+		request.Deadline = now.Add(cmp.Or(q.MaxWait, defaultMaxWait))
 	}
 	q.sequence++
 	p := &Pending{queue: q, request: request, cost: float64(request.Cost), sequence: q.sequence, done: done}
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -45,7 +45,7 @@
 		const maxCost, lead = 20, 2
 		c := &clock{time: time.Unix(1_000_000, 0)}
 		q := &admission.Queue{
-			Initial: 3, Least: 3, Most: 3, Length: 1 << 20, Patience: time.Hour, Lead: lead, Now: c.now,
+			Initial: 3, Least: 3, Most: 3, Length: 1 << 20, MaxWait: time.Hour, Lead: lead, Now: c.now,
 		}
 		weights := rapid.SliceOfN(rapid.IntRange(1, 5), 2, 5).Draw(t, "weights")
 		priorities := rapid.SliceOfN(rapid.IntRange(0, 2), len(weights), len(weights)).Draw(t, "priorities")
@@ -126,13 +126,13 @@
 // Guards against a slot that is lost when a caller gives up, even at the moment at which the slot is granted.
 func TestCancelledRequestsReleaseSlots(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		patience := rapid.SliceOfN(rapid.IntRange(0, 40), 1, 60).Draw(rt, "patience")
+		maxWait := rapid.SliceOfN(rapid.IntRange(0, 40), 1, 60).Draw(rt, "maxWait")
 		hold := rapid.IntRange(1, 20).Draw(rt, "hold")
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
 			q := &admission.Queue{Initial: 2, Least: 2, Most: 2}
 			var group sync.WaitGroup
-			for i, wait := range patience {
+			for i, wait := range maxWait {
 				group.Go(func() {
 					ctx, cancel := context.WithTimeout(t.Context(), time.Duration(wait)*time.Millisecond)
 					defer cancel()
@@ -162,14 +162,14 @@
 	begin := c.time
 	refused := make(map[string]int)
 	var slots []*admission.Slot
-	submit := func(account string, patience time.Duration) {
+	submit := func(account string, maxWait time.Duration) {
 		at := c.time
-		q.Submit(admission.Request{Account: account, Deadline: at.Add(patience)}, func(slot *admission.Slot, err error) {
+		q.Submit(admission.Request{Account: account, Deadline: at.Add(maxWait)}, func(slot *admission.Slot, err error) {
 			var refusal *admission.Refusal
 			if errors.As(err, &refusal) {
 				refused[account]++
 				// A request is refused well before its deadline, with a time to retry after.
-				is.True(c.time.Sub(at) <= patience*9/10)
+				is.True(c.time.Sub(at) <= maxWait*9/10)
 				is.True(refusal.Retry > 0)
 				return
 			}
--- a/internal/budget/alive.go
+++ b/internal/budget/alive.go
@@ -9,8 +9,8 @@
 	"citronslip/internal/table"
 )
 
-// heartbeatDue reports whether the confirmation in the alive row is due to be renewed.
-func (g *GrantController) heartbeatDue() bool {
+// needsHeartbeat reports whether the confirmation in the alive row must be renewed.
+func (g *GrantController) needsHeartbeat() bool {
 	return !g.alive.mustRead && g.countOpen() > 0 && g.now().Sub(g.alive.writtenAt) >= g.Heartbeat
 }
 
--- a/internal/budget/commit.go
+++ b/internal/budget/commit.go
@@ -53,7 +53,7 @@
 			return err
 		}
 	}
-	if g.heartbeatDue() {
+	if g.needsHeartbeat() {
 		return g.commitChanges(ctx, nil)
 	}
 	return nil
@@ -97,7 +97,7 @@
 	return max(inventory.Tokens(gr.meter.rate()*g.window.Seconds()), 2*u.largestBound, u.largestRefused)
 }
 
-// commitChanges commits changes together, with the alive row if it is due. After a conflict each change is committed
+// commitChanges commits changes together, with the alive row if it must be renewed. After a conflict each change is committed
 // alone, so that a budget row that many holders write does not delay the other changes.
 func (g *GrantController) commitChanges(ctx context.Context, changes []change) error {
 	var ops []table.Op
@@ -107,7 +107,7 @@
 		opens = opens || c.grant.version == 0
 	}
 	// Every commit that opens a grant depends on the version of the alive row, so that it fails once the row is fenced.
-	heartbeat := opens || g.heartbeatDue()
+	heartbeat := opens || g.needsHeartbeat()
 	alive := g.aliveRow()
 	if heartbeat {
 		ops = append(ops, putOp(aliveKey(g.Instance), g.alive.version, alive))
--- a/internal/budget/grants.go
+++ b/internal/budget/grants.go
@@ -120,7 +120,7 @@
 		mustWrite      bool              // The row must be written so that no unresolved write takes effect later.
 		nextResize     time.Time         // Earliest time for a resize, unless a request was refused.
 		nextRetry      time.Time         // Earliest time for a resize because of a refused request.
-		resizeDeadline time.Time         // Time at which a resize is due though enough tokens are left.
+		resizeDeadline time.Time         // Time at which the grant is resized though enough tokens are left.
 		writtenAt      time.Time         // Last write, by the local clock.
 		lastActive     time.Time         // Last step that saw demand.
 		chargedBefore  inventory.Tokens  // Tokens charged for earlier grants of the instance.
@@ -157,7 +157,7 @@
 	}
 }
 
-// Step does all work that is due: registration, refreshes, resizes and reclaims. A failed table call ends the step with
+// Step does all pending work: registration, refreshes, resizes and reclaims. A failed table call ends the step with
 // ErrTableFailed, and it returns ErrFenced if this instance may not spend any more. It must not be called concurrently
 // with itself or Close.
 func (g *GrantController) Step(ctx context.Context) error {
--- a/internal/budget/home_test.go
+++ b/internal/budget/home_test.go
@@ -73,7 +73,7 @@
 		}
 		home.ChargeRequester("r")
 		if left := ledger.Available(key); left != total-spent {
-			t.Fatalf("left %d, want %d", left, total-spent)
+			t.Fatalf("left %d, expected %d", left, total-spent)
 		}
 	})
 }
--- a/internal/budget/policy.go
+++ b/internal/budget/policy.go
@@ -8,18 +8,18 @@
 )
 
 const (
-	// DefaultHorizon is the time for which a grant of an ample budget covers the demand without the table.
+	// DefaultHorizon is the time for which a grant of a budget with enough tokens covers the demand without the table.
 	DefaultHorizon = time.Hour
 	// horizonMargin is the factor by which a grant exceeds the demand over the horizon, so that a grant that is about
 	// to grow still covers the horizon.
 	horizonMargin = 1.5
 	// demandDeviations is the number of standard deviations of the demand that a grant covers above the mean.
 	demandDeviations = 4
-	// minGrantRequests is the number of requests with the largest bound that even the smallest grant of an ample budget
+	// minGrantRequests is the number of requests with the largest bound that even the smallest grant of a budget with enough tokens
 	// covers.
 	minGrantRequests = 8
 	// normalShareFraction, refusalShareFraction and overspendShareFraction are the fractions of its fair share that a
-	// holder takes of a scarce budget, by the error that the account weighs more. The rest stays in the table for the
+	// holder takes of a low budget, by the error that the account weighs more. The rest stays in the table for the
 	// first holder that needs it.
 	normalShareFraction    = 0.95
 	refusalShareFraction   = 0.97
@@ -62,7 +62,7 @@
 	// grantTarget is the size that a policy decides on.
 	grantTarget struct {
 		headroom inventory.Tokens // Tokens to hold in addition to the tokens in use.
-		scarce   bool             // Whether the tokens left in the budget limit the grant, and not the demand.
+		low      bool             // Whether the tokens left in the budget limit the grant, and not the demand.
 	}
 )
 
@@ -70,7 +70,7 @@
 func (FixedSplit) policy()   {}
 func (FixedSize) policy()    {}
 
-// targetOf returns the size that the policy wants for a grant.
+// targetOf returns the size that the policy sets for a grant.
 func targetOf(policy Policy, in policyInput) grantTarget {
 	var result grantTarget
 	switch p := policy.(type) {
@@ -108,13 +108,13 @@
 	if required <= fairShare {
 		return grantTarget{headroom: required}
 	}
-	return grantTarget{headroom: in.scarceHeadroom(fairShare), scarce: true}
+	return grantTarget{headroom: in.lowHeadroom(fairShare), low: true}
 }
 
-// scarceHeadroom returns the tokens to hold of a scarce budget. Tokens too few for a request are of no use to a holder,
+// lowHeadroom returns the tokens to hold of a low budget. Tokens too few for a request are of no use to a holder,
 // so they return to the table, and each request fetches exactly its bound from there. A bound that exceeds what the
 // holder and the table have together fetches nothing.
-func (in policyInput) scarceHeadroom(fairShare inventory.Tokens) inventory.Tokens {
+func (in policyInput) lowHeadroom(fairShare inventory.Tokens) inventory.Tokens {
 	ownLeft := max(0, in.grantRow.Amount-in.used())
 	tooSmall := fairShare < in.largestBound || ownLeft < in.largestBound && in.budgetRow.Free() < in.largestBound
 	switch {
@@ -153,7 +153,7 @@
 	return float64(ownRate) / float64(ownRate+otherRates)
 }
 
-// shareFraction returns the fraction of the fair share that a holder takes of a scarce budget.
+// shareFraction returns the fraction of the fair share that a holder takes of a low budget.
 func shareFraction(worseOutcome inventory.WorseOutcome) float64 {
 	switch worseOutcome {
 	case inventory.WorseFalseRefusal:
--- a/internal/budget/resize.go
+++ b/internal/budget/resize.go
@@ -12,21 +12,21 @@
 const (
 	// exhaustedRetryInterval is the interval at which a holder reads an exhausted budget again for a refused request.
 	exhaustedRetryInterval = 5 * time.Second
-	// ampleMinInterval is the shortest interval between two resizes in an ample budget without refusals.
-	ampleMinInterval = 30 * time.Second
-	// ampleReviewInterval is the longest interval between two resizes in an ample budget with several holders, so that
-	// they notice when it becomes scarce.
-	ampleReviewInterval = 5 * time.Minute
-	// scarceInterval is the interval between two resizes in a scarce budget. It grows with the number of holders, so
+	// normalMinInterval is the shortest interval between two resizes in a budget with enough tokens without refusals.
+	normalMinInterval = 30 * time.Second
+	// normalReviewInterval is the longest interval between two resizes in a budget with enough tokens with several holders, so that
+	// they notice when it runs low.
+	normalReviewInterval = 5 * time.Minute
+	// lowInterval is the interval between two resizes in a low budget. It grows with the number of holders, so
 	// that one budget row is read less than twice per second.
-	scarceInterval = 20 * time.Second
-	// scarceIntervalPerHolder is added to scarceInterval for each holder.
-	scarceIntervalPerHolder = 500 * time.Millisecond
+	lowInterval = 20 * time.Second
+	// lowIntervalPerHolder is added to lowInterval for each holder.
+	lowIntervalPerHolder = 500 * time.Millisecond
 	// minChangeFraction is the smallest change of a grant, as a fraction of its unused tokens, that is worth a write.
 	minChangeFraction = 0.1
 )
 
-// resize opens, grows, shrinks and closes the grants that are due. A new configuration makes all of them due.
+// resize opens, grows, shrinks and closes grants. A new configuration makes it consider all of them.
 func (g *GrantController) resize(ctx context.Context) error {
 	if g.now().Before(g.growthAt) {
 		return nil
@@ -42,19 +42,19 @@
 		}
 	}
 	now := g.now()
-	var due, idle []Key
+	var resizable, idle []Key
 	for key, gr := range g.grants {
 		switch {
 		case gr.mustRead:
 		case g.shouldClose(gr, now, declared):
 			idle = append(idle, key)
-		case g.resizeDue(key, gr, now):
-			due = append(due, key)
+		case g.needsResize(key, gr, now):
+			resizable = append(resizable, key)
 		}
 	}
-	sortKeys(due)
+	sortKeys(resizable)
 	sortKeys(idle)
-	err := g.commitPlanned(ctx, due, func(gr *grant, budget budgetState) (change, bool) {
+	err := g.commitPlanned(ctx, resizable, func(gr *grant, budget budgetState) (change, bool) {
 		return g.planResize(gr, budget, declared)
 	})
 	if err != nil {
@@ -76,8 +76,8 @@
 	return !ok || now.Sub(gr.lastActive) > g.Idle
 }
 
-// resizeDue reports whether the size of a grant is to be decided again.
-func (g *GrantController) resizeDue(key Key, gr *grant, now time.Time) bool {
+// needsResize reports whether the size of a grant is to be decided again.
+func (g *GrantController) needsResize(key Key, gr *grant, now time.Time) bool {
 	u := gr.entry.snapshot()
 	if gr.version == 0 {
 		refused := u.largestRefused > 0 && (!now.Before(gr.nextRetry) || u.largestRefused <= u.tableFree)
@@ -144,7 +144,7 @@
 	return state, err
 }
 
-// planResize returns the change that gives a grant the size that the policy wants, as far as the budget allows. It
+// planResize returns the change that gives a grant the size that the policy sets, as far as the budget allows. It
 // returns false if the change is not worth a write.
 func (g *GrantController) planResize(gr *grant, budget budgetState, declared *Declarations) (change, bool) {
 	key := gr.entry.key
@@ -181,14 +181,14 @@
 // scheduleResize sets when the size of the grant is decided again.
 func (g *GrantController) scheduleResize(gr *grant, target grantTarget, budgetRow Row) {
 	now := g.now()
-	gr.nextResize = now.Add(ampleMinInterval)
-	gr.resizeDeadline = now.Add(ampleReviewInterval)
-	if target.scarce {
-		gr.nextResize = now.Add(scarceInterval + time.Duration(budgetRow.Holders)*scarceIntervalPerHolder)
+	gr.nextResize = now.Add(normalMinInterval)
+	gr.resizeDeadline = now.Add(normalReviewInterval)
+	if target.low {
+		gr.nextResize = now.Add(lowInterval + time.Duration(budgetRow.Holders)*lowIntervalPerHolder)
 		gr.resizeDeadline = gr.nextResize
 	}
 	if budgetRow.Holders <= 1 {
-		gr.nextResize = now.Add(ampleReviewInterval) // No other holder takes or returns tokens.
+		gr.nextResize = now.Add(normalReviewInterval) // No other holder takes or returns tokens.
 		gr.resizeDeadline = now.Add(g.Idle)
 	}
 }
@@ -205,16 +205,16 @@
 		return amount > gr.row.Amount
 	}
 	minChange := inventory.Tokens(minChangeFraction * float64(max(target.headroom, gr.row.Amount-u.used())))
-	if target.scarce && target.headroom == 0 {
+	if target.low && target.headroom == 0 {
 		return amount < gr.row.Amount
 	}
-	if target.scarce && u.spent-gr.row.Reported > minChange {
+	if target.low && u.spent-gr.row.Reported > minChange {
 		return true // The other holders size their grants by the reported consumption.
 	}
 	if amount > gr.row.Amount {
 		return amount-gr.row.Amount > minChange || u.largestRefused > gr.row.Amount-u.used()
 	}
-	return target.scarce && gr.row.Amount-amount > minChange+u.largestBound
+	return target.low && gr.row.Amount-amount > minChange+u.largestBound
 }
 
 // resizeChange returns the change that sets a new amount, and opens the grant if there is none.
--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -64,7 +64,7 @@
 		for _, w := range level.Windows {
 			good, bad := countInWindow(goodTimes, now, windowLengths[w.Window]), countInWindow(badTimes, now, windowLengths[w.Window])
 			if w.Good != good || w.Bad != bad {
-				t.Fatalf("%s: got %d good, %d bad, want %d, %d", w.Window, w.Good, w.Bad, good, bad)
+				t.Fatalf("%s: got %d good, %d bad, expected %d, %d", w.Window, w.Good, w.Bad, good, bad)
 			}
 			if good+bad > 0 && math.Abs(w.Rate-float64(bad)/float64(good+bad)/0.1) > 1e-9 {
 				t.Fatalf("burn rate %v does not match the counts", w.Rate)
--- a/internal/caller/fuzz_test.go
+++ b/internal/caller/fuzz_test.go
@@ -53,7 +53,7 @@
 		}
 		encoded := chat.Encode(tokens, 3)
 		if got := outputLimits(t, encoded); len(got) != 1 || got[0] != int64(tokens) {
-			t.Fatalf("limits %v in %s, want %d", got, encoded, tokens)
+			t.Fatalf("limits %v in %s, expected %d", got, encoded, tokens)
 		}
 		if words := countWords(t, encoded); inventory.Tokens(words) > chat.PromptBound(0) {
 			t.Fatalf("%d words, bound %d", words, chat.PromptBound(0))
@@ -134,16 +134,16 @@
 	f.Fuzz(func(t *testing.T, data []byte, split uint16) {
 		synctest.Test(t, func(t *testing.T) {
 			status, got := relayThroughFrontend(t, data, int(split)+1)
-			want, whole := expectedEvents(data)
+			expected, whole := expectedEvents(data)
 			switch {
 			case status != http.StatusOK:
-				if want != "" {
+				if expected != "" {
 					t.Fatalf("status %d for %q", status, data)
 				}
-			case whole && got != want:
-				t.Fatalf("got %q, want %q", got, want)
-			case !whole && !strings.HasPrefix(got, want+"event: error\ndata: {"):
-				t.Fatalf("got %q, want %q and an error", got, want)
+			case whole && got != expected:
+				t.Fatalf("got %q, expected %q", got, expected)
+			case !whole && !strings.HasPrefix(got, expected+"event: error\ndata: {"):
+				t.Fatalf("got %q, expected %q and an error", got, expected)
 			}
 		})
 	})
--- a/internal/caller/held_attempt.go
+++ b/internal/caller/held_attempt.go
@@ -40,9 +40,9 @@
 
 	// AttemptResolver settles held attempts by the usage reports of the backend servers.
 	AttemptResolver struct {
-		Engines  *engine.Client
-		Logger   *zerolog.Logger
-		Patience time.Duration // Time after which a held attempt is charged at its bound; 10 min if zero.
+		Engines *engine.Client
+		Logger  *zerolog.Logger
+		MaxWait time.Duration // Time after which a held attempt is charged at its bound; 10 min if zero.
 
 		mu   sync.Mutex
 		held map[string]HeldAttempt // By attempt name.
@@ -154,8 +154,8 @@
 }
 
 func (r *AttemptResolver) holdTimeout() time.Duration {
-	if r.Patience > 0 {
-		return r.Patience
+	if r.MaxWait > 0 {
+		return r.MaxWait
 	}
 	return defaultHoldTimeout
 }
--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -25,9 +25,9 @@
 type (
 	// AdmissionQueues holds the admission queue of each service. Set the fields before the first use.
 	AdmissionQueues struct {
-		Patience time.Duration // Longest time that a request waits in a queue.
-		Scope    tally.Scope   // Metrics; nil means none.
-		Logger   *zerolog.Logger
+		MaxWait time.Duration // Longest time that a request waits in a queue.
+		Scope   tally.Scope   // Metrics; nil means none.
+		Logger  *zerolog.Logger
 
 		mu     sync.Mutex
 		queues map[string]*admission.Queue // By service name.
@@ -72,7 +72,7 @@
 	if queue != nil {
 		return queue
 	}
-	queue = &admission.Queue{Patience: q.Patience, Logger: q.Logger}
+	queue = &admission.Queue{MaxWait: q.MaxWait, Logger: q.Logger}
 	if q.Scope != nil {
 		queue.Metrics = q.Scope.Tagged(map[string]string{"service": service.Name})
 	}
@@ -88,7 +88,7 @@
 
 // awaitAdmission waits in the queue of the call's service. releaseAdmissionSlot must be called after the last attempt.
 func (c *call) awaitAdmission(ctx context.Context, cost int64) *Refusal {
-	c.startDeadline = time.Now().Add(c.front.Queues.Patience)
+	c.startDeadline = time.Now().Add(c.front.Queues.MaxWait)
 	c.queue = c.front.Queues.forService(c.index.Service(c.ruleDecision.Service))
 	queuedAt := time.Now()
 	slot, err := c.queue.Acquire(ctx, admission.Request{
--- a/internal/caller/testfrontend_test.go
+++ b/internal/caller/testfrontend_test.go
@@ -149,7 +149,7 @@
 	picker.Update(servers)
 	f.front = &caller.Frontend{
 		Router: "r", Instance: "i", Version: version, Stopping: &board.Cell[bool]{}, Ledger: f.ledger, Picker: picker,
-		Retrier: &routing.Retrier{}, Queues: &caller.AdmissionQueues{Patience: time.Minute, Logger: &logger},
+		Retrier: &routing.Retrier{}, Queues: &caller.AdmissionQueues{MaxWait: time.Minute, Logger: &logger},
 		Claims:  &claim.Claims{Table: &table.Memory{}, Objects: &object.Memory{}, Instance: "i", Logger: &logger},
 		Biller:  &claim.Biller{Table: &table.Memory{}, Instance: "i", Logger: &logger},
 		Explain: &explain.RequestLog{}, Resolver: &caller.AttemptResolver{Engines: client, Logger: &logger},
--- a/internal/claim/bill_test.go
+++ b/internal/claim/bill_test.go
@@ -54,7 +54,7 @@
 	b := claim.Biller{Table: m, Instance: "r1"}
 	before := heapBytes()
 	accounts := strings.Split("a b c d e f g h i j", " ")
-	number, want := uint64(0), int64(0)
+	number, expected := uint64(0), int64(0)
 	for second := range 3600 {
 		for i := range 98 {
 			number++
@@ -62,26 +62,26 @@
 				continue // A refused request has a number but no bill.
 			}
 			b.Add(claim.Bill{Number: number, Account: accounts[i%10], Model: "m", Output: 2})
-			want++
+			expected++
 		}
 		for i := range 2 {
 			b.Add(claim.Bill{Key: fmt.Sprintf("a/%d/%d", second, i), Account: "a", Model: "m", Output: 2})
-			want++
+			expected++
 		}
 		if second%60 == 0 {
 			is.True(b.Flush(t.Context()) != nil)
 		}
 	}
 	growth := heapBytes() - before
-	t.Logf("heap grew by %.1f MB for %d bills", float64(growth)/1e6, want)
+	t.Logf("heap grew by %.1f MB for %d bills", float64(growth)/1e6, expected)
 	is.True(growth < 64<<20)
 	tableDown = false
 	for keyed, other := b.UnwrittenBills(); keyed+other > 0; keyed, other = b.UnwrittenBills() {
 		is.NoErr(b.Flush(t.Context()))
 	}
 	requests, tokens := billedTotals(t, m)
-	is.Equal(requests, want)
-	is.Equal(tokens, 2*want)
+	is.Equal(requests, expected)
+	is.Equal(tokens, 2*expected)
 }
 
 // heapBytes returns the size of the live heap.
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -49,8 +49,8 @@
 func TestExitStatusTellsUsageErrorsFromFailures(t *testing.T) {
 	credential := writeFile(t, "credential", operatorKey)
 	cases := []struct {
-		want int
-		args string
+		expected int
+		args     string
 	}{
 		{command.ExitSuccess, "version"},
 		{command.ExitSuccess, "check -h"},
@@ -75,8 +75,8 @@
 	}
 	for _, test := range cases {
 		status, _, stderr := runCommand(strings.Fields(test.args)...)
-		if status != test.want {
-			t.Errorf("citronslip %s: status %d, want %d\n%s", test.args, status, test.want, stderr)
+		if status != test.expected {
+			t.Errorf("citronslip %s: status %d, expected %d\n%s", test.args, status, test.expected, stderr)
 		}
 	}
 }
--- a/internal/command/settings_test.go
+++ b/internal/command/settings_test.go
@@ -46,7 +46,7 @@
 	if err := os.WriteFile(textPath, []byte("no certificate"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	for _, test := range []struct{ setting, key, want string }{
+	for _, test := range []struct{ setting, key, expected string }{
 		{`lisen = "x"`, "lisen", "unknown key; accepted are admin, authority, body,"},
 		{`config = "x"`, "config", "unknown key; accepted are"},
 		{`"a\nb" = 1`, `"a\nb"`, "unknown key; accepted are"},
@@ -95,10 +95,10 @@
 		}
 		found := false
 		for _, got := range routeErrors(t, path) {
-			found = found || strings.HasPrefix(got, prefix) && strings.Contains(got, test.want)
+			found = found || strings.HasPrefix(got, prefix) && strings.Contains(got, test.expected)
 		}
 		if !found {
-			t.Errorf("%s: want %s... %s, got %q", test.setting, prefix, test.want, routeErrors(t, path))
+			t.Errorf("%s: expected %s... %s, got %q", test.setting, prefix, test.expected, routeErrors(t, path))
 		}
 	}
 }
@@ -108,8 +108,8 @@
 func TestFlagsPrecedeEnvironmentAndFile(t *testing.T) {
 	is := is.New(t)
 	path := writeFile(t, "router.toml", "body = 1\n")
-	reportsOutOfRange := func(args []string, want string) bool {
-		return strings.Contains(strings.Join(routeErrors(t, path, args...), "\n"), want+" is out of range")
+	reportsOutOfRange := func(args []string, expected string) bool {
+		return strings.Contains(strings.Join(routeErrors(t, path, args...), "\n"), expected+" is out of range")
 	}
 	is.True(reportsOutOfRange(nil, path+":1: body: 1"))
 	t.Setenv("CITRONSLIP_BODY", "2")
--- a/internal/crash/rows.go
+++ b/internal/crash/rows.go
@@ -39,8 +39,8 @@
 	// expiryInterval is the time between two removals of expired rows.
 	expiryInterval = time.Minute
 
-	// recentTime is the age of a crash up to which other routers are told of it while they cannot reach the store,
-	// maxRecentRows the maximum number of crashes and of proofs that they are told of.
+	// recentTime is the age of a crash up to which other routers are informed of it while they cannot reach the store,
+	// maxRecentRows the maximum number of crashes and of proofs that they are informed of.
 	recentTime    = 20 * time.Second
 	maxRecentRows = 60
 
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -138,8 +138,8 @@
 // deadline returns the time at which the router gives the request up.
 func (c *call) deadline() time.Time {
 	timeout := c.route.Timeout
-	if c.request.Patience > 0 {
-		timeout = min(timeout, c.request.Patience)
+	if c.request.Timeout > 0 {
+		timeout = min(timeout, c.request.Timeout)
 	}
 	return c.request.Arrived.Add(timeout)
 }
--- a/internal/dispatch/crash_fleet_test.go
+++ b/internal/dispatch/crash_fleet_test.go
@@ -207,7 +207,7 @@
 			subject = harmfulPart
 		}
 		r := request("/stream/x")
-		r.ID, r.Body, r.Patience = fmt.Sprint(i), []byte(fmt.Sprint("content ", i)), 10*time.Second
+		r.ID, r.Body, r.Timeout = fmt.Sprint(i), []byte(fmt.Sprint("content ", i)), 10*time.Second
 		r.Prompt = &dispatch.Prompt{Tokens: 100, Most: 20, Parts: []dispatch.PromptPart{{ID: 0xa, Tokens: 50}, {ID: subject, Tokens: 30}, {ID: uint64(i) + 0x10000, Tokens: 20}}}
 		group.Go(func() {
 			begin := time.Now()
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -65,7 +65,7 @@
 		Path      string
 		Key       string        // API key.
 		Arrived   time.Time     // Estimated time at which the request reached the host.
-		Patience  time.Duration // Timeout of the caller, counted from Arrived; zero if it gave none.
+		Timeout   time.Duration // Timeout of the caller, counted from Arrived; zero if it gave none.
 		Prompt    *Prompt       // Nil if the request has no prompt.
 		LastEvent string        // ID of the last event that the caller received of a stream that it resumes.
 		Head      any           // Request data of the protocol, for the Backend; not interpreted here.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -199,7 +199,7 @@
 }
 
 func request(path string) *dispatch.Request {
-	r := &dispatch.Request{ID: "id", Method: "POST", Host: "h", Path: path, Key: "key", Arrived: time.Now(), Patience: time.Second}
+	r := &dispatch.Request{ID: "id", Method: "POST", Host: "h", Path: path, Key: "key", Arrived: time.Now(), Timeout: time.Second}
 	if strings.HasPrefix(path, "/stream") || strings.HasPrefix(path, "/frail") {
 		r.Prompt = &dispatch.Prompt{Tokens: 100, Most: 30}
 	}
@@ -232,7 +232,7 @@
 func (b *testDispatcher) serveWithoutTimeout(path string) *callerResponse {
 	a := &callerResponse{}
 	r := request(path)
-	r.Patience = 0
+	r.Timeout = 0
 	b.Serve(context.Background(), r, a)
 	return a
 }
@@ -525,7 +525,7 @@
 		})
 		a := &callerResponse{pause: 4 * time.Second}
 		r := request("/frail/1")
-		r.Patience = 0
+		r.Timeout = 0
 		b.Serve(context.Background(), r, a)
 		is.True(a.ended && !a.aborted)
 	})
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -28,7 +28,7 @@
 	if err == nil || len(request.Exclude) == 0 {
 		return server, choice, err
 	}
-	server, choice, err = c.pickPatiently(ctx, request)
+	server, choice, err = c.pickWaiting(ctx, request)
 	if err != nil || c.permit.Wait == 0 {
 		return server, choice, err
 	}
@@ -39,32 +39,32 @@
 	return c.Pool.Pick(request)
 }
 
-// pickPatiently selects a server for which a permit is free within the time that the request can wait. While routers do
+// pickWaiting selects a server for which a permit is free within the time that the request can wait. While routers do
 // not know which of them issues the permits, it tries again.
-func (c *call) pickPatiently(ctx context.Context, request *routing.Request) (*Server, *routing.Choice, error) {
-	patience := min(maxPermitWait, time.Duration(permitWaitShare*float64(time.Until(c.deadline()))))
+func (c *call) pickWaiting(ctx context.Context, request *routing.Request) (*Server, *routing.Choice, error) {
+	maxWait := min(maxPermitWait, time.Duration(permitWaitShare*float64(time.Until(c.deadline()))))
 	for {
 		request.Exclude = nil
-		server, choice, err := c.pickWithin(ctx, request, max(patience, 0))
+		server, choice, err := c.pickWithin(ctx, request, max(maxWait, 0))
 		var exhausted *ratelimit.ExhaustedError
-		if !errors.As(err, &exhausted) || exhausted.After >= patience || !delay.Sleep(ctx, exhausted.After) {
+		if !errors.As(err, &exhausted) || exhausted.After >= maxWait || !delay.Sleep(ctx, exhausted.After) {
 			return server, choice, err
 		}
-		patience -= exhausted.After
+		maxWait -= exhausted.After
 	}
 }
 
-// pickWithin selects a server for which a permit is free within patience. It adds servers that it passes over for lack of
+// pickWithin selects a server for which a permit is free within maxWait. It adds servers that it passes over for lack of
 // a permit to request.Exclude. If none is left, the error is an *ratelimit.ExhaustedError with the shortest of their times,
 // unless another server accepts requests sooner.
-func (c *call) pickWithin(ctx context.Context, request *routing.Request, patience time.Duration) (*Server, *routing.Choice, error) {
+func (c *call) pickWithin(ctx context.Context, request *routing.Request, maxWait time.Duration) (*Server, *routing.Choice, error) {
 	var shortest *ratelimit.ExhaustedError
 	for range maxPermitPicks {
 		server, choice, err := c.Pool.Pick(request)
 		if err != nil {
 			return nil, nil, soonest(shortest, err)
 		}
-		permit, err := c.Limits.Acquire(ctx, server.process(), patience)
+		permit, err := c.Limits.Acquire(ctx, server.process(), maxWait)
 		if err == nil {
 			c.permit = permit
 			return server, choice, nil
--- a/internal/fleet/billing_test.go
+++ b/internal/fleet/billing_test.go
@@ -191,7 +191,7 @@
 	var row budget.InstanceRow
 	rows := f.scanRows(budget.InstanceRowKey(p.peerAddress))
 	if len(rows) != 1 {
-		f.t.Fatalf("table has %d instances for peer address %s, want 1", len(rows), p.peerAddress)
+		f.t.Fatalf("table has %d instances for peer address %s, expected 1", len(rows), p.peerAddress)
 	}
 	if err := json.Unmarshal(rows[0].Value, &row); err != nil {
 		f.t.Fatal(err)
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -66,7 +66,7 @@
 	return r
 }
 
-// Guards against an outcome that is counted as another one. The figures in want are the counts of answered,
+// Guards against an outcome that is counted as another one. The figures in expected are the counts of answered,
 // unanswered, truncated, duplicated and refused requests.
 func TestOutcomesAreDistinguished(t *testing.T) {
 	streamed := func(budget string) load.RequestKind {
@@ -74,8 +74,8 @@
 	}
 	plain := func(path string) load.RequestKind { return load.RequestKind{Name: "c", Path: path} }
 	cases := []struct {
-		call load.RequestKind
-		want string
+		call     load.RequestKind
+		expected string
 	}{
 		{streamed(""), "20 0 0 0 map[]"},
 		{streamed("broken"), "0 0 20 0 map[]"},
@@ -93,7 +93,7 @@
 		is := is.New(t)
 		r := run(t, &load.Generator{Target: target, Mix: []load.RequestKind{c.call}, Count: 20})
 		counts := r.Total
-		is.Equal(fmt.Sprint(counts.Answered, counts.Unanswered, counts.Truncated, counts.Duplicated, counts.Refused), c.want)
+		is.Equal(fmt.Sprint(counts.Answered, counts.Unanswered, counts.Truncated, counts.Duplicated, counts.Refused), c.expected)
 		is.Equal(counts.Sent, 20)
 		if c.call.Stream {
 			is.Equal(counts.FirstToken.Count, int64(20))
--- a/internal/peer/sync.go
+++ b/internal/peer/sync.go
@@ -49,14 +49,14 @@
 	return more || len(answer.Members) == maxChangesPerMessage, nil
 }
 
-// ensureHello sends a hello if the exchange with the peer is not established or the tables are due for a comparison.
+// ensureHello sends a hello if the exchange with the peer is not established or the tables have to be compared.
 func (m *Membership) ensureHello(ctx context.Context, address string) error {
 	m.mu.Lock()
 	state := m.syncStateFor(address)
-	due := !state.established || state.pings >= pingsPerHello
+	needed := !state.established || state.pings >= pingsPerHello
 	hello := m.newHello(address)
 	m.mu.Unlock()
-	if !due {
+	if !needed {
 		return nil
 	}
 	answer, err := m.Client.Hello(ctx, address, hello)
--- a/internal/placement/simulation_test.go
+++ b/internal/placement/simulation_test.go
@@ -233,16 +233,16 @@
 
 // deliverMatching delivers the delayed commands that match.
 func (s *simulation) deliverMatching(matches func(inFlightCommand) bool) {
-	var rest, due []inFlightCommand
+	var rest, arrived []inFlightCommand
 	for _, command := range s.inFlight {
 		if matches(command) {
-			due = append(due, command)
+			arrived = append(arrived, command)
 			continue
 		}
 		rest = append(rest, command)
 	}
 	s.inFlight = rest
-	for _, command := range due {
+	for _, command := range arrived {
 		_ = s.deliver(command)
 	}
 }
--- a/internal/prepaid/borrow.go
+++ b/internal/prepaid/borrow.go
@@ -190,7 +190,7 @@
 	if l.storeStatus.age(l.Now()) > storeUnreachableAge {
 		return // The store is unreachable, and the grant's reserve is meant for that time.
 	}
-	a.scarceAt = l.Now()
+	a.shortAt = l.Now()
 	l.startWriter(a)
 }
 
--- a/internal/prepaid/budget_rows.go
+++ b/internal/prepaid/budget_rows.go
@@ -66,16 +66,16 @@
 	if l.storeStatus.age(now) > storeUnreachableAge {
 		return nil
 	}
-	var due []*account
+	var outdated []*account
 	for _, a := range l.accounts {
 		if a.loaded && a.grant.Holder == l.Instance && a.grantDemand.rate(now) > minDemand &&
 			now.Sub(a.budgetReadAt) > budgetReadInterval {
-			due = append(due, a)
+			outdated = append(outdated, a)
 		}
 	}
-	slices.SortFunc(due, func(a, b *account) int { return a.budgetReadAt.Compare(b.budgetReadAt) })
+	slices.SortFunc(outdated, func(a, b *account) int { return a.budgetReadAt.Compare(b.budgetReadAt) })
 	var names []string
-	for _, a := range due[:min(len(due), maxBudgetReads)] {
+	for _, a := range outdated[:min(len(outdated), maxBudgetReads)] {
 		names = append(names, a.name)
 	}
 	return names
--- a/internal/prepaid/holders_test.go
+++ b/internal/prepaid/holders_test.go
@@ -31,13 +31,13 @@
 	const (
 		pause              = 10 * time.Millisecond
 		tokens             = 8000
-		ample              = inventory.Tokens(60_000_000)
+		large              = inventory.Tokens(60_000_000)
 		unreachableDivisor = 3
 		maxWritesPerSecond = 50 // With 24 accounts, this stays within the store's limit of 1,500 writes a second.
 	)
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := newFleet(routers, ample)
+		f := newFleet(routers, large)
 		f.roundTrip = 20 * time.Millisecond
 		f.start(t.Context())
 		defer f.stop()
@@ -48,7 +48,7 @@
 			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(pause) {
 				ledger := f.routers[random.IntN(routers)].ledger.Load()
 				all.Go(func() {
-					reservation, _ := ledger.Reserve(t.Context(), dispatch.ReservationRequest{Account: account, Total: ample, Tokens: tokens})
+					reservation, _ := ledger.Reserve(t.Context(), dispatch.ReservationRequest{Account: account, Total: large, Tokens: tokens})
 					if reservation == nil {
 						count.Add(1)
 						return
@@ -79,16 +79,16 @@
 		routers = 75
 		pause   = 15 * time.Millisecond
 		tokens  = 8000
-		ample   = inventory.Tokens(60_000_000)
+		large   = inventory.Tokens(60_000_000)
 	)
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := newFleet(routers, ample)
+		f := newFleet(routers, large)
 		f.roundTrip = 8 * time.Millisecond
 		f.writeSlot = make(chan struct{}, 1)
 		f.start(t.Context())
 		defer f.stop()
-		reservationRequest := dispatch.ReservationRequest{Account: account, Total: ample, Tokens: tokens}
+		reservationRequest := dispatch.ReservationRequest{Account: account, Total: large, Tokens: tokens}
 		f.peersUnreachable.Store(true) // No router can borrow, so each takes a grant of its own.
 		for _, r := range f.routers {
 			reservation, _ := r.ledger.Load().Reserve(t.Context(), reservationRequest)
@@ -131,15 +131,15 @@
 	const (
 		routers = 75
 		tokens  = 8000
-		ample   = inventory.Tokens(60_000_000)
+		large   = inventory.Tokens(60_000_000)
 		pause   = 50 * time.Millisecond
 	)
-	withFleet(t, routers, ample, func(t *testing.T, is *is.I, f *fleet) {
+	withFleet(t, routers, large, func(t *testing.T, is *is.I, f *fleet) {
 		for i := range 10 { // Some of them are holders by their rank for the account.
 			ledger := f.routers[i].ledger.Load()
 			sendRequests := func(d time.Duration) (refused int) {
 				for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(pause) {
-					reservation, _ := ledger.Reserve(t.Context(), dispatch.ReservationRequest{Account: account, Total: ample, Tokens: tokens})
+					reservation, _ := ledger.Reserve(t.Context(), dispatch.ReservationRequest{Account: account, Total: large, Tokens: tokens})
 					if reservation == nil {
 						refused++
 						continue
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -82,8 +82,8 @@
 		budgetReadAt  time.Time // When the budget row was last read or written.
 		stale         bool      // Whether the rows must be read again before the next write.
 		exhaustedAt   time.Time // When the store last confirmed that no tokens are available.
-		resizedAt     time.Time // When resizeDue last returned true.
-		scarceAt      time.Time // When a request last found no tokens available.
+		resizedAt     time.Time // When mayResize last returned true.
+		shortAt       time.Time // When a request last found no tokens available.
 		idleRetryAt   time.Time // Earliest time of a write that no request waits for.
 	}
 
--- a/internal/prepaid/members_test.go
+++ b/internal/prepaid/members_test.go
@@ -19,7 +19,7 @@
 	const (
 		accounts = 40
 		tokens   = 8000
-		ample    = inventory.Tokens(60_000_000)
+		large    = inventory.Tokens(60_000_000)
 		duration = 30 * time.Second
 		maxBytes = 2048 // Per router and second: the limit of a host for control traffic.
 		maxCalls = 5    // Per router and second.
@@ -28,11 +28,11 @@
 		t.Run(fmt.Sprint(routers), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				f := newFleet(routers, ample)
+				f := newFleet(routers, large)
 				d := &inventory.Directory{Version: 1}
 				for i := range accounts {
 					name := fmt.Sprint("account-", i)
-					d.Budgets = append(d.Budgets, inventory.Budget{Name: name, Account: name, Tokens: ample})
+					d.Budgets = append(d.Budgets, inventory.Budget{Name: name, Account: name, Tokens: large})
 				}
 				d.Prepare()
 				f.directory.Store(d)
@@ -46,7 +46,7 @@
 					number++
 					ledger := f.routers[number%routers].ledger.Load()
 					reservation, _ := ledger.Reserve(t.Context(), dispatch.ReservationRequest{
-						Account: d.Budgets[number%accounts].Account, Total: ample, Tokens: tokens,
+						Account: d.Budgets[number%accounts].Account, Total: large, Tokens: tokens,
 					})
 					if reservation == nil {
 						refused++
--- a/internal/prepaid/plan.go
+++ b/internal/prepaid/plan.go
@@ -21,11 +21,11 @@
 	maxRefusalRowAge = 150 * time.Millisecond
 	// impossibleVersion is a version that no row has.
 	impossibleVersion = int64(1) << 60
-	// scarcityWindow is how long the grant sizes of an account stay divided by scarcityDivisor after a request found no
+	// shortageWindow is how long the grant sizes of an account stay divided by shortageDivisor after a request found no
 	// tokens available.
-	scarcityWindow  = 4 * time.Second
-	scarcityDivisor = 4
-	// minReturnedSurplus is the size in tokens that a surplus must exceed to be returned while tokens are not scarce.
+	shortageWindow  = 4 * time.Second
+	shortageDivisor = 4
+	// minReturnedSurplus is the size in tokens that a surplus must exceed to be returned while tokens are not short.
 	minReturnedSurplus = 4000
 )
 
@@ -42,7 +42,7 @@
 	}
 )
 
-// planWrite returns the next write for an account and the rows after it, and reports whether one is due. The caller
+// planWrite returns the next write for an account and the rows after it, and reports whether one is needed. The caller
 // holds the lock.
 func (l *Ledger) planWrite(a *account) (store.Write, plannedRows, bool) {
 	if l.stopped {
@@ -87,7 +87,7 @@
 		// Only this router's grant row changes, which no other router writes.
 		next.grant.Opened = int(min(opened, amount))
 		return l.planGrantWrite(a, next)
-	case waitingTokens > 0 || belowTarget && growth > 0 && l.resizeDue(a):
+	case waitingTokens > 0 || belowTarget && growth > 0 && l.mayResize(a):
 		grown := min(required+target.Open+target.Reserve, max(required, amount)+growth)
 		amount = max(amount, min(grown, amount+next.budget.available()))
 	case float64(amount-required) > shrinkFactor*float64(target.Open+target.Reserve) && l.shouldReturnSurplus(a, surplus):
@@ -97,7 +97,7 @@
 	case a.used()+int64(openThreshold*float64(target.Open)) > int64(a.grant.Opened) && a.grant.Opened < a.grant.Amount:
 		next.grant.Opened = int(min(opened, amount))
 		return l.planGrantWrite(a, next)
-	case next.budget.Total != a.budget.Total && l.resizeDue(a):
+	case next.budget.Total != a.budget.Total && l.mayResize(a):
 	default:
 		return store.Write{}, plannedRows{}, false
 	}
@@ -130,7 +130,7 @@
 	if l.Now().Sub(a.budgetReadAt) > maxRefusalRowAge {
 		return l.planReread(a)
 	}
-	a.exhaustedAt, a.scarceAt = l.Now(), l.Now()
+	a.exhaustedAt, a.shortAt = l.Now(), l.Now()
 	l.refuseWaiters(a)
 	if len(a.waiters) > 0 {
 		return l.planWrite(a)
@@ -159,20 +159,20 @@
 }
 
 // shouldReturnSurplus reports whether the given number of tokens beyond the target size of a grant is to be returned
-// now. While tokens are scarce, any surplus is. None is returned after a failed write: if that write stays unanswered and
+// now. While tokens are short, any surplus is. None is returned after a failed write: if that write stays unanswered and
 // the store comes back from an older copy, the surplus counts neither as this router's nor as free.
 func (l *Ledger) shouldReturnSurplus(a *account, tokens int64) bool {
 	if l.backoff.interval > 0 {
 		return false
 	}
-	if l.isScarce(a) {
+	if l.isShort(a) {
 		return tokens > 0
 	}
-	return tokens > minReturnedSurplus && l.resizeDue(a)
+	return tokens > minReturnedSurplus && l.mayResize(a)
 }
 
-// resizeDue reports whether resizeInterval has passed since it last returned true for the account.
-func (l *Ledger) resizeDue(a *account) bool {
+// mayResize reports whether resizeInterval has passed since it last returned true for the account.
+func (l *Ledger) mayResize(a *account) bool {
 	now := l.Now()
 	if now.Sub(a.resizedAt) < resizeInterval {
 		return false
@@ -192,16 +192,16 @@
 		Total:   int64(a.budget.Total),
 		Routers: l.membership.holdersPerAccount(),
 	}.Size()
-	if l.isScarce(a) {
-		size.Open /= scarcityDivisor
-		size.Reserve /= scarcityDivisor
+	if l.isShort(a) {
+		size.Open /= shortageDivisor
+		size.Reserve /= shortageDivisor
 	}
 	return size
 }
 
-// isScarce reports whether a request found no tokens available within scarcityWindow.
-func (l *Ledger) isScarce(a *account) bool {
-	return !a.scarceAt.IsZero() && l.Now().Sub(a.scarceAt) < scarcityWindow
+// isShort reports whether a request found no tokens available within shortageWindow.
+func (l *Ledger) isShort(a *account) bool {
+	return !a.shortAt.IsZero() && l.Now().Sub(a.shortAt) < shortageWindow
 }
 
 // planTakeover returns the write that creates this instance's grant and ends that of an earlier process of this router.
--- a/internal/prepaid/prepaid_test.go
+++ b/internal/prepaid/prepaid_test.go
@@ -667,9 +667,9 @@
 
 // Shows that a router holds nothing back from the other routers once a budget is nearly used up.
 func ExampleGrantSizeInput_Size() {
-	ample := prepaid.GrantSizeInput{Demand: 2000, Rest: 900_000, Total: 1_000_000, Routers: 6}.Size()
-	scarce := prepaid.GrantSizeInput{Demand: 2000, Rest: 25_000, Total: 1_000_000, Routers: 6}.Size()
-	fmt.Println(ample.Reserve >= 24_000, scarce.Reserve, scarce.Open)
+	normal := prepaid.GrantSizeInput{Demand: 2000, Rest: 900_000, Total: 1_000_000, Routers: 6}.Size()
+	low := prepaid.GrantSizeInput{Demand: 2000, Rest: 25_000, Total: 1_000_000, Routers: 6}.Size()
+	fmt.Println(normal.Reserve >= 24_000, low.Reserve, low.Open)
 	// Output: true 0 0
 }
 
--- a/internal/prepaid/restore.go
+++ b/internal/prepaid/restore.go
@@ -270,7 +270,7 @@
 	return clock.Milliseconds() < int64(a.budget.Since)
 }
 
-// planWhileSettling returns a write that opens more of the grant, if one is due.
+// planWhileSettling returns a write that opens more of the grant, if one is needed.
 func (l *Ledger) planWhileSettling(a *account) (store.Write, plannedRows, bool) {
 	required := a.used()
 	for _, w := range a.waiters {
--- a/internal/prepaid/size.go
+++ b/internal/prepaid/size.go
@@ -8,13 +8,13 @@
 const (
 	// reserveWindow is how long the reserve of a grant covers the demand while the store is unreachable.
 	reserveWindow = 16 * time.Second
-	// ampleOpenWindow is how long the opened part covers the demand while a budget is ample. More than AutonomyDelay of
+	// normalOpenWindow is how long the opened part covers the demand while a budget is not low. More than AutonomyDelay of
 	// it is left when more is opened.
-	ampleOpenWindow = 5 * time.Second
-	// scarceOpenWindow is how long the opened part covers the demand when a budget is no longer ample, so that the
+	normalOpenWindow = 5 * time.Second
+	// lowOpenWindow is how long the opened part covers the demand when a budget is low, so that the
 	// opened tokens of a killed router would be missed. It covers nearly AutonomyDelay, so that few requests are
 	// refused at the start of an outage.
-	scarceOpenWindow = 1400 * time.Millisecond
+	lowOpenWindow = 1400 * time.Millisecond
 	// maxOpenShare and maxReserveShare are the maximum fractions of the remaining tokens that one router opens and
 	// reserves. They do not divide the tokens equally, as the balancer may send most of an account's requests to one
 	// router.
@@ -27,9 +27,9 @@
 	// minRemainingShare is the fraction of the total below which nothing is reserved, so that the remaining tokens can
 	// be used up.
 	minRemainingShare = 0.03
-	// ampleShare is the fraction of the total above which a budget is ample: more is opened than the demand requires,
+	// lowShare is the fraction of the total below which a budget is low. Above it more is opened than the demand requires,
 	// because the opened tokens of a killed router are not missed.
-	ampleShare = 0.35
+	lowShare = 0.35
 	// minOpened is the smallest number of tokens that is worth opening ahead of demand.
 	minOpened = 3000
 	// demandWindow is the time constant over which demand is averaged.
@@ -61,7 +61,7 @@
 	}
 )
 
-// Size returns the target size of a grant. While a budget is ample, its grants cover reserveWindow without the store.
+// Size returns the target size of a grant. While a budget is not low, its grants cover reserveWindow without the store.
 // As the budget runs out, grants shrink until each request needs a store write of its own and no router holds tokens
 // that it does not need.
 func (n GrantSizeInput) Size() GrantSize {
@@ -69,13 +69,13 @@
 		return GrantSize{}
 	}
 	remaining := float64(n.Rest)
-	openWindow := scarceOpenWindow
-	if remaining > ampleShare*float64(n.Total) {
-		openWindow = ampleOpenWindow
+	openWindow := lowOpenWindow
+	if remaining > lowShare*float64(n.Total) {
+		openWindow = normalOpenWindow
 	}
 	open := min(n.Demand*openWindow.Seconds(), maxOpenShare*remaining)
-	ampleOpen := maxOpenShare * (remaining - ampleShare*float64(n.Total)) / float64(max(n.Routers, 1))
-	open = max(open, ampleOpen)
+	spareOpen := maxOpenShare * (remaining - lowShare*float64(n.Total)) / float64(max(n.Routers, 1))
+	open = max(open, spareOpen)
 	if open < minOpened {
 		open = 0
 	}
--- a/internal/prepaid/write.go
+++ b/internal/prepaid/write.go
@@ -51,7 +51,7 @@
 	go l.runWriter(a)
 }
 
-// runWriter writes an account's rows until no write is due.
+// runWriter writes an account's rows until no write is needed.
 func (l *Ledger) runWriter(a *account) {
 	conflicts := 0
 	for {
--- a/internal/ratelimit/fleet_test.go
+++ b/internal/ratelimit/fleet_test.go
@@ -46,19 +46,19 @@
 type (
 	// fleet is a number of routers before one backend server, on simulated time. Messages between them take a hop.
 	fleet struct {
-		t        testing.TB
-		store    *store.Memory
-		down     atomic.Bool // Whether the store refuses all calls.
-		server   server
-		routers  []*router // Only for the goroutine of the test.
-		mu       sync.Mutex
-		byName   map[string]*router // By address.
-		asks     atomic.Int64       // Calls between routers.
-		ctx      context.Context
-		stop     context.CancelFunc
-		running  sync.WaitGroup
-		logger   zerolog.Logger
-		patience time.Duration // Of all requests.
+		t       testing.TB
+		store   *store.Memory
+		down    atomic.Bool // Whether the store refuses all calls.
+		server  server
+		routers []*router // Only for the goroutine of the test.
+		mu      sync.Mutex
+		byName  map[string]*router // By address.
+		asks    atomic.Int64       // Calls between routers.
+		ctx     context.Context
+		stop    context.CancelFunc
+		running sync.WaitGroup
+		logger  zerolog.Logger
+		maxWait time.Duration // Of all requests.
 	}
 
 	// server is a backend server that may name a limit.
@@ -72,15 +72,15 @@
 
 	// router is one router with its callers.
 	router struct {
-		fleet   *fleet
-		address string
-		limiter atomic.Pointer[ratelimit.Limiter]
-		cancel  context.CancelFunc
-		side    atomic.Int32 // Routers reach only those of the same side; the store is on side 0.
-		frozen  atomic.Pointer[chan struct{}]
-		members atomic.Pointer[[]string]
-		refused atomic.Int64
-		toldAt  atomic.Int64 // When a response first named the limit to this process, in Unix nanoseconds.
+		fleet      *fleet
+		address    string
+		limiter    atomic.Pointer[ratelimit.Limiter]
+		cancel     context.CancelFunc
+		side       atomic.Int32 // Routers reach only those of the same side; the store is on side 0.
+		frozen     atomic.Pointer[chan struct{}]
+		members    atomic.Pointer[[]string]
+		refused    atomic.Int64
+		notifiedAt atomic.Int64 // When a response first named the limit to this process, in Unix nanoseconds.
 	}
 )
 
@@ -271,7 +271,7 @@
 
 // kill ends the process.
 func (r *router) kill() {
-	r.toldAt.Store(0)
+	r.notifiedAt.Store(0)
 	r.limiter.Store(nil)
 	r.cancel()
 }
@@ -308,7 +308,7 @@
 // send sends one request if there is a permit for it.
 func (r *router) send(l *ratelimit.Limiter) {
 	r.pause()
-	permit, err := l.Acquire(r.fleet.ctx, process, r.fleet.patience)
+	permit, err := l.Acquire(r.fleet.ctx, process, r.fleet.maxWait)
 	if err != nil {
 		r.refused.Add(1)
 		return
@@ -320,11 +320,11 @@
 	if r.limiter.Load() != l {
 		return // The process has ended.
 	}
-	told := r.toldAt.Load()
-	said := r.fleet.server.respond(told != 0 && time.Since(time.Unix(0, told)) >= informTime)
+	notified := r.notifiedAt.Load()
+	said := r.fleet.server.respond(notified != 0 && time.Since(time.Unix(0, notified)) >= informTime)
 	r.pause()
 	if said.Named {
-		r.toldAt.CompareAndSwap(0, time.Now().UnixNano())
+		r.notifiedAt.CompareAndSwap(0, time.Now().UnixNano())
 	}
 	l.Observe(process, permit, said)
 }
--- a/internal/ratelimit/issuer.go
+++ b/internal/ratelimit/issuer.go
@@ -58,7 +58,7 @@
 
 // issue issues a permit if this router is the issuer or has to stand in for it. Otherwise it starts to become the
 // issuer. The caller holds the lock.
-func (l *Limiter) issue(p Process, known *limit, patience time.Duration) wire.RatelimitAnswer {
+func (l *Limiter) issue(p Process, known *limit, maxWait time.Duration) wire.RatelimitAnswer {
 	if known.ended {
 		return wire.RatelimitAnswer{Ended: true}
 	}
@@ -73,7 +73,7 @@
 	}
 	now := l.Now()
 	interval := l.interval(p, known, now)
-	wait, ok := known.schedule.take(now, patience, interval)
+	wait, ok := known.schedule.take(now, maxWait, interval)
 	if !ok {
 		return refusal(wait, known.schedule.spread(interval))
 	}
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -92,9 +92,9 @@
 	}
 )
 
-// Acquire returns a permit to send one request to the process, which may be used within patience. Otherwise the error is
+// Acquire returns a permit to send one request to the process, which may be used within maxWait. Otherwise the error is
 // an *ExhaustedError.
-func (l *Limiter) Acquire(ctx context.Context, p Process, patience time.Duration) (Permit, error) {
+func (l *Limiter) Acquire(ctx context.Context, p Process, maxWait time.Duration) (Permit, error) {
 	l.mu.Lock()
 	known := l.limits[p]
 	if known == nil || known.ended {
@@ -102,13 +102,13 @@
 		return Permit{}, nil
 	}
 	now := l.Now()
-	if wait := known.knownWait(now, patience); wait > patience {
+	if wait := known.knownWait(now, maxWait); wait > maxWait {
 		l.mu.Unlock()
 		l.Metrics.Counter("refused").Inc(1)
 		return Permit{}, &ExhaustedError{After: wait}
 	}
 	ask := wire.RatelimitTake{
-		Server: p.Server, Born: int(p.Born), Rate: float64(known.rate), Named: known.named, Patience: int(patience.Microseconds()),
+		Server: p.Server, Born: int(p.Born), Rate: float64(known.rate), Named: known.named, Patience: int(maxWait.Microseconds()),
 	}
 	address := l.issuerAddress(p, known)
 	l.mu.Unlock()
@@ -184,8 +184,8 @@
 
 // knownWait returns the time until a permit can be free according to an earlier answer, or zero if the issuer has to be
 // asked. The issuer hands permits out in order, so that none is free before the time that it named.
-func (e *limit) knownWait(now time.Time, patience time.Duration) time.Duration {
-	if now.Before(e.recheckAt) || patience == 0 && now.Before(e.retryAt) {
+func (e *limit) knownWait(now time.Time, maxWait time.Duration) time.Duration {
+	if now.Before(e.recheckAt) || maxWait == 0 && now.Before(e.retryAt) {
 		return max(e.freeAt.Sub(now), 1)
 	}
 	return 0
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -12,10 +12,10 @@
 // Guards against a rate that no clock can keep, and against a valid one that is ignored.
 func TestParseRate(t *testing.T) {
 	is := is.New(t)
-	for text, want := range map[string]ratelimit.Rate{"1": 1, "0.25": 0.25, " 12.5 ": 12.5, "0": 0, "1e3": 1000} {
+	for text, expected := range map[string]ratelimit.Rate{"1": 1, "0.25": 0.25, " 12.5 ": 12.5, "0": 0, "1e3": 1000} {
 		rate, err := ratelimit.ParseRate(text)
 		is.NoErr(err)
-		is.Equal(rate, want)
+		is.Equal(rate, expected)
 	}
 	for _, text := range []string{"", "-1", "NaN", "Inf", "1e999", "many", "1,2", "1 2"} {
 		_, err := ratelimit.ParseRate(text)
--- a/internal/ratelimit/schedule.go
+++ b/internal/ratelimit/schedule.go
@@ -23,13 +23,13 @@
 	*s = schedule{next: now.Add(interval)}
 }
 
-// take takes the next permit and returns the time until it may be used. If that exceeds patience, it takes none.
-func (s *schedule) take(now time.Time, patience, interval time.Duration) (wait time.Duration, ok bool) {
+// take takes the next permit and returns the time until it may be used. If that exceeds maxWait, it takes none.
+func (s *schedule) take(now time.Time, maxWait, interval time.Duration) (wait time.Duration, ok bool) {
 	if oldest := now.Add(-burstWindow); s.next.Before(oldest) {
 		s.next = oldest
 	}
 	wait = max(s.next.Sub(now), 0)
-	if wait > patience {
+	if wait > maxWait {
 		s.refused++
 		return wait, false
 	}
--- a/internal/router/certificate_test.go
+++ b/internal/router/certificate_test.go
@@ -78,7 +78,7 @@
 		}
 		response.Body.Close()
 		if response.ProtoMajor != 2 {
-			t.Fatalf("protocol is %s, want HTTP/2", response.Proto)
+			t.Fatalf("protocol is %s, expected HTTP/2", response.Proto)
 		}
 		return response.TLS.PeerCertificates[0].SerialNumber.String()
 	}
--- a/internal/router/placement.go
+++ b/internal/router/placement.go
@@ -83,20 +83,20 @@
 	if version == nil || live == nil {
 		return
 	}
-	wanted := make(map[string]bool)
+	declared := make(map[string]bool)
 	for _, service := range version.Index.Inventory.Services {
 		candidates := budget.HomesOf(*live, budget.Key{Account: "placement", Budget: service.Name}, placersPerService)
-		wanted[service.Name] = service.Kind == inventory.KindModel && slices.Contains(candidates, p.router.Settings.Peer)
+		declared[service.Name] = service.Kind == inventory.KindModel && slices.Contains(candidates, p.router.Settings.Peer)
 	}
 	for service, running := range p.running {
-		if !wanted[service] {
+		if !declared[service] {
 			running.stop()
 			<-running.ended
 			delete(p.running, service)
 		}
 	}
-	for service, want := range wanted {
-		if want && p.running[service] == nil {
+	for service, isDeclared := range declared {
+		if isDeclared && p.running[service] == nil {
 			p.start(ctx, service)
 		}
 	}
@@ -186,15 +186,15 @@
 	if err != nil {
 		return trace.Wrap(placement.ErrRefused, "%v", err)
 	}
-	wanted := engine.State{Fence: command.Fence, Role: string(command.Layout.Role)}
+	declared := engine.State{Fence: command.Fence, Role: string(command.Layout.Role)}
 	for _, model := range command.Layout.Models {
-		wanted.Models = append(wanted.Models, engine.LoadedModel{
+		declared.Models = append(declared.Models, engine.LoadedModel{
 			Name:     model.Name,
 			Version:  model.Version,
 			Adapters: e.adapters(model.Name, command.Layout.Adapters),
 		})
 	}
-	_, err = e.router.engines.Command(ctx, address, wanted)
+	_, err = e.router.engines.Command(ctx, address, declared)
 	var refused *engine.RefusedError
 	switch {
 	case err == nil:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -310,9 +310,9 @@
 	r.picker = &routing.Picker{Router: r.Settings.Name, Logger: r.Logger, Metrics: r.scope.SubScope("routing")}
 	r.burn = &burn.Recorder{}
 	r.queues = &caller.AdmissionQueues{
-		Patience: r.Settings.Queue,
-		Scope:    r.scope.SubScope("admission"),
-		Logger:   r.Logger,
+		MaxWait: r.Settings.Queue,
+		Scope:   r.scope.SubScope("admission"),
+		Logger:  r.Logger,
 	}
 	r.resolver = &caller.AttemptResolver{Engines: r.engines, Logger: r.Logger}
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -87,9 +87,9 @@
 // do.
 func checkAnswer(got chatAnswer, words string, tokens int, stream bool) error {
 	fields := strings.Fields(words)
-	var want strings.Builder
+	var expected strings.Builder
 	for i := range tokens {
-		want.WriteString(fields[i%len(fields)] + " ")
+		expected.WriteString(fields[i%len(fields)] + " ")
 	}
 	text, err := got.text()
 	if stream {
@@ -98,8 +98,8 @@
 	if err != nil {
 		return err
 	}
-	if text != want.String() {
-		return fmt.Errorf("got %q, want %q", text, want.String())
+	if text != expected.String() {
+		return fmt.Errorf("got %q, expected %q", text, expected.String())
 	}
 	return nil
 }
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -41,12 +41,12 @@
 		f.Add([]byte(seed), 3)
 	}
 	f.Fuzz(func(t *testing.T, data []byte, split int) {
-		want, wantErr := readAll(bytes.NewReader(data))
-		joined := strings.Join(want, "")
+		expected, expectedErr := readAll(bytes.NewReader(data))
+		joined := strings.Join(expected, "")
 		if !strings.HasPrefix(string(data), joined) {
-			t.Fatalf("events %q are not a prefix of %q", want, data)
+			t.Fatalf("events %q are not a prefix of %q", expected, data)
 		}
-		for _, event := range want {
+		for _, event := range expected {
 			lines := strings.Split(strings.ReplaceAll(event, "\r\n", "\n"), "\n")
 			fields := lines[:len(lines)-2]
 			if lines[len(lines)-1] != "" || lines[len(lines)-2] != "" || strings.Contains(event, "\r") && strings.Count(event, "\r") != strings.Count(event, "\r\n") {
@@ -58,7 +58,7 @@
 				}
 			}
 		}
-		if wantErr == io.EOF && joined != string(data) {
+		if expectedErr == io.EOF && joined != string(data) {
 			t.Fatalf("%q is not part of any event", data[len(joined):])
 		}
 		for _, source := range []io.Reader{
@@ -67,8 +67,8 @@
 			io.MultiReader(bytes.NewReader(data[:split&0xffff%(len(data)+1)]), bytes.NewReader(data[split&0xffff%(len(data)+1):])),
 		} {
 			got, err := readAll(source)
-			if err != wantErr || strings.Join(got, "|") != strings.Join(want, "|") {
-				t.Fatalf("got %q, %v, want %q, %v", got, err, want, wantErr)
+			if err != expectedErr || strings.Join(got, "|") != strings.Join(expected, "|") {
+				t.Fatalf("got %q, %v, expected %q, %v", got, err, expected, expectedErr)
 			}
 		}
 	})
--- a/pkg/inventory/inventory_test.go
+++ b/pkg/inventory/inventory_test.go
@@ -114,7 +114,7 @@
 // on the line that #! marks.
 func TestCheckReportsEachError(t *testing.T) {
 	is.New(t).Equal(inventory.Check(parseDocument(t, sampleTOML), inventory.RuntimeState{}), nil)
-	cases := []struct{ name, old, new, want string }{
+	cases := []struct{ name, old, new, expected string }{
 		{"syntax", `kind = "model"`, `kind = `, "expected"},
 		{"unknown key", `region = "east"`, `regoin = "east"`, `unknown key "regoin"`},
 		{"unknown table", "[[host]]", "[[hosts]]", `unknown table "hosts"`},
@@ -202,16 +202,16 @@
 			if markOffset < 0 {
 				markOffset = len(c.new)
 			}
-			wantLine := 1 + strings.Count(text[:strings.Index(sampleTOML, c.old)+markOffset], "\n")
+			expectedLine := 1 + strings.Count(text[:strings.Index(sampleTOML, c.old)+markOffset], "\n")
 			var findings []string
 			found := false
 			for _, f := range inventory.Check(parseDocument(t, text), inventory.RuntimeState{}) {
-				found = found || (strings.Contains(f.Text, c.want) && f.Line == wantLine)
+				found = found || (strings.Contains(f.Text, c.expected) && f.Line == expectedLine)
 				is.True(f.File == "a.toml" && f.Fix != "" && f.Accepted != "")
 				findings = append(findings, f.String())
 			}
 			if !found {
-				t.Fatalf("no finding %q on line %d among:\n%s", c.want, wantLine, strings.Join(findings, "\n"))
+				t.Fatalf("no finding %q on line %d among:\n%s", c.expected, expectedLine, strings.Join(findings, "\n"))
 			}
 			if c.name != "syntax" && !strings.Contains(strings.Join(findings, "\n"), "no place is given") {
 				t.Fatalf("the finding on the missing place of the last host is hidden:\n%s", strings.Join(findings, "\n"))
@@ -259,20 +259,20 @@
 		} else {
 			q.Service = service
 		}
-		var want *inventory.Rule
+		var expected *inventory.Rule
 		for i, r := range inv.Rules {
 			match := (r.Account == "" || r.Account == q.Account) && (r.Model == "" || r.Model == q.Model) &&
 				(r.Service == "" || r.Service == service)
-			if match && want == nil {
-				want = &inv.Rules[i]
+			if match && expected == nil {
+				expected = &inv.Rules[i]
 			}
 		}
 		d, err := inventory.NewIndex(inv).Decide(q)
-		if want != nil && (d.Rule != want.Name || errors.Is(err, inventory.ErrDenied) != want.Deny) {
-			t.Fatalf("got decision %+v, error %v; want rule %+v", d, err, want)
+		if expected != nil && (d.Rule != expected.Name || errors.Is(err, inventory.ErrDenied) != expected.Deny) {
+			t.Fatalf("got decision %+v, error %v; expected rule %+v", d, err, expected)
 		}
-		if want == nil && (err != nil || d.Rule != "" || len(d.Budgets) != 1) {
-			t.Fatalf("got decision %+v, error %v; want no rule and one budget", d, err)
+		if expected == nil && (err != nil || d.Rule != "" || len(d.Budgets) != 1) {
+			t.Fatalf("got decision %+v, error %v; expected no rule and one budget", d, err)
 		}
 	})
 }
@@ -330,13 +330,13 @@
 		}
 		x := inventory.NewIndex(&inv)
 		account, budget := name.Draw(t, "asked account"), name.Draw(t, "asked budget")
-		var want *inventory.Budget
+		var expected *inventory.Budget
 		for i := len(inv.Budgets) - 1; i >= 0; i-- {
 			if b := &inv.Budgets[i]; b.Account == account && b.Name == budget {
-				want = b
+				expected = b
 			}
 		}
-		if x.Budget(account, budget) != want {
+		if x.Budget(account, budget) != expected {
 			t.Fatalf("wrong budget for account %q, budget %q", account, budget)
 		}
 		for _, b := range x.Budgets(account) {
