--- a/internal/prepaid/prepaid_test.go
+++ b/internal/prepaid/prepaid_test.go
@@ -314,7 +314,7 @@
 }
 
 // Guards against refusals while the store is unreachable for nine seconds and most of the budget is left.
-func TestAmpleBudgetOutlastsStoreOutage(t *testing.T) {
+func TestBudgetOutlastsStoreOutage(t *testing.T) {
 	withFleet(t, 6, 10*total, func(t *testing.T, is *is.I, f *fleet) {
 		sendRequests := func(d time.Duration) (refused, all int) {
 			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
