Include an earlier era's content in the first reconciliation of a row

Cause: found while reading. The router that reconciles a budget row first counted on from the later of the row and the content that it knew. If the row is from an era after the one that the router knows, as for a router that was cut off over two restores, what only that router knew of the earlier era was dropped.

Change: that content is included as it is by routers that come later.

--- /dev/null
+++ b/internal/dispatch/crash.go
@@ -0,0 +1,46 @@
+package dispatch
+
+import (
+	"context"
+
+	"citronslip/internal/crash"
+	"citronslip/internal/event"
+)
+
+// isBlocked reports whether the request may not be sent because its content crashes servers.
+func (c *call) isBlocked() bool {
+	if c.trial {
+		return false
+	}
+	switch decision := c.Crashes.Check(c.content).(type) {
+	case crash.Blocked:
+		c.retryAfter = decision.After
+		return true
+	case crash.Trial:
+		c.trial = true
+	}
+	return false
+}
+
+// recordSuspect records that the request may have crashed the server.
+func (c *call) recordSuspect(ctx context.Context, server *Server) {
+	if ctx.Err() == nil {
+		process := crash.Process{Server: server.Name, ID: server.process().String(), Address: server.Address}
+		c.Crashes.AddSuspect(c.content, process, c.answerBegun)
+	}
+}
+
+// recordAnswerBegun records that the server of the current attempt has begun to answer.
+func (c *call) recordAnswerBegun() {
+	if !c.answerBegun {
+		c.answerBegun = true
+		c.endWatch()
+		c.Crashes.RecordBegun(c.content)
+	}
+}
+
+// withdraw ends the current attempt because the content of the request crashes servers.
+func (c *call) withdraw(server *Server, cancel context.CancelFunc) {
+	event.RequestWithdrawn.Log(c.Logger).Str("request", c.request.ID).Str("server", server.Name).Strs("parts", c.content.Parts).Send()
+	cancel()
+}
--- a/internal/prepaid/restore.go
+++ b/internal/prepaid/restore.go
@@ -125,6 +125,9 @@
 		next.PrepaidSum = a.budget.PrepaidSum
 	}
 	next.Bases = appendBasis(next.Bases, next.position())
+	if a.loaded {
+		next.include(&a.budget) // A content of an era before that of the row, if it is later than what the row includes.
+	}
 	next.Since = int((l.storeStatus.storeClock + l.settleTime()).Milliseconds())
 	l.countWrite(&next)
 	return next, true
