--- a/internal/budget/policy.go
+++ b/internal/budget/policy.go
@@ -8,15 +8,15 @@
 )
 
 const (
-	// DefaultHorizon is the time for which a grant of a budget with enough tokens covers the demand without the table.
+	// DefaultHorizon is the time for which a grant of a budget that is not low covers the demand without the table.
 	DefaultHorizon = time.Hour
 	// horizonMargin is the factor by which a grant exceeds the demand over the horizon, so that a grant that is about
 	// to grow still covers the horizon.
 	horizonMargin = 1.5
 	// demandDeviations is the number of standard deviations of the demand that a grant covers above the mean.
 	demandDeviations = 4
-	// minGrantRequests is the number of requests with the largest bound that even the smallest grant of a budget with enough tokens
-	// covers.
+	// minGrantRequests is the number of requests with the largest bound that even the smallest grant of a budget that is not
+	// low covers.
 	minGrantRequests = 8
 	// normalShareFraction, refusalShareFraction and overspendShareFraction are the fractions of its fair share that a
 	// holder takes of a low budget, by the error that the account weighs more. The rest stays in the table for the
--- a/internal/budget/resize.go
+++ b/internal/budget/resize.go
@@ -12,10 +12,10 @@
 const (
 	// exhaustedRetryInterval is the interval at which a holder reads an exhausted budget again for a refused request.
 	exhaustedRetryInterval = 5 * time.Second
-	// normalMinInterval is the shortest interval between two resizes in a budget with enough tokens without refusals.
+	// normalMinInterval is the shortest interval between two resizes in a budget that is not low, without refusals.
 	normalMinInterval = 30 * time.Second
-	// normalReviewInterval is the longest interval between two resizes in a budget with enough tokens with several holders, so that
-	// they notice when it runs low.
+	// normalReviewInterval is the longest interval between two resizes in a budget with several holders that is not low, so
+	// that they notice when it becomes low.
 	normalReviewInterval = 5 * time.Minute
 	// lowInterval is the interval between two resizes in a low budget. It grows with the number of holders, so
 	// that one budget row is read less than twice per second.
--- a/internal/crash/evidence.go
+++ b/internal/crash/evidence.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// convictionThreshold is the number of crashes from which on content counts as their cause. Harmless content can meet
+	// crashThreshold is the number of crashes from which on content counts as their cause. Harmless content can meet
 	// two crashes by chance.
-	convictionThreshold = 3
+	crashThreshold = 3
 	// provenThreshold is the same for content that servers have begun to answer before, counted from the latest answer. It
 	// may have become harmful by a change of the server's software, or do harm late.
 	provenThreshold = 6
@@ -22,8 +22,8 @@
 	// burstWindow is the time within which crashes of several servers count as one: servers that lose their power together
 	// say nothing about the requests that all of them were running.
 	burstWindow = 200 * time.Millisecond
-	// firstBlock is how long content is blocked after the crash that convicted it. Each further crash doubles the time, up
-	// to recordTTL.
+	// firstBlock is how long content is blocked after the last of crashThreshold crashes. Each further crash doubles the
+	// time, up to recordTTL.
 	firstBlock = 30 * time.Second
 	// maxRecords is the maximum number of crash records and of proofs in memory.
 	maxRecords = 4000
@@ -271,9 +271,9 @@
 // isSufficient reports whether the crashes are enough for a verdict.
 func (c *candidate) isSufficient() bool {
 	if !c.feature.isPart() {
-		return len(c.unbegun) >= convictionThreshold || len(c.processes) >= provenThreshold
+		return len(c.unbegun) >= crashThreshold || len(c.processes) >= provenThreshold
 	}
-	threshold := convictionThreshold
+	threshold := crashThreshold
 	if c.proven {
 		threshold = provenThreshold
 	}
@@ -348,7 +348,7 @@
 // blockedUntil returns the store clock until which requests with the content are refused.
 func (v verdict) blockedUntil() time.Duration {
 	block := firstBlock
-	for i := convictionThreshold; i < v.crashes && block < recordTTL; i++ {
+	for i := crashThreshold; i < v.crashes && block < recordTTL; i++ {
 		block *= 2
 	}
 	return v.last + min(block, recordTTL)
