Fetch tokens for small refused requests beside larger ones

A trace of the controller's plans shows the cause: the entry kept the largest refused bound only. While a bound of 191 did not fit, the controller did not read the table again for 5 s, though requests whose bounds had been reduced to 35 would have fitted with the 94 tokens that it had returned itself. Requests of the home router moreover asked their own ledger again only for tokens of the grant, never for those of the table.

Change: the smallest refused bound decides whether the table is read again, and counts when the largest does not fit; returned tokens count as free in the table; a request retries at its router if the table may have the tokens.

TestReturnedTokensAreFetchedAgain fails without the change.

--- a/internal/budget/entry.go
+++ b/internal/budget/entry.go
@@ -13,22 +13,23 @@
 		key       Key
 		lockOrder uint64 // Entries are locked in ascending order of it, so that reservations cannot deadlock.
 
-		mu             sync.Mutex
-		removed        bool             // The ledger has dropped this entry; it must be looked up again.
-		exhausted      bool             // The table had too few tokens left for the largest refused bound.
-		tableFree      inventory.Tokens // Tokens that the budget row had left to grant when last read.
-		normalLimit    inventory.Tokens // Limit while the table confirms writes.
-		granted        inventory.Tokens // Size of the grant; the limit after the autonomy delay without a confirmation.
-		spent          inventory.Tokens // Settled usage.
-		reserved       inventory.Tokens // Sum of the bounds of reservations that are not settled.
-		demand         inventory.Tokens // Sum of settled usage and refused bounds over all grants; it only grows.
-		largestRefused inventory.Tokens // Largest bound refused since the controller last read the budget row.
-		largestBound   inventory.Tokens // Largest bound requested so far.
+		mu              sync.Mutex
+		removed         bool             // The ledger has dropped this entry; it must be looked up again.
+		exhausted       bool             // The table had too few tokens left for the largest refused bound.
+		tableFree       inventory.Tokens // Tokens that the budget row had left to grant when last read.
+		normalLimit     inventory.Tokens // Limit while the table confirms writes.
+		granted         inventory.Tokens // Size of the grant; the limit after the autonomy delay without a confirmation.
+		spent           inventory.Tokens // Settled usage.
+		reserved        inventory.Tokens // Sum of the bounds of reservations that are not settled.
+		demand          inventory.Tokens // Sum of settled usage and refused bounds over all grants; it only grows.
+		largestRefused  inventory.Tokens // Largest bound refused since the controller last read the budget row.
+		smallestRefused inventory.Tokens // Smallest bound refused since then; 0 if none was.
+		largestBound    inventory.Tokens // Largest bound requested so far.
 	}
 
 	// counters is a snapshot of the token counts of an entry.
 	counters struct {
-		normalLimit, granted, spent, reserved, demand, largestRefused, largestBound, tableFree inventory.Tokens
+		normalLimit, granted, spent, reserved, demand, largestRefused, smallestRefused, largestBound, tableFree inventory.Tokens
 	}
 )
 
@@ -59,7 +60,8 @@
 // counters returns the counters. The caller must hold the lock.
 func (e *entry) counters() counters {
 	return counters{normalLimit: e.normalLimit, granted: e.granted, spent: e.spent, reserved: e.reserved,
-		demand: e.demand, largestRefused: e.largestRefused, largestBound: e.largestBound, tableFree: e.tableFree}
+		demand: e.demand, largestRefused: e.largestRefused, smallestRefused: e.smallestRefused,
+		largestBound: e.largestBound, tableFree: e.tableFree}
 }
 
 // setLimits sets both limits.
@@ -86,11 +88,18 @@
 func (e *entry) recordTableState(exhausted bool, tableFree inventory.Tokens) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.largestRefused = 0
+	e.largestRefused, e.smallestRefused = 0, 0
 	e.exhausted = exhausted
 	e.tableFree = tableFree
 }
 
+// recordReturned records that tokens of the grant return to the table.
+func (e *entry) recordReturned(tokens inventory.Tokens) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.tableFree += tokens
+}
+
 // endGrant sets the limits to 0 and takes off the usage that the closed grant was charged. Usage beyond the charge
 // counts against the next grant.
 func (e *entry) endGrant(charged inventory.Tokens) {
--- a/internal/budget/grants_test.go
+++ b/internal/budget/grants_test.go
@@ -105,3 +105,32 @@
 	is.NoErr(controller.Close(ctx))
 	is.NoErr(ctx.Err())
 }
+
+// Guards against small requests that are refused although the table has tokens for them, after a larger refused request
+// made their router return its rest: the ledger must know of the returned tokens, and a small refused request must fetch
+// them, also while larger ones are refused.
+func TestReturnedTokensAreFetchedAgain(t *testing.T) {
+	is := is.New(t)
+	key := budget.Key{Account: "a", Budget: "main"}
+	keys := []budget.Key{key}
+	var rows table.Memory
+	ledger := &budget.Ledger{Declared: declaredCell(1000, key)}
+	controller := &budget.GrantController{Table: &rows, Ledger: ledger, Declared: ledger.Declared, Instance: "i1", Address: "h:1"}
+	reserve := func(bound inventory.Tokens) error {
+		_, err := ledger.Reserve(keys, bound)
+		return err
+	}
+	is.True(reserve(930) != nil)
+	is.NoErr(controller.Step(t.Context()))
+	is.NoErr(reserve(930))
+	is.True(reserve(191) != nil)
+	is.NoErr(controller.Step(t.Context()))
+	is.Equal(ledger.Available(key), inventory.Tokens(0))
+	is.True(ledger.MayFit(key, 70))
+	is.True(!ledger.MayFit(key, 71))
+	is.True(reserve(191) != nil)
+	is.True(reserve(35) != nil)
+	is.NoErr(controller.Step(t.Context()))
+	is.NoErr(reserve(35))
+	is.True(ledger.MayFit(key, 35))
+}
--- a/internal/budget/ledger.go
+++ b/internal/budget/ledger.go
@@ -148,6 +148,19 @@
 	return e.remaining(l.effectiveLimit(e))
 }
 
+// MayFit reports whether a bound fits in a budget: into the tokens at this router, or together with those that the table
+// had left when it was last read.
+func (l *Ledger) MayFit(key Key, bound inventory.Tokens) bool {
+	l.once.Do(l.init)
+	e := l.find(key)
+	if e == nil {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.remaining(l.effectiveLimit(e))+e.tableFree >= bound
+}
+
 // Bound returns the reserved bound in tokens, 0 for the zero value.
 func (r Reservation) Bound() inventory.Tokens {
 	if r.state == nil {
@@ -199,6 +212,9 @@
 		}
 		e.demand += r.bound
 		e.largestRefused = max(e.largestRefused, r.bound)
+		if e.smallestRefused == 0 || r.bound < e.smallestRefused {
+			e.smallestRefused = r.bound
+		}
 		if tightest == nil || left < minLeft {
 			tightest, minLeft = e, left
 		}
--- a/internal/budget/resize.go
+++ b/internal/budget/resize.go
@@ -80,11 +80,11 @@
 func (g *GrantController) needsResize(key Key, gr *grant, now time.Time) bool {
 	u := gr.entry.snapshot()
 	if gr.version == 0 {
-		refused := u.largestRefused > 0 && (!now.Before(gr.nextRetry) || u.largestRefused <= u.tableFree)
+		refused := u.largestRefused > 0 && (!now.Before(gr.nextRetry) || u.smallestRefused <= u.tableFree)
 		return len(gr.unresolved) > 0 || refused && g.shouldHold(key, gr, u)
 	}
 	if u.largestRefused > 0 {
-		return !now.Before(gr.nextRetry) || u.largestRefused <= u.tableFree+gr.row.Amount-u.used()
+		return !now.Before(gr.nextRetry) || u.smallestRefused <= u.tableFree+gr.row.Amount-u.used()
 	}
 	if now.Before(gr.nextResize) {
 		return false
@@ -158,6 +158,9 @@
 	in := g.policyInput(gr, u)
 	in.budgetRow = budget.row
 	in.worseOutcome = declaration.Weigh
+	if u.largestRefused > max(0, gr.row.Amount-u.used())+budget.row.Free() {
+		in.largestRefused = u.smallestRefused // A larger bound that does not fit must not keep a smaller one from its tokens.
+	}
 	target := targetOf(g.Policy, in)
 	amount := min(u.used()+target.headroom, gr.row.Amount+budget.row.Free())
 	g.scheduleResize(gr, target, budget.row)
@@ -174,6 +177,7 @@
 	if amount < gr.row.Amount {
 		u = gr.entry.lowerLimits(amount, amount)
 		amount = u.granted
+		gr.entry.recordReturned(gr.row.Amount - amount)
 	}
 	return g.resizeChange(gr, u, budget, amount), true
 }
--- a/internal/caller/reserve.go
+++ b/internal/caller/reserve.go
@@ -73,8 +73,9 @@
 		if !mayRetry || retry >= maxSettleRetries || !delay.Sleep(ctx, settleBackoff<<retry) {
 			return nil, exhaustedRefusal(err)
 		}
-		if c.fitsLocally(bound) {
-			// Reserve only if the bound fits, since every refused reservation counts as demand.
+		if c.mayFitLocally(bound) {
+			// Every refused reservation counts as demand, so none is made that cannot succeed soon. One that fits with the
+			// tokens of the table makes the controller fetch them.
 			reservation, err = c.front.Ledger.Reserve(c.budgetKeys, bound)
 		}
 	}
@@ -133,9 +134,9 @@
 	return c.tokenBound
 }
 
-func (c *call) fitsLocally(bound inventory.Tokens) bool {
+func (c *call) mayFitLocally(bound inventory.Tokens) bool {
 	for _, key := range c.budgetKeys {
-		if c.front.Ledger.Available(key) < bound {
+		if !c.front.Ledger.MayFit(key, bound) {
 			return false
 		}
 	}
