Log the state of the fleet when a budget or shutdown test fails

Two tests of internal/fleet failed once each and could not be traced, since they print neither the error of an interrupted request nor the state of the budget.

--- a/internal/fleet/budget_test.go
+++ b/internal/fleet/budget_test.go
@@ -36,6 +36,11 @@
 	f.startRouters(2)
 	f.startRouters(2)
 	load := f.startLoad(24)
+	t.Cleanup(func() {
+		if t.Failed() {
+			f.logState(load)
+		}
+	})
 	f.setTableFaults(true)
 	load.waitForMore(t, 100)
 	// Kill the router that answered most requests: its grant is the most used one, so an error in closing it shows.
@@ -188,12 +193,22 @@
 	default:
 		if err != nil && !dialFailed(err) {
 			l.interrupted.Add(1)
+			l.fleet.t.Logf("request to %s got no complete response: status %d, %v", p.name, response.status, err)
 		}
 		l.failed.Add(1)
 		pause(l.fleet.t, retryBackoff)
 	}
 }
 
+// logState logs the results of the load, the budget's row and the last log lines of all routers.
+func (f *fleet) logState(load *steadyLoad) {
+	f.t.Logf("answered %d, refused %d because of the budget (%d permanently), failed %d; budget %+v",
+		load.answered.Load(), load.budgetRefused.Load(), load.budgetExhausted.Load(), load.failed.Load(), f.budgetTotal())
+	for _, p := range f.routers {
+		f.t.Logf("last log lines of %s:\n%s", p.name, p.logText())
+	}
+}
+
 // waitForMore waits until count more requests have completed.
 func (l *steadyLoad) waitForMore(t *testing.T, count int64) {
 	t.Helper()
