Log the software version of servers and the streams that requests take up

The logs could not tell whether a stream of two software versions was moved by its router or taken up by its caller at another one. Event 124 now has the version of the server's software, and event 100 the request that brought the first event of the stream. No decision changes.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -68,6 +68,7 @@
 		Timeout   time.Duration // Timeout of the caller, counted from Arrived; zero if it gave none.
 		Prompt    *Prompt       // Nil if the request has no prompt.
 		LastEvent string        // ID of the last event that the caller received of a stream that it resumes.
+		Resumes   string        // Request ID of the attempt that brought the first event of that stream; empty if unknown.
 		Head      any           // Request data of the protocol, for the Backend; not interpreted here.
 		Body      []byte
 	}
@@ -92,12 +93,13 @@
 
 	// Server is a backend server as described by its row in the store.
 	Server struct {
-		Name    string
-		Service string
-		Address string
-		Place   string
-		Leaving bool  // Whether it is about to be removed.
-		Born    int64 // Start of its process in Unix milliseconds; changes when it restarts under the same name.
+		Name     string
+		Service  string
+		Address  string
+		Place    string
+		Software string // Version of its software; empty if unknown.
+		Leaving  bool   // Whether it is about to be removed.
+		Born     int64  // Start of its process in Unix milliseconds; changes when it restarts under the same name.
 	}
 
 	// Attempt is one transmission of a request to a backend server.
--- a/internal/dispatch/log.go
+++ b/internal/dispatch/log.go
@@ -36,7 +36,7 @@
 // logSent logs the selected server and the estimates that led to the selection.
 func (c *call) logSent(server *Server, choice *routing.Choice) {
 	estimate := choice.Expected
-	c.logEvent(event.AttemptSent).Str("server", server.Name).Int64("cached", estimate.Cached).Int64("ahead", estimate.Ahead).
+	c.logEvent(event.AttemptSent).Str("server", server.Name).Str("software", server.Software).Int64("cached", estimate.Cached).Int64("ahead", estimate.Ahead).
 		Int("batch", estimate.Batch).Dur("load_age", estimate.Age).Dur("left", time.Until(c.deadline())).Send()
 }
 
@@ -90,6 +90,9 @@
 	if c.responseStarted {
 		line.Dur("first", c.timeToFirstByte)
 	}
+	if c.request.LastEvent != "" {
+		line.Str("resumes", c.request.Resumes).Str("last", c.request.LastEvent)
+	}
 	line.Send()
 	c.recordMetrics()
 }
