Take streams up at the software version that began them

A caller whose connection broke takes its stream up through any router. That router sent the request to any server of the service, so that callers got events of two software versions over their requests (ORDER).

Cause: the version of a stream was known only to the router that served it, which did not note it, and the header that names the first request was not read.

The new package resume keeps it. While several versions serve, the router that forwards the first event of a stream hands a record of its version to three other routers by rendezvous hashing, which any router can ask. While one version serves, nothing is sent: each router knows from the servers' entries that there is only one. A row for each service tells routers that start whether several versions served before.

Evidence: without the change the tests fail:

software_test.go:150: v1 != v2 --- FAIL: TestStreamIsTakenUpAtItsSoftwareVersion platform/software_test.go:73: i-1 != i-0 --- FAIL: TestAnotherRouterTakesStreamUpAtItsSoftwareVersion

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -13,6 +13,7 @@
 	"citronslip/internal/crash"
 	"citronslip/internal/event"
 	"citronslip/internal/ratelimit"
+	"citronslip/internal/resume"
 	"citronslip/internal/routing"
 	"citronslip/pkg/inventory"
 )
@@ -40,6 +41,7 @@
 		Repeats   *RetryBudget
 		Crashes   *crash.Tracker
 		Limits    *ratelimit.Limiter
+		Streams   *resume.Tracker
 		// Behind reports whether updates of the backend servers, and the requests sent to them, are delayed so much
 		// that a server that is about to be removed would still get requests. It is optional.
 		Behind  func() bool
@@ -86,6 +88,10 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline())
 	defer cancel()
+	if reason := c.takeUp(ctx); reason != "" {
+		c.refuse(reason, 0)
+		return
+	}
 	if refusal := c.reserve(ctx); refusal.Reason != "" {
 		c.refuse(refusal.Reason, refusal.After)
 		return
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -36,6 +36,8 @@
 	DeadlineTooShort Reason = "deadline cannot be met"
 	// LinkFull means that the network link of the router's host has no bandwidth left.
 	LinkFull Reason = "link of the host full"
+	// StreamUnknown means that the request takes up a stream of which it is not known which software version began it.
+	StreamUnknown Reason = "software version of the stream not known"
 	// CrashesServers means that requests with the same content, or with a part of it, have crashed backend servers.
 	CrashesServers Reason = "request crashes backend servers"
 	// Malformed means that the request lacks required data or contains invalid data.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -190,6 +190,7 @@
 		Budgets:   b.budgets,
 		Repeats:   &dispatch.RetryBudget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Routers: func() int { return 1 }, Now: time.Now},
 		Crashes:   &crash.Tracker{Store: &store.Memory{}, Now: time.Now, Clock: func() time.Duration { return time.Since(begin) }, Logger: &logger},
+		Streams:   newTestStreams([]dispatch.Server{{Name: "a", Service: "s"}}),
 		Limits:    &ratelimit.Limiter{Now: time.Now, Logger: &logger, Metrics: tally.NoopScope},
 		Logger:    &logger,
 		Metrics:   tally.NoopScope,
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -19,7 +19,8 @@
 type (
 	// Pool is the set of backend servers and selects among them. Set Picker before first use.
 	Pool struct {
-		Picker *routing.Picker
+		Picker  *routing.Picker
+		Observe func(servers []Server) // Called with each new set of servers; optional.
 
 		mu         sync.Mutex
 		latest     []Server
@@ -36,6 +37,9 @@
 
 // Update replaces the set of servers.
 func (p *Pool) Update(servers []Server) {
+	if p.Observe != nil {
+		p.Observe(servers)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.latest = servers
--- a/internal/dispatch/software_test.go
+++ b/internal/dispatch/software_test.go
@@ -4,10 +4,15 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"citronslip/internal/dispatch"
+	"citronslip/internal/resume"
+	"citronslip/internal/store"
 )
 
 // twoVersions returns two servers of each of two software versions.
@@ -18,6 +23,24 @@
 	}
 }
 
+// newTestStreams returns a tracker for the only router of a fleet.
+func newTestStreams(servers []dispatch.Server) *resume.Tracker {
+	logger := zerolog.Nop()
+	t := &resume.Tracker{
+		Members:    func() []string { return nil },
+		Joined:     func() bool { return true },
+		Store:      &store.Memory{},
+		Current:    func() bool { return true },
+		Leads:      func() bool { return false },
+		StoreClock: func() time.Duration { return time.Second },
+		Now:        time.Now,
+		Logger:     &logger,
+		Metrics:    tally.NoopScope,
+	}
+	t.Observe(dispatch.Origins(servers))
+	return t
+}
+
 // Guards against events of two software versions in one answer when its stream moves to another server.
 func TestMovedStreamStaysAtItsSoftwareVersion(t *testing.T) {
 	is := is.New(t)
@@ -95,3 +118,56 @@
 	is.True(a.aborted)
 	is.Equal(a.body.String(), eventText(1, 2))
 }
+
+// takeUp serves a request that takes a stream up after its second event.
+func (b *testDispatcher) takeUp(first string) *callerResponse {
+	r := request("/stream/1")
+	r.ID, r.Resumes, r.LastEvent = "second", first, "2"
+	a := &callerResponse{}
+	b.Serve(context.Background(), r, a)
+	return a
+}
+
+// Guards against events of two software versions over the requests with which a caller takes its stream up.
+func TestStreamIsTakenUpAtItsSoftwareVersion(t *testing.T) {
+	is := is.New(t)
+	servers := append(twoVersions(), dispatch.Server{Name: "e", Service: "s", Software: "v1"}, dispatch.Server{Name: "f", Service: "s", Software: "v2"})
+	for i := range 20 {
+		b := newTestDispatcher(func(_ context.Context, number int, _ dispatch.Attempt) dispatch.Outcome {
+			if number < 3 {
+				return brokenAnswer(eventText(number, number))
+			}
+			return completeAnswer(eventText(3, 4))
+		})
+		b.Pool.Picker.Rand = func() float64 { return float64(i) / 20 }
+		b.Pool.Update(servers)
+		b.Streams.Observe(dispatch.Origins(servers))
+		is.True(b.serve("/stream/1").aborted)
+		a := b.takeUp("id")
+		is.True(a.ended)
+		is.Equal(a.body.String(), eventText(3, 4))
+		for _, attempt := range b.sends {
+			is.Equal(attempt.Server.Software, b.sends[0].Server.Software)
+		}
+	}
+}
+
+// Guards against a guess of the software version, and against a refusal while only one version serves.
+func TestStreamOfUnknownSoftwareVersionIsRefused(t *testing.T) {
+	is := is.New(t)
+	b := newTestDispatcher(func(context.Context, int, dispatch.Attempt) dispatch.Outcome { return completeAnswer(eventText(3, 4)) })
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = b.Streams.Run(ctx) }()
+	time.Sleep(100 * time.Millisecond)
+	is.True(b.takeUp("of the only version").ended)
+	b.Pool.Update(twoVersions())
+	b.Streams.Observe(dispatch.Origins(twoVersions()))
+	b.sends = nil
+	for _, first := range []string{"gone", ""} {
+		a := b.takeUp(first)
+		is.Equal(a.refusal.Reason, dispatch.StreamUnknown)
+		is.True(a.refusal.Reason.NotExecuted())
+	}
+	is.Equal(len(b.sends), 0)
+}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -216,6 +216,7 @@
 		Plain:    true, // The platform lets only routers connect to this address.
 		Methods: &peer.Methods{
 			Relay: r.answerRelay, Reserve: r.reserveForPeer, Settle: r.settleForPeer, Take: r.limiter.Take, Limit: r.limiter.Report,
+			Keep: r.keepForPeer, Find: r.findForPeer,
 		},
 		Timeout: peerTimeout,
 		Logger:  r.Logger,
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -25,6 +25,7 @@
 	"citronslip/internal/peer"
 	"citronslip/internal/prepaid"
 	"citronslip/internal/ratelimit"
+	"citronslip/internal/resume"
 	"citronslip/internal/routing"
 	"citronslip/internal/store"
 	"citronslip/pkg/inventory"
@@ -81,6 +82,7 @@
 		ledger         *prepaid.Ledger
 		limiter        *ratelimit.Limiter
 		limitFollower  *store.Follower
+		streams        *resume.Tracker
 		relayCache     relayCache
 		peers          *peer.Client
 		started        time.Time
@@ -163,6 +165,7 @@
 		Logger:   r.Logger,
 	}
 	r.buildLimiter()
+	r.buildStreams()
 	drain := func() time.Duration { return r.activeSettings.Load().Drain }
 	r.linkMonitor = &dispatch.LinkMonitor{
 		Drain:  drain,
@@ -181,6 +184,7 @@
 		Budgets:   r.ledger,
 		Crashes:   r.crashes,
 		Limits:    r.limiter,
+		Streams:   r.streams,
 		Behind:    r.linkMonitor.ShouldHoldSends,
 		Repeats: &dispatch.RetryBudget{
 			Ratio:   r.Settings.RetryRatio,
@@ -208,6 +212,7 @@
 		{"crash rows", r.crashes.Run},
 		{"rate limits", r.limitFollower.Run},
 		{"limiter", r.limiter.Run},
+		{"streams", r.streams.Run},
 		{"peers", r.peers.Run},
 		{"fetch", r.fetchRows},
 		{"serve peers", r.servePeers},
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -154,6 +154,16 @@
 	return call[wire.RatelimitAnswer](ctx, c, address, MethodRatelimitReport, params)
 }
 
+// KeepRecords hands records of streams to a router, which keeps them.
+func (c *Client) KeepRecords(ctx context.Context, address string, params wire.ResumeRecords) (wire.ResumeAck, error) {
+	return call[wire.ResumeAck](ctx, c, address, MethodResumeKeep, params)
+}
+
+// FindStream asks a router which software version began a stream.
+func (c *Client) FindStream(ctx context.Context, address string, params wire.ResumeQuery) (wire.ResumeAnswer, error) {
+	return call[wire.ResumeAnswer](ctx, c, address, MethodResumeFind, params)
+}
+
 // call makes one call. Its errors wrap ErrNotSent, ErrOutcomeUnknown or an *RPCError. A connection on which nothing
 // arrived during the timeout is closed, so that the next call opens a new one.
 func call[R any](ctx context.Context, c *Client, address, method string, params any) (R, error) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -47,6 +47,10 @@
 	MethodRatelimitTake = "ratelimit.take"
 	// MethodRatelimitReport reports what a backend server said about its rate limit.
 	MethodRatelimitReport = "ratelimit.report"
+	// MethodResumeKeep hands records of streams to another router.
+	MethodResumeKeep = "resume.keep"
+	// MethodResumeFind asks which software version began a stream.
+	MethodResumeFind = "resume.find"
 
 	// CodeBusy is returned when the connection has too many running calls. The handler was not called.
 	CodeBusy = -32001
@@ -99,6 +103,8 @@
 		Relay   Handler[wire.RelayQuery, wire.RelayAnswer]            // MethodStoreRelay.
 		Take    Handler[wire.RatelimitTake, wire.RatelimitAnswer]     // MethodRatelimitTake.
 		Limit   Handler[wire.RatelimitReport, wire.RatelimitAnswer]   // MethodRatelimitReport.
+		Keep    Handler[wire.ResumeRecords, wire.ResumeAck]           // MethodResumeKeep.
+		Find    Handler[wire.ResumeQuery, wire.ResumeAnswer]          // MethodResumeFind.
 	}
 
 	// Traffic counts the bytes of all connections that share it, including those of TLS.
@@ -172,6 +178,10 @@
 		return invoke(ctx, m.Take, params)
 	case MethodRatelimitReport:
 		return invoke(ctx, m.Limit, params)
+	case MethodResumeKeep:
+		return invoke(ctx, m.Keep, params)
+	case MethodResumeFind:
+		return invoke(ctx, m.Find, params)
 	default:
 		return nil, &RPCError{Code: jsonrpc2.CodeMethodNotFound, Text: "no such method"}
 	}
--- a/internal/prepaid/members.go
+++ b/internal/prepaid/members.go
@@ -286,6 +286,13 @@
 	return l.addresses()
 }
 
+// KnowsMembers reports whether the membership view was read, so that PeerAddresses does not return Seeds.
+func (l *Ledger) KnowsMembers() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.membership.known
+}
+
 // addresses returns the addresses of the other running routers, or Seeds. The caller holds the lock.
 func (l *Ledger) addresses() []string {
 	if !l.membership.known {
