Hand the records of streams to other routers at a planned stop

When routers are restarted one after the other during an upgrade of the backend servers, callers' streams were refused although no router was lost without notice.

Cause: a stopping router took the records that it kept for others with it, so that a few restarts within the life of a stream removed all three copies.

A stopping router now hands its records to the next of their homes, beside the last writes of its grants and within the same time.

Evidence: without the call the test fails:

resume_test.go:196: err: resume: software version that began the stream not known --- FAIL: TestRecordsOutliveRollingRestart

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -118,6 +118,12 @@
 	}
 	ledgerCtx, cancelLedger := context.WithTimeout(ctx, finalWriteTimeout)
 	defer cancelLedger()
+	var group errgroup.Group
+	group.Go(func() error {
+		r.streams.HandOver(ledgerCtx)
+		return nil
+	})
+	defer func() { _ = group.Wait() }()
 	if err := r.ledger.Close(ledgerCtx); err != nil {
 		event.GrantsLeftOpen.Log(r.Logger).Err(err).Send()
 	}
--- a/internal/resume/copy.go
+++ b/internal/resume/copy.go
@@ -2,11 +2,18 @@
 
 import (
 	"context"
+	"time"
 
+	"citronslip/internal/delay"
 	"citronslip/internal/event"
 	"citronslip/internal/wire"
 )
 
+const (
+	// sendCheckInterval is the time between two checks whether all records are handed over.
+	sendCheckInterval = 10 * time.Millisecond
+)
+
 type (
 	// outbox holds the records that wait for one router. Those that come while a call is made go out with the next one.
 	outbox struct {
@@ -31,6 +38,28 @@
 	}
 }
 
+// HandOver hands all records that other routers may need to them, before this router ends. It returns when they are delivered,
+// or when the context ends.
+func (t *Tracker) HandOver(ctx context.Context) {
+	t.mu.Lock()
+	for key, r := range t.records {
+		left := r.expires.Sub(t.Now())
+		if s := t.state(r.origin.Service, left); left > 0 && (s.Several || !s.Sure) {
+			t.copyRecord(key, r)
+		}
+	}
+	t.mu.Unlock()
+	for t.isSending() && delay.Sleep(ctx, sendCheckInterval) {
+	}
+}
+
+// isSending reports whether records wait for other routers.
+func (t *Tracker) isSending() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.outboxes) > 0
+}
+
 // copyRecord hands a record to the first of its homes. The caller holds the lock.
 func (t *Tracker) copyRecord(key uint64, r *record) {
 	homes := t.homes(key)
--- a/internal/resume/resume_test.go
+++ b/internal/resume/resume_test.go
@@ -1,6 +1,7 @@
 package resume_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"slices"
@@ -174,6 +175,29 @@
 	})
 }
 
+// Guards against losing records when the routers that keep them stop one after the other.
+func TestRecordsOutliveRollingRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 6, "v1", "v2")
+		defer f.close()
+		f.routers[0].begin("stream", "v2")
+		time.Sleep(100 * time.Millisecond)
+		for _, r := range f.routers {
+			ctx, cancel := context.WithTimeout(t.Context(), 350*time.Millisecond)
+			r.tracker.Load().HandOver(ctx)
+			is.NoErr(ctx.Err())
+			cancel()
+			r.kill()
+			time.Sleep(500 * time.Millisecond)
+			r.start()
+		}
+		version, err := f.routers[3].find("stream")
+		is.NoErr(err)
+		is.Equal(version, "v2")
+	})
+}
+
 // Guards against records that are malformed, out of date or without bound.
 func TestRecordsOfOtherRoutersAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -209,7 +233,7 @@
 // drawStep draws one step of a random series.
 func drawStep(r *rapid.T) step {
 	return step{
-		Kind:     rapid.SampledFrom([]string{"begin", "begin", "begin", "find", "find", "serve", "serve", "kill", "kill all", "isolate", "heal", "outage", "wait"}).Draw(r, "kind"),
+		Kind:     rapid.SampledFrom([]string{"begin", "begin", "begin", "find", "find", "serve", "serve", "kill", "kill all", "isolate", "heal", "stop", "outage", "wait"}).Draw(r, "kind"),
 		Router:   rapid.IntRange(0, seriesRouters-1).Draw(r, "router"),
 		Version:  rapid.IntRange(0, 1).Draw(r, "version"),
 		Versions: rapid.SampledFrom([][]string{{"v1"}, {"v1", "v2"}, {"v2"}, {"v2", "v3"}, {"v3"}, {}}).Draw(r, "versions"),
@@ -287,6 +311,11 @@
 		r.isolated.Store(false)
 		r.tracker.Load().Observe(s.servers())
 		s.seen[r] = s.versions
+	case "stop":
+		ctx, cancel := context.WithTimeout(context.Background(), 350*time.Millisecond)
+		r.tracker.Load().HandOver(ctx)
+		cancel()
+		s.restart(r)
 	case "outage":
 		s.down.Store(!s.down.Load())
 	case "wait":
