Hand over records of streams within a part of the time for final writes

The wait for routers that cannot be reached may take the whole time that is left for the last writes, also when these are done sooner. It now takes 250 of 350 ms.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -22,6 +22,8 @@
 	deregistrationDelay = 2200 * time.Millisecond
 	// finalWriteTimeout is the time reserved before the kill for the final writes to the store.
 	finalWriteTimeout = 350 * time.Millisecond
+	// handOverTimeout is the part of it in which the records of streams are handed to other routers.
+	handOverTimeout = 250 * time.Millisecond
 	// defaultGracePeriod is the time from the stop signal to the kill if the settings give none.
 	defaultGracePeriod = 8 * time.Second
 	// acceptBackoff is the wait after a failed accept, for example due to a lack of file descriptors.
@@ -118,18 +120,25 @@
 	}
 	ledgerCtx, cancelLedger := context.WithTimeout(ctx, finalWriteTimeout)
 	defer cancelLedger()
-	var group errgroup.Group
-	group.Go(func() error {
-		r.streams.HandOver(ledgerCtx)
-		return nil
-	})
-	defer func() { _ = group.Wait() }()
+	defer r.handOverStreams(ledgerCtx)()
 	if err := r.ledger.Close(ledgerCtx); err != nil {
 		event.GrantsLeftOpen.Log(r.Logger).Err(err).Send()
 	}
 	return nil
 }
 
+// handOverStreams begins to hand the records of streams to other routers. The returned function waits until that is done.
+func (r *Router) handOverStreams(ctx context.Context) (wait func()) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer cancel()
+		r.streams.HandOver(ctx)
+	}()
+	return func() { <-done }
+}
+
 // applyLimits serves connections that are accepted from now on with the given limits. It starts a server for them
 // unless the limits are unchanged.
 func (c *callerServer) applyLimits(limits inventory.Limits, listener net.Listener) {
