Let a request require the software version of its server

A backend server's software version is told by the list of servers, or by a load report through RecordSoftware. A request that names a version gets only servers of it; servers whose version is unknown are out too. Nothing uses it yet. The property test fails without the case in exclusionReason.

--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -288,6 +288,8 @@
 		return "leaving"
 	case r.Only != "" && s.config.Name != r.Only:
 		return "another server is required"
+	case r.Software != "" && s.config.Software != r.Software:
+		return "another software version"
 	case slices.Contains(r.Tried, s.config.Name):
 		return "already tried"
 	case slices.Contains(r.Exclude, s.config.Name):
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -27,6 +27,8 @@
 		// Born is the start of the server's process in Unix milliseconds, zero if unknown. What was learned of a process
 		// does not apply to the next one.
 		Born int64
+		// Software is the software version of the server's process, empty if unknown.
+		Software string
 		// Leaving reports whether the host list marks the server as leaving.
 		Leaving bool
 		// Observed is the time at which the host list observed the server. A server that announced its leaving in a
@@ -65,6 +67,7 @@
 		Exclude    []string // Servers that must not be used.
 		Prefer     string   // Server that is picked whatever its score, provided that it accepts new work.
 		Only       string   // If set, the only server that may be picked.
+		Software   string   // If set, only servers of this software version may be picked.
 		Idempotent bool     // Only idempotent requests may probe a server whose circuit is not closed.
 
 		// Explain, if set, receives the candidates of the decision.
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -30,6 +30,21 @@
 	}
 }
 
+// RecordSoftware records the software version that a server reports, empty if it reports none. It holds until the next
+// update of the set of servers.
+func (p *Picker) RecordSoftware(name, software string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[name]
+	if s == nil || s.config.Software == software {
+		return
+	}
+	// The configuration belongs to the slice of the last update, which is not modified.
+	config := *s.config
+	config.Software = software
+	s.config = &config
+}
+
 // addServer adds a server of which nothing is known.
 func (p *Picker) addServer(name string, now time.Time) *server {
 	s := &server{
