Learn the software versions of engines from their load reports

Neither the host list nor the inventory names the software version of a backend server, so that no log tells by which versions a stream was written. A load report now does ("software"), also on the answer to a resume call. The front end keeps it with the identity of the process, logs each change (event 108) and passes it to routing; a new process that does not tell its version makes it unknown. The events of broken, resumed and moved streams name it. The stand-in engines follow the protocol. Streams are handled as before.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -55,6 +55,7 @@
 		reservation   reservation
 		admittedCopy  quarantine.AdmittedCopy // Permission of the quarantine guard to run the request on the server.
 		serverProcess string                  // Process of the backend server before the attempt; empty if unknown.
+		process       ServerProcess           // Process that answers; the zero value until its load report came.
 		record        *explain.Attempt
 		startedAt     time.Time
 		firstByteAt   time.Time // Time of the first byte; zero if none came or a chat answer is not streamed.
@@ -88,7 +89,7 @@
 		choice:        choice,
 		reservation:   reservation,
 		admittedCopy:  admitted,
-		serverProcess: c.front.Starts.Latest(choice.Server.Name),
+		serverProcess: c.front.Starts.Latest(choice.Server.Name).Start,
 		startedAt:     time.Now(),
 	}
 	c.record.Attempts = append(c.record.Attempts, explain.Attempt{
@@ -194,7 +195,8 @@
 	if !ok {
 		return
 	}
-	c.front.Starts.Record(a.choice.Server.Name, load.Start)
+	a.process = newServerProcess(load)
+	c.front.RecordProcess(a.choice.Server.Name, load)
 	c.front.Picker.RecordLoad(a.choice.Server.Name, routing.Load{Running: load.Running, Waiting: load.Waiting})
 	if load.Leaving {
 		c.front.Picker.MarkLeaving(a.choice.Server.Name)
--- a/internal/caller/bench_test.go
+++ b/internal/caller/bench_test.go
@@ -67,7 +67,7 @@
 func newStreamer(tb testing.TB) func(count int) *countingWriter {
 	f := &testFrontend{}
 	transport := &streamTransport{}
-	f.build(tb, &engine.Client{HTTP: &http.Client{Transport: transport}})
+	f.build(tb, testInventory(), &engine.Client{HTTP: &http.Client{Transport: transport}})
 	handler := f.front.Handler()
 	return func(count int) *countingWriter {
 		transport.events = count
--- a/internal/caller/continuation.go
+++ b/internal/caller/continuation.go
@@ -28,7 +28,7 @@
 	c.tokenBound = c.chat.PromptBound(model.TemplateOverhead) + inventory.Tokens(len(text)) + c.outputLimit
 	c.engineBody = c.chat.EncodeContinuation(text, c.outputLimit, c.account.Priority)
 	event.StreamMoved.Log(c.front.Logger).Str("request", c.requestID).Str("server", a.choice.Server.Name).
-		Int64("tokens", int64(c.priorOutput)).Send()
+		Str("software", a.process.Software).Int64("tokens", int64(c.priorOutput)).Send()
 	return true
 }
 
--- a/internal/caller/frontend.go
+++ b/internal/caller/frontend.go
@@ -18,6 +18,7 @@
 	"citronslip/internal/claim"
 	"citronslip/internal/crash"
 	"citronslip/internal/engine"
+	"citronslip/internal/event"
 	"citronslip/internal/explain"
 	"citronslip/internal/quarantine"
 	"citronslip/internal/routing"
@@ -89,6 +90,21 @@
 	return f.inFlight.Load()
 }
 
+// RecordProcess records the process of a backend server that sent a load report. A report that tells nothing of its
+// process is ignored.
+func (f *Frontend) RecordProcess(server string, load engine.Load) {
+	process := newServerProcess(load)
+	if process == (ServerProcess{}) {
+		return
+	}
+	before := f.Starts.Record(server, process)
+	f.Picker.RecordSoftware(server, process.Software)
+	if process.Software != before.Software {
+		event.SoftwareChanged.Log(f.Logger).Str("server", server).Str("software", process.Software).
+			Str("before", before.Software).Send()
+	}
+}
+
 func (f *Frontend) handleHealth(w http.ResponseWriter, _ *http.Request) {
 	w.WriteHeader(http.StatusOK)
 }
--- a/internal/caller/quarantine.go
+++ b/internal/caller/quarantine.go
@@ -123,7 +123,7 @@
 		c.cancelExecution(ctx, admitted)
 		return admitted, nil
 	}
-	c.front.Starts.Record(admitted.Server, load.Start)
+	c.front.RecordProcess(admitted.Server, load)
 	return admitted, choice
 }
 
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -103,7 +103,8 @@
 		return false, cause
 	}
 	defer response.Body.Close()
-	event.StreamResumed.Log(c.front.Logger).Str("request", c.requestID).Str("server", a.choice.Server.Name).Send()
+	event.StreamResumed.Log(c.front.Logger).Str("request", c.requestID).Str("server", a.choice.Server.Name).
+		Str("software", a.process.Software).Send()
 	return true, c.relay.copyEvents(response.Body)
 }
 
@@ -131,7 +132,8 @@
 // continuation may follow.
 func (c *chatCall) brokenStreamResult(a *attempt) attemptResult {
 	server := a.choice.Server.Name
-	event.StreamBroken.Log(c.front.Logger).Str("request", c.requestID).Str("server", server).Send()
+	event.StreamBroken.Log(c.front.Logger).Str("request", c.requestID).Str("server", server).
+		Str("software", a.process.Software).Send()
 	message := "the stream from backend server " + server + " broke off"
 	refusal := newUnknownRunRefusal(http.StatusBadGateway, CodeBackend, message)
 	return failed{outcome: routing.Broken{}, refusal: refusal, final: c.headerSent && !c.prepareContinuation(a)}
--- a/internal/caller/testfrontend_test.go
+++ b/internal/caller/testfrontend_test.go
@@ -91,6 +91,13 @@
 
 // newTestFrontend starts a front end that sends requests to the given backend. Its close method ends it.
 func newTestFrontend(tb testing.TB, backend http.Handler) *testFrontend {
+	tb.Helper()
+	return newTestFrontendFor(tb, testInventory(), backend)
+}
+
+// newTestFrontendFor starts a front end with an inventory of several backend servers, all of which the handler
+// simulates.
+func newTestFrontendFor(tb testing.TB, declared *inventory.Inventory, backend http.Handler) *testFrontend {
 	tb.Helper()
 	f := &testFrontend{callerListener: newPipeListener()}
 	backendListener := newPipeListener()
@@ -98,7 +105,7 @@
 	go backendServer.Serve(backendListener)
 	transport := &http.Transport{DialContext: backendListener.dial, DisableCompression: true}
 	client := &engine.Client{HTTP: &http.Client{Transport: transport}}
-	f.build(tb, client)
+	f.build(tb, declared, client)
 	f.server = f.front.Server()
 	f.server.ConnState = func(_ net.Conn, state http.ConnState) {
 		switch state {
@@ -123,9 +130,8 @@
 	}
 }
 
-func (f *testFrontend) build(tb testing.TB, client *engine.Client) {
+func (f *testFrontend) build(tb testing.TB, declared *inventory.Inventory, client *engine.Client) {
 	logger := zerolog.Nop()
-	declared := testInventory()
 	version := &board.Cell[caller.ActiveConfig]{}
 	version.Store(&caller.ActiveConfig{Number: 1, Index: inventory.NewIndex(declared)})
 	f.ledger = &budget.Ledger{Declared: &board.Cell[budget.Declarations]{}}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -27,7 +27,8 @@
 	HeaderAttempt = "Citronslip-Attempt"
 	// HeaderLabel is the request header with a text that the engine returns in its usage reports.
 	HeaderLabel = "Citronslip-Label"
-	// HeaderLoad is the response header with the load report of the engine, as JSON.
+	// HeaderLoad is the response header with the load report of the engine, as JSON. Responses to Chat and Resume have
+	// it.
 	HeaderLoad = "Citronslip-Load"
 
 	// UsageRunning is the state of an attempt that has not ended.
@@ -74,6 +75,9 @@
 		Leaving bool `json:"leaving"` // Whether the server is about to be shut down.
 		// Start identifies the process: it changes when the server restarts after a crash.
 		Start string `json:"start"`
+		// Software is the software version of the engine, empty if it does not tell. Only processes of the same version
+		// can continue each other's streams.
+		Software string `json:"software,omitempty"`
 		// Models lists the loaded models. It is empty in the reports on responses.
 		Models []LoadedModel `json:"models,omitempty"`
 	}
--- a/internal/router/activate.go
+++ b/internal/router/activate.go
@@ -20,8 +20,8 @@
 	r.shared.Version.Store(&caller.ActiveConfig{Number: number, Index: index})
 }
 
-// updateServers passes the declared backend servers to the picker, with the models that they report and their state in
-// the host list.
+// updateServers passes the declared backend servers to the picker, with the models and the software version that
+// they report and their state in the host list.
 func (r *Router) updateServers(index *inventory.Index) {
 	observed := make(map[string]hosts.Host)
 	if list := r.shared.Hosts.Load(); list != nil {
@@ -36,6 +36,7 @@
 		if loaded, ok := r.reportedModels.get(backend.Name); ok {
 			server.Holds = loaded
 		}
+		server.Software = r.front.Starts.Latest(backend.Name).Software
 		if host, ok := observed[hostPort(backend.Address)]; ok {
 			server.Leaving = host.State == hosts.StateLeaving
 			server.Observed = host.Time
--- a/internal/router/poll.go
+++ b/internal/router/poll.go
@@ -70,7 +70,7 @@
 	defer cancel()
 	load, err := r.engines.Load(pollCtx, address)
 	r.picker.RecordPoll(name, routingLoad(load), err == nil && load.Ready)
-	r.front.Starts.Record(name, load.Start)
+	r.front.RecordProcess(name, load)
 	if err == nil && load.Models != nil && r.reportedModels.put(name, loadedModels(load.Models)) {
 		if version := r.shared.Version.Load(); version != nil {
 			r.updateServers(version.Index)
--- a/internal/standin/chat.go
+++ b/internal/standin/chat.go
@@ -81,10 +81,7 @@
 	if !ok {
 		return
 	}
-	load := e.delayedLoad()
-	load.Models = nil
-	loadJSON, _ := json.Marshal(load)
-	w.Header().Set("Citronslip-Load", string(loadJSON))
+	e.setLoadHeader(w)
 	if !e.hasModel(request.Model) {
 		http.Error(w, "model "+request.Model+" is not loaded", http.StatusNotFound)
 		return
@@ -103,6 +100,14 @@
 	e.writeCompletion(w, r, s, request.Model)
 }
 
+// setLoadHeader adds the load report to the header of a response.
+func (e *Engine) setLoadHeader(w http.ResponseWriter) {
+	load := e.delayedLoad()
+	load.Models = nil
+	loadJSON, _ := json.Marshal(load)
+	w.Header().Set("Citronslip-Load", string(loadJSON))
+}
+
 func (e *Engine) hasModel(model string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -241,6 +246,7 @@
 }
 
 func (e *Engine) handleResume(w http.ResponseWriter, r *http.Request) {
+	e.setLoadHeader(w)
 	s, ok := e.find(mux.Vars(r)["attempt"])
 	if !ok {
 		http.Error(w, "no such attempt", http.StatusNotFound)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -15,6 +15,7 @@
 	defaultPrefillTokens  = 512
 	defaultCachedPrefixes = 64
 	defaultVersion        = "1"
+	defaultSoftware       = "1"
 	maxKnownAttempts      = 4096 // Sequences kept for usage reports and resumption, finished ones included.
 	minOutputTokens       = 24   // Output tokens of the shortest answer that is not cut by max_tokens.
 	outputTokenRange      = 40   // Answers have fewer than minOutputTokens + outputTokenRange output tokens.
@@ -38,13 +39,15 @@
 
 	// EngineLoad is an engine's load report.
 	EngineLoad struct {
-		Running int           `json:"running"` // Sequences in the batch.
-		Waiting int           `json:"waiting"` // Sequences in the queue.
-		Slots   int           `json:"slots"`   // Maximum number of running sequences.
-		Ready   bool          `json:"ready"`
-		Leaving bool          `json:"leaving"` // Whether the engine is about to be shut down.
-		Start   string        `json:"start"`   // Identity of the process, which changes with each crash.
-		Models  []LoadedModel `json:"models,omitempty"`
+		Running int    `json:"running"` // Sequences in the batch.
+		Waiting int    `json:"waiting"` // Sequences in the queue.
+		Slots   int    `json:"slots"`   // Maximum number of running sequences.
+		Ready   bool   `json:"ready"`
+		Leaving bool   `json:"leaving"` // Whether the engine is about to be shut down.
+		Start   string `json:"start"`   // Identity of the process, which changes with each crash.
+		// Software version; empty if the engine does not tell.
+		Software string        `json:"software,omitempty"`
+		Models   []LoadedModel `json:"models,omitempty"`
 	}
 
 	// Engine is a stand-in for a model engine with continuous batching. Fields are set before Run.
@@ -57,8 +60,10 @@
 		Lag     time.Duration // Age of load reports.
 		Fences  bool          // Whether commands with an old fencing number are refused.
 		Models  []LoadedModel // Models loaded at the start.
-		Poison  string        // Prompt text that crashes the engine; empty means none.
-		Down    time.Duration // Time after a crash during which the engine aborts all requests.
+		// Software version of the engine until Upgrade sets another; empty means that load reports do not tell it.
+		Software string
+		Poison   string        // Prompt text that crashes the engine; empty means none.
+		Down     time.Duration // Time after a crash during which the engine aborts all requests.
 
 		mu               sync.Mutex
 		state            EngineState
@@ -71,6 +76,7 @@
 		cachedPrefixes   []string             // Least recently used first.
 		loadHistory      []loadSample         // Oldest first; the first one is reported.
 		crashes          int
+		processes        int // Restarts, by crashes and upgrades.
 		startedSequences int
 		cacheHits        int // Sequences started with a cached prefix.
 		consumedTokens   int // Tokens prefilled and generated for all sequences.
@@ -143,6 +149,15 @@
 	e.crash()
 }
 
+// Upgrade restarts the engine with another software version. It ends all generations and aborts all requests for the
+// time Down, like a crash, but is not counted as one.
+func (e *Engine) Upgrade(software string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.Software = software
+	e.restart()
+}
+
 // init sets default values. Calls after the first one do nothing.
 func (e *Engine) init() {
 	e.mu.Lock()
@@ -173,6 +188,12 @@
 		return
 	}
 	e.crashes++
+	e.restart()
+}
+
+// restart ends all generations and the process. The caller holds the lock.
+func (e *Engine) restart() {
+	e.processes++
 	e.downUntil = time.Now().Add(e.Down)
 	for _, s := range append(e.running, e.waiting...) {
 		s.end("crash")
@@ -256,16 +277,17 @@
 
 func (e *Engine) currentLoad() EngineLoad {
 	return EngineLoad{
-		Running: len(e.running),
-		Waiting: len(e.waiting),
-		Slots:   e.Slots,
-		Ready:   e.state.Ready,
-		Leaving: e.leaving,
-		Start:   fmt.Sprint(e.Name, "-", e.crashes),
+		Running:  len(e.running),
+		Waiting:  len(e.waiting),
+		Slots:    e.Slots,
+		Ready:    e.state.Ready,
+		Leaving:  e.leaving,
+		Start:    fmt.Sprint(e.Name, "-", e.processes),
+		Software: e.Software,
 	}
 }
 
-// delayedLoad returns the load report as it was at the time Lag ago, with the current Leaving, Start and Models. Before
+// delayedLoad returns the load report as it was at the time Lag ago, with the current Leaving, Start, Software and Models. Before
 // the first decode step it returns the current load without Models.
 func (e *Engine) delayedLoad() EngineLoad {
 	e.mu.Lock()
@@ -275,7 +297,8 @@
 	}
 	load := e.loadHistory[0].load
 	load.Leaving = e.leaving
-	load.Start = e.currentLoad().Start
+	current := e.currentLoad()
+	load.Start, load.Software = current.Start, current.Software
 	load.Models = e.state.Models
 	return load
 }
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -103,7 +103,7 @@
 		f.servers = append(f.servers, fleetServer{listener: listener, handler: booking.Handler()})
 		return nil
 	}
-	engine := &Engine{Name: backend.Name, Step: stepByClass[backend.Class], Fences: backend.EnforcesFencing}
+	engine := &Engine{Name: backend.Name, Step: stepByClass[backend.Class], Fences: backend.EnforcesFencing, Software: defaultSoftware}
 	for _, model := range backend.Models {
 		engine.Models = append(engine.Models, f.loadedModel(model))
 	}
