Continue a stream only on servers of its software version

Callers of a model whose streams may move saw answers that two software versions of the engine had written, with the end marker.

Cause: a continuation was routed like a new request, to any server that was not tried before, and its events were relayed whoever sent them.

Now the load report on the response that brings the first event binds the request to its software version. Later attempts go only to servers that reported it last. As a process may be replaced between its report and the attempt, the report on the response is checked as well, before any event is relayed; an attempt at another version is cancelled. A stream whose version is unknown is not continued. If no server of the version is left, the stream ends at once with the error event.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -183,6 +183,9 @@
 	}
 	defer response.Body.Close()
 	c.recordLoad(a, response.Header)
+	if c.runsOtherSoftware(a) {
+		return c.rejectContinuation(ctx, a)
+	}
 	if c.chat.Stream {
 		return c.relayStream(ctx, a, response)
 	}
--- a/internal/caller/continuation.go
+++ b/internal/caller/continuation.go
@@ -2,18 +2,25 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"maps"
+	"net/http"
 
 	"citronslip/internal/event"
+	"citronslip/internal/routing"
 	"citronslip/internal/sse"
 	"citronslip/pkg/inventory"
 )
 
 // prepareContinuation prepares another attempt that continues a stream after the text that was sent to the caller. It
-// reports false if the model's configuration or the stream does not allow that.
+// reports false if the model's configuration or the stream does not allow that, or if the software version that began
+// the stream is unknown.
 func (c *chatCall) prepareContinuation(a *attempt) bool {
+	if c.routingRequest.Software == "" {
+		return false
+	}
 	model := c.index.Model(c.chat.Model)
 	if model == nil || !model.Migratable || c.chat.Choices != 1 || c.capture == nil || c.capture.overflowed {
 		return false
@@ -32,6 +39,34 @@
 	return true
 }
 
+// runsOtherSoftware reports whether the process that answers an attempt must not continue the stream, because it does not
+// run the software version that began it. The process may have been replaced since its server was picked.
+func (c *chatCall) runsOtherSoftware(a *attempt) bool {
+	return c.headerSent && a.process.Software != c.routingRequest.Software
+}
+
+// rejectContinuation gives up an attempt whose server runs another software version than the stream needs. No event of
+// it was sent to the caller.
+func (c *chatCall) rejectContinuation(ctx context.Context, a *attempt) attemptResult {
+	server := a.choice.Server.Name
+	event.SoftwareDiffers.Log(c.front.Logger).Str("request", c.requestID).Str("server", server).
+		Str("software", a.process.Software).Str("needed", c.routingRequest.Software).Send()
+	c.holdAttempt(ctx, a, routing.Cancelled{}, HeldAttempt{Cancel: true})
+	message := "backend server " + server + " runs another software version than the one that began the stream"
+	return failed{outcome: routing.Broken{}, refusal: newUnknownRunRefusal(http.StatusBadGateway, CodeBackend, message)}
+}
+
+// noServerRuns reports whether no server of the service runs the software version that a request needs. A request that
+// needs no particular one has an empty version.
+func (c *call) noServerRuns(software string) bool {
+	return software != "" && !c.front.Picker.RunsSoftware(c.ruleDecision.Service, software)
+}
+
+func noSoftwareRefusal(software string) *Refusal {
+	message := "no backend server runs the software version " + software + " that began the stream"
+	return newUnknownRunRefusal(http.StatusBadGateway, CodeBackend, message)
+}
+
 // EncodeContinuation returns the request body with which an inference engine continues the given text of an answer.
 func (c *ChatRequest) EncodeContinuation(text string, limit inventory.Tokens, priority int) []byte {
 	continuation := *c
--- a/internal/caller/quarantine.go
+++ b/internal/caller/quarantine.go
@@ -40,6 +40,9 @@
 			request.Version = ""
 			continue
 		}
+		if c.noServerRuns(request.Software) {
+			return nil, quarantine.AdmittedCopy{}, noSoftwareRefusal(request.Software)
+		}
 		if errors.Is(err, routing.ErrNoServer) || time.Now().After(c.startDeadline) || !delay.Sleep(ctx, pickRetryInterval) {
 			return nil, quarantine.AdmittedCopy{}, noServerRefusal(err)
 		}
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -85,6 +85,7 @@
 		}
 		c.firstByteAt = a.firstByteAt
 		c.headerSent = true
+		c.routingRequest.Software = a.process.Software
 		c.sendStreamError = func(refusal *Refusal) { c.relay.sendError(refusal, c.requestID) }
 		header := c.w.Header()
 		header.Set("Content-Type", "text/event-stream")
--- a/internal/event/caller.go
+++ b/internal/event/caller.go
@@ -13,6 +13,7 @@
 	ReservedRemotely  = register(106, zerolog.DebugLevel, "tokens reserved at another router", "None.")
 	StreamMoved       = register(107, zerolog.InfoLevel, "stream continues on another backend server", "Check the named backend server, which interrupted the stream.")
 	SoftwareChanged   = register(108, zerolog.InfoLevel, "software version of a backend server learned or changed", "None. Streams continue only on servers of the version that began them.")
+	SoftwareDiffers   = register(109, zerolog.InfoLevel, "attempt given up, the backend server runs another software version than the one that began the stream", "None unless it repeats after a change of versions; then check the load reports of the named server.")
 	AttemptRetried    = register(120, zerolog.InfoLevel, "request retried on another backend server", "None. The field reason tells how the previous attempt ended.")
 	AttemptRefused    = register(121, zerolog.InfoLevel, "backend server refused the attempt without executing it", "None unless it continues; then add backend servers.")
 	RequestRejected   = register(123, zerolog.WarnLevel, "request refused before it was routed", "None if the field reason describes a fault of the request. If it names the link of the host, add hosts or bandwidth.")
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -45,6 +45,19 @@
 	s.config = &config
 }
 
+// RunsSoftware reports whether a server of a service that is not leaving runs a software version, whether it accepts new
+// work now or not.
+func (p *Picker) RunsSoftware(service, software string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.servers {
+		if s.config.Service == service && s.config.Software == software && !s.config.Leaving && !s.leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // addServer adds a server of which nothing is known.
 func (p *Picker) addServer(name string, now time.Time) *server {
 	s := &server{
