Resume a stream only at the software version that began it

Callers saw a stream that began at one software version of the engine and went on at another, behind a broken connection to the same server.

Cause: the front end relayed the answer to its resume call from the first event on. When the process had been replaced by one of another version that knows the attempt, as after an upgrade that keeps its state, that process went on.

Now the load report on the answer must name the version that began the stream, or, where none is named, the same process. Otherwise the stream is handled as one that cannot be resumed: it continues on a server of its version or ends with the error event. The report is also read from a refused resume call, so that a replaced process gets no attempt that would be given up.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -182,7 +182,7 @@
 		return c.handleRequestError(ctx, a, err)
 	}
 	defer response.Body.Close()
-	c.recordLoad(a, response.Header)
+	a.process = c.recordLoad(a, response.Header)
 	if c.runsOtherSoftware(a) {
 		return c.rejectContinuation(ctx, a)
 	}
@@ -192,18 +192,19 @@
 	return c.readAnswer(ctx, a, response)
 }
 
-// recordLoad records the load report in the header of a response, if there is one.
-func (c *call) recordLoad(a *attempt, header http.Header) {
+// recordLoad records the load report in the header of a response, and returns the process that sent it. Without a report
+// the process is the zero value.
+func (c *call) recordLoad(a *attempt, header http.Header) ServerProcess {
 	load, ok := engine.ParseLoad(header)
 	if !ok {
-		return
+		return ServerProcess{}
 	}
-	a.process = newServerProcess(load)
 	c.front.RecordProcess(a.choice.Server.Name, load)
 	c.front.Picker.RecordLoad(a.choice.Server.Name, routing.Load{Running: load.Running, Waiting: load.Waiting})
 	if load.Leaving {
 		c.front.Picker.MarkLeaving(a.choice.Server.Name)
 	}
+	return newServerProcess(load)
 }
 
 // handleRequestError ends an attempt that got no response, or only a part of it.
--- a/internal/caller/software_test.go
+++ b/internal/caller/software_test.go
@@ -334,6 +334,45 @@
 	})
 }
 
+// Guards against a stream that is resumed on its server by a process of another software version, or by one of which
+// nothing shows that it runs the same, and against one that is not resumed by its own version.
+func TestStreamIsNotResumedByAnotherSoftwareVersion(t *testing.T) {
+	for _, test := range []struct {
+		before, after string // Software versions of the processes.
+		replaced      bool
+		forgets       bool // Whether the server no longer knows the attempt.
+		resumed       bool
+	}{
+		{before: "1", after: "2", replaced: true, forgets: true},
+		{before: "1", after: "2", replaced: true},
+		{before: "1", after: "", replaced: true},
+		{before: "", after: "1", replaced: true},
+		{before: "", after: "", replaced: true},
+		{before: "", after: "", resumed: true},
+		{before: "1", after: "1", replaced: true, resumed: true},
+		{before: "1", after: "1", resumed: true},
+	} {
+		t.Run(fmt.Sprintf("%+v", test), func(t *testing.T) {
+			engines := newScriptedEngines(test.before)
+			engines.breaks = []int{2}
+			engines.persistent = !test.forgets
+			engines.onBreak = func(name string) {
+				if test.replaced {
+					engines.replace(name, test.after)
+				}
+			}
+			runWithScriptedEngines(t, engines, func(is *is.I, _ *testFrontend, stream func(...string) streamedAnswer) {
+				answer := stream()
+				is.Equal(len(answer.distinctWriters()), 1)
+				is.Equal(answer.complete, test.resumed)
+				is.Equal(answer.failed, !test.resumed)
+				chats, _ := engines.counts("planner1")
+				is.Equal(chats, 1) // The resume call showed which version the server runs.
+			})
+		})
+	}
+}
+
 // Guards against an attempt that broke off before its first event and yet binds the request to its software version.
 func TestStreamWithoutEventsMayGoAnywhere(t *testing.T) {
 	engines := newScriptedEngines("1", "2")
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -10,6 +10,7 @@
 
 	"citronslip/internal/claim"
 	"citronslip/internal/delay"
+	"citronslip/internal/engine"
 	"citronslip/internal/event"
 	"citronslip/internal/routing"
 )
@@ -94,16 +95,26 @@
 	}
 }
 
-// resumeStream continues a stream after the events that were relayed.
+// resumeStream continues a stream after the events that were relayed. It reports false if the server does not resume it,
+// or if the process that does may run another software version than the one that began the stream.
 func (c *chatCall) resumeStream(ctx context.Context, a *attempt, cause error) (bool, error) {
 	if !delay.Sleep(ctx, resumeBackoff) {
 		return false, cause
 	}
 	response, err := c.front.Engines.Resume(ctx, a.choice.Server.Address, a.name, c.chat.Model, c.relay.contentEvents)
+	var refused *engine.RefusedError
+	if errors.As(err, &refused) {
+		c.recordLoad(a, refused.Header)
+	}
 	if err != nil {
 		return false, cause
 	}
 	defer response.Body.Close()
+	if resumed := c.recordLoad(a, response.Header); !a.process.sameSoftware(resumed) {
+		event.SoftwareDiffers.Log(c.front.Logger).Str("request", c.requestID).Str("server", a.choice.Server.Name).
+			Str("software", resumed.Software).Str("needed", a.process.Software).Send()
+		return false, cause
+	}
 	event.StreamResumed.Log(c.front.Logger).Str("request", c.requestID).Str("server", a.choice.Server.Name).
 		Str("software", a.process.Software).Send()
 	return true, c.relay.copyEvents(response.Body)
