End a stream at once if its only permitted server runs another version

Callers whose stream had broken off waited for the time that requests may wait for a server (10 s by default) and then got the error event, although it was known at once that no server could continue it.

Cause: after a crash the quarantine lets a request run only on one server. If that one runs another software version than the stream needs, routing refuses it, and the request asked again until its time was over.

Now the request is refused when routing knows that the permitted server runs another version. If that server runs the version and only takes no work, the request waits as before.

--- a/internal/caller/continuation.go
+++ b/internal/caller/continuation.go
@@ -56,10 +56,10 @@
 	return failed{outcome: routing.Broken{}, refusal: newUnknownRunRefusal(http.StatusBadGateway, CodeBackend, message)}
 }
 
-// noServerRuns reports whether no server of the service runs the software version that a request needs. A request that
+// noServerRuns reports whether no server that a request may use runs the software version that it needs. A request that
 // needs no particular one has an empty version.
-func (c *call) noServerRuns(software string) bool {
-	return software != "" && !c.front.Picker.RunsSoftware(c.ruleDecision.Service, software)
+func (c *call) noServerRuns(request *routing.Request) bool {
+	return request.Software != "" && !c.front.Picker.RunsSoftware(request)
 }
 
 func noSoftwareRefusal(software string) *Refusal {
--- a/internal/caller/quarantine.go
+++ b/internal/caller/quarantine.go
@@ -40,7 +40,7 @@
 			request.Version = ""
 			continue
 		}
-		if c.noServerRuns(request.Software) {
+		if c.noServerRuns(request) {
 			return nil, quarantine.AdmittedCopy{}, noSoftwareRefusal(request.Software)
 		}
 		if errors.Is(err, routing.ErrNoServer) || time.Now().After(c.startDeadline) || !delay.Sleep(ctx, pickRetryInterval) {
@@ -72,8 +72,7 @@
 	}
 	switch decision := decision.(type) {
 	case quarantine.AdmittedCopy:
-		admitted, pinned := c.pinToServer(ctx, request, choice, decision)
-		return admitted, pinned, nil
+		return c.pinToServer(ctx, request, choice, decision)
 	case quarantine.Quarantined:
 		choice.Done(routing.Cancelled{})
 		message := "the request is quarantined: backend servers crashed each time it ran"
@@ -96,10 +95,10 @@
 
 // pinToServer returns a choice of the server of the slot that the guard assigned (see package quarantine), or nil if
 // that server accepts no work now. In the latter case, a request that is not a suspect gives up the fixed slot and
-// keeps the server that routing chose.
+// keeps the server that routing chose. A request that needs another software version than that server's is refused.
 func (c *call) pinToServer(
 	ctx context.Context, request *routing.Request, choice *routing.Choice, admitted quarantine.AdmittedCopy,
-) (quarantine.AdmittedCopy, *routing.Choice) {
+) (quarantine.AdmittedCopy, *routing.Choice, *Refusal) {
 	if choice.Server.Name != admitted.Server {
 		pinnedRequest := *request
 		pinnedRequest.Only = admitted.Server
@@ -107,27 +106,30 @@
 		pinnedChoice, err := c.front.Picker.Pick(&pinnedRequest)
 		if err != nil && admitted.Slot == quarantine.SlotFixed && !admitted.Trial {
 			c.cancelExecution(ctx, admitted)
-			return c.front.Guard.AdmitUnplaced(c.fingerprint, choice.Server.Name), choice
+			return c.front.Guard.AdmitUnplaced(c.fingerprint, choice.Server.Name), choice, nil
 		}
 		choice.Done(routing.Cancelled{})
 		if err != nil {
 			c.cancelExecution(ctx, admitted)
-			return admitted, nil
+			if c.noServerRuns(&pinnedRequest) {
+				return admitted, nil, noSoftwareRefusal(request.Software)
+			}
+			return admitted, nil, nil
 		}
 		choice = pinnedChoice
 	}
 	if !admitted.Trial {
-		return admitted, choice
+		return admitted, choice, nil
 	}
 	load, err := c.queryLoad(ctx, choice.Server.Address)
 	if err != nil {
 		// A server that is already down must not count as crashed by the trial.
 		choice.Done(routing.ConnectionRefused{})
 		c.cancelExecution(ctx, admitted)
-		return admitted, nil
+		return admitted, nil, nil
 	}
 	c.front.RecordProcess(admitted.Server, load)
-	return admitted, choice
+	return admitted, choice, nil
 }
 
 // isSuspect reports whether the request is known to have crashed a server.
--- a/internal/caller/software_test.go
+++ b/internal/caller/software_test.go
@@ -15,9 +15,12 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"citronslip/internal/engine"
+	"citronslip/internal/quarantine"
 	"citronslip/internal/sse"
+	"citronslip/internal/table"
 	"citronslip/pkg/inventory"
 )
 
@@ -287,6 +290,49 @@
 	}
 }
 
+// Guards against a caller that waits for the rest of its stream although the quarantine lets it continue only on a server
+// of another software version.
+func TestStreamThatMayNotContinueEndsAtOnce(t *testing.T) {
+	ended, continued := 0, 0
+	for _, software := range [][]string{{"2", "1", "1"}, {"1", "2", "1"}, {"1", "1", "2"}} {
+		for range 20 { // The choice of the first server is random.
+			engines := newScriptedEngines(software...)
+			engines.breaks = []int{2}
+			engines.onBreak = func(name string) { engines.servers[name].down = true }
+			runWithScriptedEngines(t, engines, func(is *is.I, f *testFrontend, stream func(...string) streamedAnswer) {
+				f.front.Guard = newTestGuard()
+				begin := time.Now()
+				answer := stream()
+				if answer.writers[0] == "2" {
+					return // Its server may come back, so the stream may wait.
+				}
+				is.True(time.Since(begin) < 3*time.Second)
+				is.Equal(len(answer.distinctWriters()), 1)
+				if answer.failed {
+					ended++
+				} else {
+					continued++
+				}
+			})
+		}
+	}
+	t.Logf("%d ended, %d continued", ended, continued)
+	is.New(t).True(ended > 0 && continued > 0)
+}
+
+// newTestGuard returns a quarantine guard of the only router.
+func newTestGuard() *quarantine.Guard {
+	logger := zerolog.Nop()
+	guard := &quarantine.Guard{
+		Table: &table.Memory{}, Instance: "i", Host: "h", Hosts: func() []string { return []string{"h"} }, Fresh: true,
+		Tell: func(quarantine.CrashReport) {}, Free: func(string, quarantine.CopyDone) {}, Logger: &logger,
+	}
+	if err := guard.Sync(context.Background()); err != nil {
+		panic(err)
+	}
+	return guard
+}
+
 // Guards against a stream that ends although a server of its software version could continue it.
 func TestStreamIsContinuedByItsSoftwareVersion(t *testing.T) {
 	for range 20 { // The choice of the first server is random.
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -45,13 +45,14 @@
 	s.config = &config
 }
 
-// RunsSoftware reports whether a server of a service that is not leaving runs a software version, whether it accepts new
-// work now or not.
-func (p *Picker) RunsSoftware(service, software string) bool {
+// RunsSoftware reports whether a server of the request's service that is not leaving runs the software version that the
+// request needs, whether it accepts new work now or not. If the request may run only on one server, others do not count.
+func (p *Picker) RunsSoftware(r *Request) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.servers {
-		if s.config.Service == service && s.config.Software == software && !s.config.Leaving && !s.leaving {
+		allowed := s.config.Service == r.Service && (r.Only == "" || s.config.Name == r.Only)
+		if allowed && s.config.Software == r.Software && !s.config.Leaving && !s.leaving {
 			return true
 		}
 	}
