--- a/internal/standin/chat.go
+++ b/internal/standin/chat.go
@@ -81,6 +81,7 @@
 	if !ok {
 		return
 	}
+	process := e.currentProcess()
 	e.setLoadHeader(w)
 	if !e.hasModel(request.Model) {
 		http.Error(w, "model "+request.Model+" is not loaded", http.StatusNotFound)
@@ -92,7 +93,10 @@
 		e.Crash()
 		panic(http.ErrAbortHandler)
 	}
-	s = e.submit(s)
+	s.process = process
+	if s = e.submit(s); s == nil {
+		panic(http.ErrAbortHandler)
+	}
 	if request.Stream {
 		e.writeStream(w, r, s, request.Model, 0)
 		return
@@ -339,7 +343,8 @@
 func writeChunk(w http.ResponseWriter, s *sequence, model, token string) {
 	content, _ := json.Marshal(token)
 	fmt.Fprintf(w, "data: {\"id\":\"chatcmpl-%s\",\"object\":\"chat.completion.chunk\",\"model\":%q,"+
-		"\"choices\":[{\"index\":0,\"delta\":{\"content\":%s},\"finish_reason\":null}]}\n\n", s.attempt, model, content)
+		"\"system_fingerprint\":%q,\"choices\":[{\"index\":0,\"delta\":{\"content\":%s},\"finish_reason\":null}]}\n\n",
+		s.attempt, model, s.software, content)
 }
 
 func writeEnd(w http.ResponseWriter, s *sequence, model, finishReason string, completionTokens int) {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -85,6 +85,8 @@
 	// sequence is one waiting, running or finished generation. Its tokens are words.
 	sequence struct {
 		attempt      string // Identity of the attempt.
+		process      int    // Number of the process that received the request.
+		software     string // Software version of the process.
 		label        string // Text of the router that usage reports return.
 		sent         bool   // Whether the whole answer was sent.
 		priority     int    // Higher priorities start first.
@@ -303,10 +305,22 @@
 	return load
 }
 
-// submit queues a generation. For a repeated attempt it returns the existing sequence.
+// currentProcess returns the number of the current process.
+func (e *Engine) currentProcess() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.processes
+}
+
+// submit queues a generation. For a repeated attempt it returns the existing sequence. If the process that received the
+// request has ended since, it returns nil.
 func (e *Engine) submit(s *sequence) *sequence {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if s.process != e.processes {
+		return nil
+	}
+	s.software = e.Software
 	if existing, ok := e.sequences[s.attempt]; ok {
 		return existing
 	}
