Do not record a stream that is too long as its cut-off copy

A caller that sent a request with an idempotency key again got a part of the first answer as a whole one: status 200 with a length, but without the end of the stream.

Cause: the copy of a stream for its key stops growing at 4 MiB, and what it held then was recorded as the answer.

Now the outcome of such a request is recorded as unknown. A retry runs the request again if it is idempotent and is refused otherwise, as after a lost outcome.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -35,6 +35,7 @@
 	// answered is a complete answer. A streamed answer has already been sent to the caller.
 	answered struct {
 		answer                    claim.Answer
+		tooLong                   bool // Whether the answer is too long to be recorded; answer is empty then.
 		inputTokens, outputTokens inventory.Tokens
 	}
 
--- a/internal/caller/chat_call.go
+++ b/internal/caller/chat_call.go
@@ -115,7 +115,11 @@
 	bill := c.newBill(result.inputTokens, result.outputTokens)
 	c.record.Input = bill.Input
 	c.record.Output = bill.Output
-	if c.claim != nil {
+	switch {
+	case c.claim == nil:
+	case result.tooLong:
+		c.recordOutcomeUnknown(ctx)
+	default:
 		c.record.Claim = "finished"
 		// The answer may be sent even after an error, since the controller of the claims repeats the write.
 		_ = c.front.Claims.Finish(context.WithoutCancel(ctx), c.claim, result.answer, bill)
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -130,7 +130,11 @@
 	c.settleAttempt(ctx, a, c.finishedOutcome(a, *used), used.Prompt+used.Completion)
 	total := c.totalUsage(*used)
 	result := answered{inputTokens: total.Prompt, outputTokens: total.Completion}
-	if c.claim != nil {
+	switch {
+	case c.claim == nil:
+	case c.capture.overflowed:
+		result.tooLong = true
+	default:
 		result.answer = claim.Answer{
 			Status: http.StatusOK,
 			Header: http.Header{"Content-Type": {"text/event-stream"}},
