--- a/internal/routing/software_test.go
+++ b/internal/routing/software_test.go
@@ -53,6 +53,7 @@
 						runs++
 					}
 				}
+				is.Equal(required == "" || p.RunsSoftware(request), required == "" || runs > 0)
 				choice, err := p.Pick(request)
 				if required != "" && runs == 0 {
 					is.True(err != nil)
@@ -65,7 +66,28 @@
 					is.Equal(candidate.ExclusionReason == "another software version", other)
 				}
 				choice.Done(routing.Cancelled{})
+				only := &routing.Request{Service: "plan", Software: "1", Only: choice.Server.Name}
+				is.Equal(p.RunsSoftware(only), software[choice.Server.Name] == "1")
 			},
 		})
 	})
 }
+
+// Guards against a request that waits for a software version of which only a leaving server is left, and against one that
+// is given up although a server of its version will accept work again.
+func TestRunsSoftwareCountsServersThatStay(t *testing.T) {
+	is := is.New(t)
+	p := &routing.Picker{Router: "r"}
+	set := servers(2)
+	set[0].Software, set[1].Software = "1", "2"
+	p.Update(set)
+	request := &routing.Request{Service: "plan", Model: "garden", Software: "1"}
+	choice, err := p.Pick(request)
+	is.NoErr(err)
+	choice.Done(routing.ConnectionRefused{}) // Opens the circuit.
+	_, err = p.Pick(request)
+	is.True(err != nil)
+	is.True(p.RunsSoftware(request))
+	p.MarkLeaving("s0")
+	is.True(!p.RunsSoftware(request))
+}
