--- a/internal/caller/server_processes.go
+++ b/internal/caller/server_processes.go
@@ -26,15 +26,6 @@
 	return ServerProcess{Start: load.Start, Software: load.Software}
 }
 
-// sameSoftware reports whether two processes certainly run the same software version: both name it, or they are one
-// process that does not.
-func (p ServerProcess) sameSoftware(other ServerProcess) bool {
-	if p.Software != "" || other.Software != "" {
-		return p.Software == other.Software
-	}
-	return p.Start != "" && p.Start == other.Start
-}
-
 // Record records the process that sent a load report of a server, and returns the one known before.
 func (s *ServerProcesses) Record(server string, process ServerProcess) ServerProcess {
 	s.mu.Lock()
