--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -289,8 +289,8 @@
 	}
 }
 
-// delayedLoad returns the load report as it was at the time Lag ago, with the current Leaving, Start, Software and Models. Before
-// the first decode step it returns the current load without Models.
+// delayedLoad returns the load report as it was at the time Lag ago, with the current Leaving, Start, Software and
+// Models. Before the first decode step it returns the current load without Models.
 func (e *Engine) delayedLoad() EngineLoad {
 	e.mu.Lock()
 	defer e.mu.Unlock()
