--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -35,6 +35,7 @@
 	// answered is a complete answer. A streamed answer has already been sent to the caller.
 	answered struct {
 		answer                    claim.Answer
+		tooLong                   bool // Whether the answer is too long to be recorded; answer is empty then.
 		inputTokens, outputTokens inventory.Tokens
 	}
 
@@ -55,6 +56,7 @@
 		reservation   reservation
 		admittedCopy  quarantine.AdmittedCopy // Permission of the quarantine guard to run the request on the server.
 		serverProcess string                  // Process of the backend server before the attempt; empty if unknown.
+		process       ServerProcess           // Process that answers; the zero value until its load report came.
 		record        *explain.Attempt
 		startedAt     time.Time
 		firstByteAt   time.Time // Time of the first byte; zero if none came or a chat answer is not streamed.
@@ -88,7 +90,7 @@
 		choice:        choice,
 		reservation:   reservation,
 		admittedCopy:  admitted,
-		serverProcess: c.front.Starts.Latest(choice.Server.Name),
+		serverProcess: c.front.Starts.Latest(choice.Server.Name).Start,
 		startedAt:     time.Now(),
 	}
 	c.record.Attempts = append(c.record.Attempts, explain.Attempt{
@@ -181,24 +183,29 @@
 		return c.handleRequestError(ctx, a, err)
 	}
 	defer response.Body.Close()
-	c.recordLoad(a, response.Header)
+	a.process = c.recordLoad(a, response.Header)
+	if c.runsOtherSoftware(a) {
+		return c.rejectContinuation(ctx, a)
+	}
 	if c.chat.Stream {
 		return c.relayStream(ctx, a, response)
 	}
 	return c.readAnswer(ctx, a, response)
 }
 
-// recordLoad records the load report in the header of a response, if there is one.
-func (c *call) recordLoad(a *attempt, header http.Header) {
+// recordLoad records the load report in the header of a response, and returns the process that sent it. Without a report
+// the process is the zero value.
+func (c *call) recordLoad(a *attempt, header http.Header) ServerProcess {
 	load, ok := engine.ParseLoad(header)
 	if !ok {
-		return
+		return ServerProcess{}
 	}
-	c.front.Starts.Record(a.choice.Server.Name, load.Start)
+	c.front.RecordProcess(a.choice.Server.Name, load)
 	c.front.Picker.RecordLoad(a.choice.Server.Name, routing.Load{Running: load.Running, Waiting: load.Waiting})
 	if load.Leaving {
 		c.front.Picker.MarkLeaving(a.choice.Server.Name)
 	}
+	return newServerProcess(load)
 }
 
 // handleRequestError ends an attempt that got no response, or only a part of it.
--- a/internal/caller/continuation.go
+++ b/internal/caller/continuation.go
@@ -12,8 +12,12 @@
 )
 
 // prepareContinuation prepares another attempt that continues a stream after the text that was sent to the caller. It
-// reports false if the model's configuration or the stream does not allow that.
+// reports false if the model's configuration or the stream does not allow that, or if the software version that began
+// the stream is unknown.
 func (c *chatCall) prepareContinuation(a *attempt) bool {
+	if c.routingRequest.Software == "" {
+		return false
+	}
 	model := c.index.Model(c.chat.Model)
 	if model == nil || !model.Migratable || c.chat.Choices != 1 || c.capture == nil || c.capture.overflowed {
 		return false
@@ -28,7 +32,7 @@
 	c.tokenBound = c.chat.PromptBound(model.TemplateOverhead) + inventory.Tokens(len(text)) + c.outputLimit
 	c.engineBody = c.chat.EncodeContinuation(text, c.outputLimit, c.account.Priority)
 	event.StreamMoved.Log(c.front.Logger).Str("request", c.requestID).Str("server", a.choice.Server.Name).
-		Int64("tokens", int64(c.priorOutput)).Send()
+		Str("software", a.process.Software).Int64("tokens", int64(c.priorOutput)).Send()
 	return true
 }
 
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -10,6 +10,7 @@
 
 	"citronslip/internal/claim"
 	"citronslip/internal/delay"
+	"citronslip/internal/engine"
 	"citronslip/internal/event"
 	"citronslip/internal/routing"
 )
@@ -85,6 +86,7 @@
 		}
 		c.firstByteAt = a.firstByteAt
 		c.headerSent = true
+		c.routingRequest.Software = a.process.Software
 		c.sendStreamError = func(refusal *Refusal) { c.relay.sendError(refusal, c.requestID) }
 		header := c.w.Header()
 		header.Set("Content-Type", "text/event-stream")
@@ -93,17 +95,28 @@
 	}
 }
 
-// resumeStream continues a stream after the events that were relayed.
+// resumeStream continues a stream after the events that were relayed. It reports false if the server does not resume it,
+// or if the process that does may run another software version than the one that began the stream.
 func (c *chatCall) resumeStream(ctx context.Context, a *attempt, cause error) (bool, error) {
 	if !delay.Sleep(ctx, resumeBackoff) {
 		return false, cause
 	}
 	response, err := c.front.Engines.Resume(ctx, a.choice.Server.Address, a.name, c.chat.Model, c.relay.contentEvents)
+	var refused *engine.RefusedError
+	if errors.As(err, &refused) {
+		c.recordLoad(a, refused.Header)
+	}
 	if err != nil {
 		return false, cause
 	}
 	defer response.Body.Close()
-	event.StreamResumed.Log(c.front.Logger).Str("request", c.requestID).Str("server", a.choice.Server.Name).Send()
+	if resumed := c.recordLoad(a, response.Header); !a.process.sameSoftware(resumed) {
+		event.SoftwareDiffers.Log(c.front.Logger).Str("request", c.requestID).Str("server", a.choice.Server.Name).
+			Str("software", resumed.Software).Str("needed", a.process.Software).Send()
+		return false, cause
+	}
+	event.StreamResumed.Log(c.front.Logger).Str("request", c.requestID).Str("server", a.choice.Server.Name).
+		Str("software", a.process.Software).Send()
 	return true, c.relay.copyEvents(response.Body)
 }
 
@@ -117,7 +130,11 @@
 	c.settleAttempt(ctx, a, c.finishedOutcome(a, *used), used.Prompt+used.Completion)
 	total := c.totalUsage(*used)
 	result := answered{inputTokens: total.Prompt, outputTokens: total.Completion}
-	if c.claim != nil {
+	switch {
+	case c.claim == nil:
+	case c.capture.overflowed:
+		result.tooLong = true
+	default:
 		result.answer = claim.Answer{
 			Status: http.StatusOK,
 			Header: http.Header{"Content-Type": {"text/event-stream"}},
@@ -131,7 +148,8 @@
 // continuation may follow.
 func (c *chatCall) brokenStreamResult(a *attempt) attemptResult {
 	server := a.choice.Server.Name
-	event.StreamBroken.Log(c.front.Logger).Str("request", c.requestID).Str("server", server).Send()
+	event.StreamBroken.Log(c.front.Logger).Str("request", c.requestID).Str("server", server).
+		Str("software", a.process.Software).Send()
 	message := "the stream from backend server " + server + " broke off"
 	refusal := newUnknownRunRefusal(http.StatusBadGateway, CodeBackend, message)
 	return failed{outcome: routing.Broken{}, refusal: refusal, final: c.headerSent && !c.prepareContinuation(a)}
--- a/internal/resume/history.go
+++ b/internal/resume/history.go
@@ -56,7 +56,7 @@
 	replaced := len(versions) == 1 && h.latest != "" && versions[0] != h.latest
 	if wasSeveral || len(versions) > 1 || replaced {
 		h.severalAt = now
-		event.SoftwareChanged.Log(t.Logger).Str("service", service).Strs("before", h.present).Strs("versions", versions).Send()
+		event.ServiceSoftwareChanged.Log(t.Logger).Str("service", service).Strs("before", h.present).Strs("versions", versions).Send()
 	}
 	h.present = versions
 	if len(versions) == 0 {
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -30,6 +30,35 @@
 	}
 }
 
+// RecordSoftware records the software version that a server reports, empty if it reports none. It holds until the next
+// update of the set of servers.
+func (p *Picker) RecordSoftware(name, software string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[name]
+	if s == nil || s.config.Software == software {
+		return
+	}
+	// The configuration belongs to the slice of the last update, which is not modified.
+	config := *s.config
+	config.Software = software
+	s.config = &config
+}
+
+// RunsSoftware reports whether a server of the request's service that is not leaving runs the software version that the
+// request needs, whether it accepts new work now or not. If the request may run only on one server, others do not count.
+func (p *Picker) RunsSoftware(r *Request) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.servers {
+		allowed := s.config.Service == r.Service && (r.Only == "" || s.config.Name == r.Only)
+		if allowed && s.config.Software == r.Software && !s.config.Leaving && !s.leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // addServer adds a server of which nothing is known.
 func (p *Picker) addServer(name string, now time.Time) *server {
 	s := &server{
--- a/internal/standin/chat.go
+++ b/internal/standin/chat.go
@@ -81,10 +81,8 @@
 	if !ok {
 		return
 	}
-	load := e.delayedLoad()
-	load.Models = nil
-	loadJSON, _ := json.Marshal(load)
-	w.Header().Set("Citronslip-Load", string(loadJSON))
+	process := e.currentProcess()
+	e.setLoadHeader(w)
 	if !e.hasModel(request.Model) {
 		http.Error(w, "model "+request.Model+" is not loaded", http.StatusNotFound)
 		return
@@ -95,7 +93,10 @@
 		e.Crash()
 		panic(http.ErrAbortHandler)
 	}
-	s = e.submit(s)
+	s.process = process
+	if s = e.submit(s); s == nil {
+		panic(http.ErrAbortHandler)
+	}
 	if request.Stream {
 		e.writeStream(w, r, s, request.Model, 0)
 		return
@@ -103,6 +104,14 @@
 	e.writeCompletion(w, r, s, request.Model)
 }
 
+// setLoadHeader adds the load report to the header of a response.
+func (e *Engine) setLoadHeader(w http.ResponseWriter) {
+	load := e.delayedLoad()
+	load.Models = nil
+	loadJSON, _ := json.Marshal(load)
+	w.Header().Set("Citronslip-Load", string(loadJSON))
+}
+
 func (e *Engine) hasModel(model string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -241,6 +250,7 @@
 }
 
 func (e *Engine) handleResume(w http.ResponseWriter, r *http.Request) {
+	e.setLoadHeader(w)
 	s, ok := e.find(mux.Vars(r)["attempt"])
 	if !ok {
 		http.Error(w, "no such attempt", http.StatusNotFound)
@@ -333,7 +343,8 @@
 func writeChunk(w http.ResponseWriter, s *sequence, model, token string) {
 	content, _ := json.Marshal(token)
 	fmt.Fprintf(w, "data: {\"id\":\"chatcmpl-%s\",\"object\":\"chat.completion.chunk\",\"model\":%q,"+
-		"\"choices\":[{\"index\":0,\"delta\":{\"content\":%s},\"finish_reason\":null}]}\n\n", s.attempt, model, content)
+		"\"system_fingerprint\":%q,\"choices\":[{\"index\":0,\"delta\":{\"content\":%s},\"finish_reason\":null}]}\n\n",
+		s.attempt, model, s.software, content)
 }
 
 func writeEnd(w http.ResponseWriter, s *sequence, model, finishReason string, completionTokens int) {
