Log why the connection of a caller ends during a request

The log said 'caller left' for a caller that closed its connection, for one whose connection the kernel reset at a time limit and for a write that timed out. A panic of the handler, which ends the connection without a response, had no event. Event 126 names the operation and the error, event 127 the panic; event 100 names the caller's address if the response was not completed.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -64,6 +64,7 @@
 		Host      string
 		Path      string
 		Key       string        // API key.
+		Peer      string        // Network address of the caller, for the log.
 		Arrived   time.Time     // Estimated time at which the request reached the host.
 		Timeout   time.Duration // Timeout of the caller, counted from Arrived; zero if it gave none.
 		Prompt    *Prompt       // Nil if the request has no prompt.
--- a/internal/dispatch/log.go
+++ b/internal/dispatch/log.go
@@ -75,6 +75,9 @@
 func (c *call) logRequest() {
 	line := c.logEvent(event.RequestEnded).Str("result", c.result).Str("code", string(c.reason)).
 		Strs("servers", c.triedServers).Dur("took", time.Since(c.request.Arrived))
+	if c.result == "caller left" || c.result == "aborted" {
+		line.Str("peer", c.request.Peer)
+	}
 	if c.directory != nil {
 		line.Int64("version", c.directory.Version)
 	}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
 	"citronslip/internal/dispatch"
@@ -42,6 +43,7 @@
 	// accepted.
 	callerServer struct {
 		handler  http.Handler
+		logger   *zerolog.Logger
 		draining atomic.Bool // Whether responses ask callers to close their connections.
 
 		mu       sync.Mutex
@@ -70,7 +72,7 @@
 		return err
 	}
 	r.listening.Store(true)
-	c := &callerServer{handler: r.Callers(r.dispatcher, bodies, r.linkMonitor)}
+	c := &callerServer{handler: r.Callers(r.dispatcher, bodies, r.linkMonitor), logger: r.Logger}
 	c.applyLimits(defaultLimits, listener)
 	go c.accept(ctx, listener)
 	go r.followLimits(ctx, c, listener)
@@ -138,6 +140,7 @@
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.HeaderBytes,
+		ConnContext:       withCallerConn,
 	}
 	c.listener = &chanListener{Listener: listener, conns: make(chan net.Conn), closed: make(chan struct{})}
 	c.servers = append(c.servers, c.server)
@@ -163,7 +166,7 @@
 		target := c.listener
 		c.mu.Unlock()
 		select {
-		case target.conns <- conn:
+		case target.conns <- &callerConn{Conn: conn, logger: c.logger}:
 		case <-target.closed:
 			_ = conn.Close()
 		}
@@ -184,7 +187,7 @@
 	if c.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c.handler.ServeHTTP(w, r)
+	logPanics(c.logger, c.handler, w, r)
 }
 
 // shutdown waits for the requests in flight until the context ends, and then closes the remaining connections.
