Move a silent server's stream only if another server can continue it

Callers lost streams whose backend server was sound and silent for about a second. A resumable stream was given up after half of the time that its caller waits, 1.0 to 1.6 s, and the response of its server was closed before it was known whether the stream could move. If the retry budget was exhausted, no server accepted the request or sends were held back on a full link, the caller's connection was closed. A router of a large fleet has a few retries per 10 s, and a large configuration fills the link of a small host.

Evidence: TestBriefSilenceDoesNotMoveStream, TestSilentServerKeepsStreamThatCannotMove (three cases) and TestStreamMovesOnceAnotherServerAcceptsIt failed before:

silence_test.go:58: id: 1 id: 2 != id: 1 id: 2 id: 3 id: 4 --- FAIL: TestSilentServerKeepsStreamThatCannotMove (0.00s) --- FAIL: .../retry_budget_exhausted --- FAIL: .../no_other_server --- FAIL: .../link_of_the_host_full

Now a stream stays at its server for 1.5 s, and then until a server has been picked for it and the retry budget allows the move; this is tried again every 100 ms until the caller has given up. The old response is closed before the request is sent again, so that no two servers work on it. The stall watch is in a file of its own.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -65,6 +65,7 @@
 		responseStarted bool             // Whether the caller has received a part of the response.
 		mayHaveRun      bool             // Whether a server may have started to execute the request.
 		permit          ratelimit.Permit // Permit of the current attempt.
+		target          *selection       // Server reserved for the next attempt; nil if it is still to be picked.
 		lastEvent       string
 		errorResponse   *errorResponse // Error of a server, returned if no retry succeeds.
 		events          int64          // Number of events forwarded to the caller.
@@ -169,11 +170,11 @@
 func (c *call) run(ctx context.Context) {
 	c.lastEvent = c.request.LastEvent
 	for {
-		if c.Behind != nil && c.Behind() {
+		if c.target == nil && c.Behind != nil && c.Behind() {
 			c.fail(ctx, LinkFull)
 			return
 		}
-		server, choice, err := c.pick(ctx)
+		server, choice, err := c.selectServer(ctx)
 		if err != nil {
 			c.logNoServerAvailable()
 			c.retryAfter = retryAfterOf(err)
@@ -202,6 +203,17 @@
 	}
 }
 
+// selectServer returns the server that was reserved for the next attempt, or picks one.
+func (c *call) selectServer(ctx context.Context) (*Server, *routing.Choice, error) {
+	target := c.target
+	if target == nil {
+		return c.pick(ctx)
+	}
+	c.target = nil
+	c.permit, c.trial = target.permit, target.trial
+	return target.server, target.choice, nil
+}
+
 // routingRequest describes the request to the picker.
 func (c *call) routingRequest() *routing.Request {
 	r := &routing.Request{
--- a/internal/dispatch/retry_budget.go
+++ b/internal/dispatch/retry_budget.go
@@ -60,14 +60,25 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.window(service)
-	allowed := retryShare * (r.Ratio*sum(w.requests) + r.Slack/float64(max(r.Routers(), 1)))
-	if sum(w.retries)+1 > allowed {
+	if !r.available(w) {
 		return false
 	}
 	w.retries[w.newestBucket%windowBuckets]++
 	return true
 }
 
+// Available reports whether the service may get a retry now, without counting it.
+func (r *RetryBudget) Available(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.available(r.window(service))
+}
+
+func (r *RetryBudget) available(w *retryWindow) bool {
+	allowed := retryShare * (r.Ratio*sum(w.requests) + r.Slack/float64(max(r.Routers(), 1)))
+	return sum(w.retries)+1 <= allowed
+}
+
 // window returns the counts of a service after clearing the buckets that have left the window.
 func (r *RetryBudget) window(service string) *retryWindow {
 	if r.windows == nil {
--- /dev/null
+++ b/internal/dispatch/silence_test.go
@@ -0,0 +1,88 @@
+package dispatch_test
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"citronslip/internal/delay"
+	"citronslip/internal/dispatch"
+)
+
+// silentStream returns a stream whose server is silent between the events before and after.
+func silentStream(ctx context.Context, before string, silence time.Duration, after string) dispatch.Outcome {
+	reader, writer := io.Pipe()
+	go func() {
+		_, _ = io.WriteString(writer, before) // The router may have closed the stream.
+		delay.Sleep(ctx, silence)
+		_, _ = io.WriteString(writer, after)
+		_ = writer.Close()
+	}()
+	return dispatch.Answered{Success: true, Length: -1, Body: reader}
+}
+
+// Guards against a resumable stream that leaves a sound server, silent for about a second, for another one.
+func TestBriefSilenceDoesNotMoveStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newTestDispatcher(func(ctx context.Context, _ int, _ dispatch.Attempt) dispatch.Outcome {
+			return silentStream(ctx, eventText(1, 2), 1400*time.Millisecond, eventText(3, 4))
+		})
+		a := b.serveWithoutTimeout("/stream/1")
+		is.Equal(a.body.String(), eventText(1, 4))
+		is.True(a.ended)
+		is.Equal(len(b.sends), 1)
+	})
+}
+
+// Guards against closing the stream of a silent server when no other server can continue it.
+func TestSilentServerKeepsStreamThatCannotMove(t *testing.T) {
+	for name, prepare := range map[string]func(b *testDispatcher){
+		"retry budget exhausted": func(b *testDispatcher) { b.Repeats.Adjust(0, 0, time.Second) },
+		"no other server":        func(b *testDispatcher) { b.Pool.Update([]dispatch.Server{{Name: "a", Service: "s", Born: 1}}) },
+		"link of the host full":  func(b *testDispatcher) { b.Behind = func() bool { return len(b.sends) > 0 } },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newTestDispatcher(func(ctx context.Context, _ int, _ dispatch.Attempt) dispatch.Outcome {
+					return silentStream(ctx, eventText(1, 2), 1900*time.Millisecond, eventText(3, 4))
+				})
+				prepare(b)
+				a := b.serveWithoutTimeout("/stream/1")
+				is.Equal(a.body.String(), eventText(1, 4))
+				is.True(a.ended && !a.aborted)
+				is.Equal(len(b.sends), 1)
+			})
+		})
+	}
+}
+
+// Guards against a silent server that keeps a stream although another server can continue it meanwhile.
+func TestStreamMovesOnceAnotherServerAcceptsIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var behind atomic.Bool
+		time.AfterFunc(1700*time.Millisecond, func() { behind.Store(false) })
+		b := newTestDispatcher(func(ctx context.Context, number int, a dispatch.Attempt) dispatch.Outcome {
+			if number == 1 {
+				behind.Store(true)
+				return silentStream(ctx, eventText(1, 2), time.Minute, "")
+			}
+			is.Equal(a.LastEvent, "2")
+			return completeAnswer(eventText(3, 4))
+		})
+		b.Behind = behind.Load
+		begin := time.Now()
+		a := b.serveWithoutTimeout("/stream/1")
+		is.Equal(a.body.String(), eventText(1, 4))
+		is.True(a.ended)
+		is.Equal(len(b.sends), 2)
+		is.True(time.Since(begin) < 2*time.Second)
+	})
+}
--- /dev/null
+++ b/internal/dispatch/stall.go
@@ -0,0 +1,152 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"citronslip/internal/ratelimit"
+	"citronslip/internal/routing"
+	"citronslip/pkg/inventory"
+)
+
+const (
+	// minStallTimeout is the lower bound of the time without a complete event after which callers give a stream up.
+	minStallTimeout = 2 * time.Second
+	// stallTimeoutGoals and stallTimeoutGaps are further lower bounds, as multiples of the route's Goal and Gap.
+	stallTimeoutGoals = 4
+	stallTimeoutGaps  = 8
+	// maxSoundSilence is how long a sound server may be silent. A stream stays at its server for that long.
+	maxSoundSilence = 1500 * time.Millisecond
+	// moveInterval is the time between two attempts to move a stream.
+	moveInterval = 100 * time.Millisecond
+)
+
+var (
+	errStalled = errors.New("dispatch: no complete event within the stall timeout")
+	errMoved   = errors.New("dispatch: no complete event, another server continues the stream")
+)
+
+type (
+	// selection is a server that was picked for an attempt.
+	selection struct {
+		server *Server
+		choice *routing.Choice
+		permit ratelimit.Permit
+		trial  bool // Whether the attempt is sent only to learn whether the request's content crashes servers.
+	}
+
+	// stallWatch closes the body of a stream without a complete event: after the time for which a sound server may be
+	// silent if another server can continue the stream, and else after the caller has given it up.
+	stallWatch struct {
+		body io.Closer
+
+		mu     sync.Mutex
+		timer  *time.Timer
+		wait   int       // Number of the current wait for an event; a check of an earlier one has no effect.
+		begin  time.Time // Start of the wait.
+		mover  call      // Copy of the call at the start of the wait.
+		err    error     // Why the body was closed; nil if it was not.
+		target *selection
+	}
+)
+
+// watchStall starts the watch of a stream that waits for its first event.
+func (c *call) watchStall(ctx context.Context, body io.Closer) *stallWatch {
+	w := &stallWatch{body: body}
+	w.resume(ctx, c)
+	return w
+}
+
+// resume starts a wait for an event.
+func (w *stallWatch) resume(ctx context.Context, c *call) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.wait++
+	w.begin = time.Now()
+	w.mover = *c
+	number := w.wait
+	w.timer = time.AfterFunc(c.firstStallCheck(), func() { w.check(ctx, number) })
+}
+
+// pause ends the wait for an event. It returns an error if the body was closed meanwhile.
+func (w *stallWatch) pause() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.wait++
+	w.timer.Stop()
+	return w.err
+}
+
+// check closes the body if the caller has given the stream up or another server can continue it.
+func (w *stallWatch) check(ctx context.Context, number int) {
+	w.mu.Lock()
+	if w.wait != number {
+		w.mu.Unlock()
+		return
+	}
+	mover := w.mover
+	remaining := time.Until(w.begin.Add(mover.stallTimeout()))
+	w.mu.Unlock()
+	var target *selection
+	if remaining > 0 && mover.movable() {
+		target = mover.reserveMove(ctx) // May ask another router for a permit.
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case target != nil && (w.wait != number || !mover.Repeats.Allow(mover.service)):
+		target.choice.Done(routing.Cancelled{})
+	case target != nil:
+		w.close(errMoved)
+		w.target = target
+	case w.wait == number && remaining <= 0:
+		w.close(errStalled)
+	}
+	if w.wait == number && w.err == nil {
+		w.timer.Reset(min(moveInterval, max(remaining, 0)))
+	}
+}
+
+// close interrupts the read of the stream.
+func (w *stallWatch) close(reason error) {
+	w.err = reason
+	_ = w.body.Close()
+}
+
+// stallTimeout returns how long a stream may go without a complete event.
+func (c *call) stallTimeout() time.Duration {
+	return max(minStallTimeout, stallTimeoutGoals*c.route.Goal, stallTimeoutGaps*c.route.Gap)
+}
+
+// firstStallCheck returns the time without a complete event until the stream is moved or ended. A stream that can be
+// resumed moves early enough that another server takes over while the caller still waits.
+func (c *call) firstStallCheck() time.Duration {
+	timeout := c.stallTimeout()
+	if c.movable() {
+		return max(maxSoundSilence, timeout/2)
+	}
+	return timeout
+}
+
+// movable reports whether the stream may continue at another server.
+func (c *call) movable() bool {
+	return c.responseStarted && c.route.Repeat == inventory.Resumable && c.attemptsLeft()
+}
+
+// reserveMove picks the server at which the stream continues. It returns nil if there is none at present.
+func (c *call) reserveMove(ctx context.Context) *selection {
+	if ctx.Err() != nil || time.Until(c.deadline()) < minAttemptTimeout || !c.Repeats.Available(c.service) ||
+		c.Behind != nil && c.Behind() || c.isBlocked() {
+		return nil
+	}
+	request := c.routingRequest()
+	request.Exclude = c.Limits.ExhaustedServers()
+	server, choice, err := c.pickWithin(ctx, request, 0)
+	if err != nil {
+		return nil
+	}
+	return &selection{server, choice, c.permit, c.trial}
+}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -7,49 +7,43 @@
 	"io"
 	"time"
 
+	"citronslip/internal/event"
 	"citronslip/internal/routing"
 	"citronslip/internal/sse"
-	"citronslip/pkg/inventory"
 )
 
 const (
 	// maxEventBytes is the size limit of an event. It bounds memory: a faulty server may send an event without end on
 	// each of many streams.
 	maxEventBytes = 64 << 10
-	// minStallTimeout is the lower bound of the stall timeout, the time without a complete event after which callers
-	// give a stream up.
-	minStallTimeout = 2 * time.Second
-	// stallTimeoutGoals and stallTimeoutGaps are further lower bounds, as multiples of the route's Goal and Gap.
-	stallTimeoutGoals = 4
-	stallTimeoutGaps  = 8
 )
 
 var (
 	idField = []byte("id:")
-
-	errStalled = errors.New("dispatch: no complete event within the stall timeout")
 )
 
 // forwardStream forwards a stream of events. Only complete events reach the caller, so that an interrupted stream can
-// be resumed after its last event. A stream without a complete event within the stall timeout is given up, however many
-// bytes it sends.
+// be resumed after its last event. A stream without a complete event is given up or moved by the stall watch, however
+// many bytes it sends.
 func (c *call) forwardStream(ctx context.Context, server *Server, choice *routing.Choice, o Answered) (bool, Reason) {
 	reader := &sse.Reader{Source: o.Body, Most: maxEventBytes}
 	start := time.Now()
-	stallTimer := time.AfterFunc(c.stallTimeout(), func() { _ = o.Body.Close() }) // Interrupts the read.
-	defer stallTimer.Stop()
+	watch := c.watchStall(ctx, o.Body)
 	for {
 		data, err := reader.Next()
-		stalled := !stallTimer.Stop()
-		if stalled {
-			err = errStalled
+		closed := watch.pause()
+		if closed != nil {
+			err = closed
 		}
 		if errors.Is(err, io.EOF) {
 			return c.finishStream(choice, o, start)
 		}
+		if errors.Is(err, errMoved) {
+			return c.moveStream(ctx, server, choice, watch.target)
+		}
 		if err != nil {
 			choice.Done(c.outcomeOrCancelled(ctx, routing.Broken{Reset: true}))
-			if !stalled {
+			if closed == nil {
 				c.recordSuspect(ctx, server)
 			}
 			c.logNoResponse(server, true, err)
@@ -60,18 +54,17 @@
 			c.setResult("caller left", "")
 			return false, ""
 		}
-		stallTimer.Reset(c.stallTimeout())
+		watch.resume(ctx, c)
 	}
 }
 
-// stallTimeout returns how long a stream may go without a complete event. It is halved if the stream can be resumed, so
-// that another server takes over while the caller still waits.
-func (c *call) stallTimeout() time.Duration {
-	timeout := max(minStallTimeout, stallTimeoutGoals*c.route.Goal, stallTimeoutGaps*c.route.Gap)
-	if c.responseStarted && c.route.Repeat == inventory.Resumable && c.attemptsLeft() {
-		timeout /= 2
-	}
-	return timeout
+// moveStream continues the stream of a silent server at the server that was reserved for it.
+func (c *call) moveStream(ctx context.Context, server *Server, choice *routing.Choice, target *selection) (bool, Reason) {
+	choice.Done(c.outcomeOrCancelled(ctx, routing.Broken{Reset: true}))
+	c.logNoResponse(server, true, errMoved)
+	c.logEvent(event.StreamMoved).Str("last", c.lastEvent).Int64("events", c.events).Send()
+	c.target = target
+	return true, IncompleteResponse
 }
 
 // finishStream ends a stream after its last event.
