End a stalled stream only after its caller has given it up

Callers lost streams of silent servers slightly before they would have given them up: the router's stall timeout equals the callers' and begins when an event is written, not when it is received.

Evidence: TestCallerGivesUpStreamBeforeRouter failed before; the server goes on after 2.1 s, the timeout is 2 s:

silence_test.go:116: id: 1 id: 2 != id: 1 id: 2 id: 3 id: 4 --- FAIL: TestCallerGivesUpStreamBeforeRouter (0.00s)

The router now waits 300 ms longer. Streams that send single bytes and no event still end: TestStalledStreamIsAbandoned is unchanged.

--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -86,3 +86,16 @@
 		is.True(time.Since(begin) < 2*time.Second)
 	})
 }
+
+// Guards against a router that ends the stream of a silent server before its caller gives up.
+func TestCallerGivesUpStreamBeforeRouter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newTestDispatcher(func(ctx context.Context, _ int, _ dispatch.Attempt) dispatch.Outcome {
+			return silentStream(ctx, eventText(1, 2), 2100*time.Millisecond, eventText(3, 4))
+		})
+		a := b.serveWithoutTimeout("/frail/1")
+		is.Equal(a.body.String(), eventText(1, 4))
+		is.True(a.ended && !a.aborted)
+	})
+}
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -18,6 +18,8 @@
 	// stallTimeoutGoals and stallTimeoutGaps are further lower bounds, as multiples of the route's Goal and Gap.
 	stallTimeoutGoals = 4
 	stallTimeoutGaps  = 8
+	// stallMargin is the time after which a stalled stream ends if its caller has not given it up.
+	stallMargin = 300 * time.Millisecond
 	// maxSoundSilence is how long a sound server may be silent. A stream stays at its server for that long.
 	maxSoundSilence = 1500 * time.Millisecond
 	// moveInterval is the time between two attempts to move a stream.
@@ -116,9 +118,9 @@
 	_ = w.body.Close()
 }
 
-// stallTimeout returns how long a stream may go without a complete event.
+// stallTimeout returns how long a stream may go without a complete event. Its caller gives it up shortly before.
 func (c *call) stallTimeout() time.Duration {
-	return max(minStallTimeout, stallTimeoutGoals*c.route.Goal, stallTimeoutGaps*c.route.Gap)
+	return stallMargin + max(minStallTimeout, stallTimeoutGoals*c.route.Goal, stallTimeoutGaps*c.route.Gap)
 }
 
 // firstStallCheck returns the time without a complete event until the stream is moved or ended. A stream that can be
@@ -126,7 +128,7 @@
 func (c *call) firstStallCheck() time.Duration {
 	timeout := c.stallTimeout()
 	if c.movable() {
-		return max(maxSoundSilence, timeout/2)
+		return max(maxSoundSilence, (timeout-stallMargin)/2)
 	}
 	return timeout
 }
