Keep sending requests to a server whose stream moved because of silence

A stream that left a silent server opened the server's circuit at once, as a reset connection does. When several sound servers were silent together, the remaining ones got all requests, and requests were refused for lack of a server. Evidence: TestMovedStreamDoesNotOpenCircuit failed before:

silence_test.go:102: err: routing: no backend server takes new work

Silence alone now counts as one failure of several that open the circuit. A connection that is lost still opens it at once.

--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -12,6 +12,7 @@
 
 	"citronslip/internal/delay"
 	"citronslip/internal/dispatch"
+	"citronslip/internal/routing"
 )
 
 // silentStream returns a stream whose server is silent between the events before and after.
@@ -87,6 +88,24 @@
 	})
 }
 
+// Guards against a silent server that gets no new requests because one stream has left it.
+func TestMovedStreamDoesNotOpenCircuit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newTestDispatcher(func(ctx context.Context, number int, _ dispatch.Attempt) dispatch.Outcome {
+			if number == 1 {
+				return silentStream(ctx, eventText(1, 2), time.Minute, "")
+			}
+			return completeAnswer(eventText(3, 4))
+		})
+		is.True(b.serveWithoutTimeout("/stream/1").ended)
+		server, choice, err := b.Pool.Pick(&routing.Request{Service: "s", Only: b.sends[0].Server.Name})
+		is.NoErr(err)
+		is.Equal(server.Name, b.sends[0].Server.Name)
+		choice.Done(routing.Cancelled{})
+	})
+}
+
 // Guards against a router that ends the stream of a silent server before its caller gives up.
 func TestCallerGivesUpStreamBeforeRouter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -58,10 +58,11 @@
 	}
 }
 
-// moveStream continues the stream of a silent server at the server that was reserved for it.
+// moveStream continues the stream of a silent server at the server that was reserved for it. Silence alone does not
+// open the circuit of a server.
 func (c *call) moveStream(ctx context.Context, server *Server, choice *routing.Choice, target *selection) (bool, Reason) {
-	choice.Done(c.outcomeOrCancelled(ctx, routing.Broken{Reset: true}))
-	c.logNoResponse(server, true, errMoved)
+	choice.Done(c.outcomeOrCancelled(ctx, routing.Broken{}))
+	c.logNoResponse(server, false, errMoved)
 	c.logEvent(event.StreamMoved).Str("last", c.lastEvent).Int64("events", c.events).Send()
 	c.target = target
 	return true, IncompleteResponse
