Give callers that read slowly as long as the write timeout

Callers lost whole responses when they read nothing for a second and a half, or when their acknowledgements were late. TCP_USER_TIMEOUT was 1.5 s on all connections; the kernel also counts the time in which the peer's receive window is full. The write timeout of 10 s, which is meant for such callers, never took effect. Keep-alive probes closed a caller's connection after 1.5 s too.

Connections of callers now have 12 s. Connections to backend servers, the store and other routers keep their limits, since those go silent for good and another one can be used.

--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -12,39 +12,56 @@
 )
 
 const (
-	// UserTimeout is how long sent data or keep-alive probes may stay unacknowledged before the connection is closed.
-	UserTimeout = 1500 * time.Millisecond
-	// keepAliveInterval is the interval of keep-alive probes on an idle connection, and the idle time before the first
-	// one.
-	keepAliveInterval = 500 * time.Millisecond
-	// maxUnansweredProbes is the number of unanswered keep-alive probes after which a connection is closed.
-	maxUnansweredProbes = 3
 	// ConnectTimeout limits the time for opening a connection.
 	ConnectTimeout = 700 * time.Millisecond
 )
 
 var (
-	keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: maxUnansweredProbes}
+	// internalLimits apply to connections with other routers, the store and backend servers. These may go silent for
+	// good, and another one can be used instead.
+	internalLimits = peerLimits{
+		unacknowledged: 1500 * time.Millisecond,
+		keepAlive:      net.KeepAliveConfig{Enable: true, Idle: 500 * time.Millisecond, Interval: 500 * time.Millisecond, Count: 3},
+	}
+	// callerLimits apply to connections of callers. A caller may read slowly or use a slow link, and its request has no
+	// other connection.
+	callerLimits = peerLimits{
+		unacknowledged: 12 * time.Second,
+		keepAlive:      net.KeepAliveConfig{Enable: true, Idle: 3 * time.Second, Interval: 3 * time.Second, Count: 3},
+	}
+)
+
+type (
+	// peerLimits are the times after which the kernel closes a connection whose peer does not respond.
+	peerLimits struct {
+		// unacknowledged is how long sent data may stay unacknowledged, data to be sent may wait for a peer that does not
+		// read, and keep-alive probes may stay unanswered.
+		unacknowledged time.Duration
+		keepAlive      net.KeepAliveConfig
+	}
 )
 
 // TCP opens a connection. Its signature is that of the DialContext field of http.Transport.
 func TCP(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: ConnectTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	dialer := net.Dialer{Timeout: ConnectTimeout, KeepAliveConfig: internalLimits.keepAlive, Control: internalLimits.control}
 	return dialer.DialContext(ctx, network, address)
 }
 
-// Listen returns a TCP listener on an address.
+// Listen returns a TCP listener on an address for connections of other routers and of the host's platform.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	return internalLimits.listen(ctx, address)
+}
+
+func (l *peerLimits) listen(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: l.keepAlive, Control: l.control}
 	return config.Listen(ctx, "tcp", address)
 }
 
-// setUserTimeout limits the time for which sent data may stay unacknowledged, by the option TCP_USER_TIMEOUT of the
-// socket.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// control sets the option TCP_USER_TIMEOUT of a socket.
+func (l *peerLimits) control(_, _ string, raw syscall.RawConn) error {
 	var sockoptErr error
 	err := raw.Control(func(fd uintptr) {
-		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UserTimeout.Milliseconds()))
+		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(l.unacknowledged.Milliseconds()))
 	})
 	if err != nil {
 		return err
--- a/internal/dial/meter.go
+++ b/internal/dial/meter.go
@@ -76,9 +76,9 @@
 	return &meteredConn{conn, m}, nil
 }
 
-// Listen returns a TCP listener on an address. The traffic of its connections is measured.
+// Listen returns a TCP listener on an address for connections of callers. The traffic of its connections is measured.
 func (m *LinkMeter) Listen(ctx context.Context, address string) (net.Listener, error) {
-	listener, err := Listen(ctx, address)
+	listener, err := callerLimits.listen(ctx, address)
 	if err != nil {
 		return nil, err
 	}
