Keep connections to a backend server that is silent for less than two seconds

Requests failed with status 502, and streams that cannot be resumed were cut, when their server neither read nor acknowledged anything for 1.5 s, although a sound server may be silent for about a second and the last data before it may be older. The limit was the one for routers and the store.

Evidence: TestBackendServerMayPauseReading with a pause of 1.9 s failed before, two of two runs (it passed with 1.7 s):

dial_test.go:34: err: write tcp 127.0.0.1:56886->127.0.0.1:33113: write: connection timed out

Connections to backend servers now have 2 s. Streams and idempotent requests at a server that is gone are noticed half a second later.

--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -17,12 +17,17 @@
 )
 
 var (
-	// internalLimits apply to connections with other routers, the store and backend servers. These may go silent for
-	// good, and another one can be used instead.
+	// internalLimits apply to connections with other routers and the store. These may go silent for good, and another
+	// one can be used instead.
 	internalLimits = peerLimits{
 		unacknowledged: 1500 * time.Millisecond,
 		keepAlive:      net.KeepAliveConfig{Enable: true, Idle: 500 * time.Millisecond, Interval: 500 * time.Millisecond, Count: 3},
 	}
+	// backendLimits apply to connections to backend servers. A sound server may be silent for more than a second.
+	backendLimits = peerLimits{
+		unacknowledged: 2 * time.Second,
+		keepAlive:      net.KeepAliveConfig{Enable: true, Idle: 500 * time.Millisecond, Interval: 500 * time.Millisecond, Count: 4},
+	}
 	// callerLimits apply to connections of callers. A caller may read slowly or use a slow link, and its request has no
 	// other connection.
 	callerLimits = peerLimits{
@@ -41,10 +46,10 @@
 	}
 )
 
-// TCP opens a connection. Its signature is that of the DialContext field of http.Transport.
+// TCP opens a connection to another router or the store. Its signature is that of the DialContext field of
+// http.Transport.
 func TCP(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: ConnectTimeout, KeepAliveConfig: internalLimits.keepAlive, Control: internalLimits.control}
-	return dialer.DialContext(ctx, network, address)
+	return internalLimits.dial(ctx, network, address)
 }
 
 // Listen returns a TCP listener on an address for connections of other routers and of the host's platform.
@@ -52,6 +57,11 @@
 	return internalLimits.listen(ctx, address)
 }
 
+func (l *peerLimits) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: ConnectTimeout, KeepAliveConfig: l.keepAlive, Control: l.control}
+	return dialer.DialContext(ctx, network, address)
+}
+
 func (l *peerLimits) listen(ctx context.Context, address string) (net.Listener, error) {
 	config := net.ListenConfig{KeepAliveConfig: l.keepAlive, Control: l.control}
 	return config.Listen(ctx, "tcp", address)
--- a/internal/dial/dial_test.go
+++ b/internal/dial/dial_test.go
@@ -51,7 +51,7 @@
 	writeToPausingPeer(t, conn, caller, 4*time.Second)
 }
 
-// Guards against the loss of a request whose backend server reads nothing for a second and a half.
+// Guards against the loss of a request whose backend server reads nothing for less than two seconds.
 func TestBackendServerMayPauseReading(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -63,5 +63,5 @@
 	is.NoErr(err)
 	server, err := listener.Accept()
 	is.NoErr(err)
-	writeToPausingPeer(t, conn, server, 1700*time.Millisecond)
+	writeToPausingPeer(t, conn, server, 1900*time.Millisecond)
 }
--- a/internal/dial/meter.go
+++ b/internal/dial/meter.go
@@ -67,9 +67,9 @@
 	}
 )
 
-// TCP opens a connection whose traffic is measured.
+// TCP opens a connection to a backend server whose traffic is measured.
 func (m *LinkMeter) TCP(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := TCP(ctx, network, address)
+	conn, err := backendLimits.dial(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
