Keep streams from moving to another silent server

When several servers were silent together, a stream left one of them for another, which had just restarted or accepted nothing; the refusal ended the stream, as its attempts were used up.

Evidence: TestStreamsDoNotMoveToSilentServer failed before; the second server refuses the stream, the first one goes on after 1.9 s:

silence_test.go:144: id: 1 id: 2 != id: 1 id: 2 id: 3 id: 4 --- FAIL: TestStreamsDoNotMoveToSilentServer (0.00s)

A server that a stream has left is no target of a move for 2 s. New requests still go to it.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +15,8 @@
 	// departureTTL is how long the announcement of a server that it is leaving is remembered. The process ends long
 	// before.
 	departureTTL = 10 * time.Minute
+	// silenceTTL is how long streams do not move to a server that one of them has left because of its silence.
+	silenceTTL = 2 * time.Second
 )
 
 type (
@@ -25,6 +28,7 @@
 		latest     []Server
 		byName     map[string]*Server
 		departures map[string]departure // By server name.
+		silences   map[string]time.Time // When a stream last left a silent server, by server name.
 	}
 
 	// departure records that a server's process announced in a response that it is about to be removed.
@@ -72,6 +76,25 @@
 	}
 }
 
+// MarkSilent records that a stream has left a server because of its silence.
+func (p *Pool) MarkSilent(server *Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.silences == nil {
+		p.silences = make(map[string]time.Time)
+	}
+	p.silences[server.Name] = time.Now()
+}
+
+// SilentServers returns the names of the servers that streams have recently left because of their silence.
+func (p *Pool) SilentServers() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	maps.DeleteFunc(p.silences, func(_ string, at time.Time) bool { return now.Sub(at) > silenceTTL })
+	return slices.Collect(maps.Keys(p.silences))
+}
+
 // updatePicker passes the servers to the picker.
 func (p *Pool) updatePicker() {
 	servers := p.latest
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -118,3 +118,30 @@
 		is.True(a.ended && !a.aborted)
 	})
 }
+
+// Guards against streams that move from one silent server to another.
+func TestStreamsDoNotMoveToSilentServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newTestDispatcher(nil)
+		b.Pool.Update([]dispatch.Server{{Name: "a", Service: "s", Born: 1}, {Name: "b", Service: "s", Born: 1}})
+		silent := ""
+		b.respond = func(ctx context.Context, number int, a dispatch.Attempt) dispatch.Outcome {
+			switch {
+			case number == 1:
+				silent = a.Server.Name
+				return silentStream(ctx, eventText(1, 2), time.Minute, "")
+			case number == 2:
+				return completeAnswer(eventText(3, 4))
+			case number == 3:
+				return silentStream(ctx, eventText(1, 2), 1900*time.Millisecond, eventText(3, 4))
+			}
+			return dispatch.Refused{Reason: routing.ReasonNotReady}
+		}
+		is.True(b.serveWithoutTimeout("/stream/1").ended)
+		b.Pool.Picker.MarkBusy(silent, 100*time.Millisecond)
+		a := b.serveWithoutTimeout("/stream/1")
+		is.Equal(a.body.String(), eventText(1, 4))
+		is.Equal(len(b.sends), 3)
+	})
+}
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -145,7 +145,7 @@
 		return nil
 	}
 	request := c.routingRequest()
-	request.Exclude = c.Limits.ExhaustedServers()
+	request.Exclude = append(c.Limits.ExhaustedServers(), c.Pool.SilentServers()...)
 	server, choice, err := c.pickWithin(ctx, request, 0)
 	if err != nil {
 		return nil
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -62,6 +62,7 @@
 // open the circuit of a server.
 func (c *call) moveStream(ctx context.Context, server *Server, choice *routing.Choice, target *selection) (bool, Reason) {
 	choice.Done(c.outcomeOrCancelled(ctx, routing.Broken{}))
+	c.Pool.MarkSilent(server)
 	c.logNoResponse(server, false, errMoved)
 	c.logEvent(event.StreamMoved).Str("last", c.lastEvent).Int64("events", c.events).Send()
 	c.target = target
