Read what has arrived before a stream is given up after a standstill

Callers lost streams of sound servers when the router's own process had stood still for longer than the stall timeout, as in a freeze of its host. The stall timer passed before the events that had arrived meanwhile were read. Whether work on a large configuration holds a small host up for that long was not measured.

--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -22,6 +22,10 @@
 	stallMargin = 300 * time.Millisecond
 	// maxSoundSilence is how long a sound server may be silent. A stream stays at its server for that long.
 	maxSoundSilence = 1500 * time.Millisecond
+	// maxTimerDelay is the delay of a check above which the router itself is taken to have stood still. Events may have
+	// arrived meanwhile, so that the check is repeated after recheckDelay.
+	maxTimerDelay = 50 * time.Millisecond
+	recheckDelay  = 200 * time.Millisecond
 	// moveInterval is the time between two attempts to move a stream.
 	moveInterval = 100 * time.Millisecond
 )
@@ -49,6 +53,8 @@
 		timer  *time.Timer
 		wait   int       // Number of the current wait for an event; a check of an earlier one has no effect.
 		begin  time.Time // Start of the wait.
+		due    time.Time // Time of the next check.
+		late   bool      // Whether a check of this wait was late.
 		mover  call      // Copy of the call at the start of the wait.
 		err    error     // Why the body was closed; nil if it was not.
 		target *selection
@@ -68,9 +74,12 @@
 	defer w.mu.Unlock()
 	w.wait++
 	w.begin = time.Now()
+	w.late = false
 	w.mover = *c
 	number := w.wait
-	w.timer = time.AfterFunc(c.firstStallCheck(), func() { w.check(ctx, number) })
+	delay := c.firstStallCheck()
+	w.due = w.begin.Add(delay)
+	w.timer = time.AfterFunc(delay, func() { w.check(ctx, number) })
 }
 
 // pause ends the wait for an event. It returns an error if the body was closed meanwhile.
@@ -89,6 +98,12 @@
 		w.mu.Unlock()
 		return
 	}
+	if !w.late && time.Since(w.due) > maxTimerDelay {
+		w.late = true
+		w.checkAfter(recheckDelay)
+		w.mu.Unlock()
+		return
+	}
 	mover := w.mover
 	remaining := time.Until(w.begin.Add(mover.stallTimeout()))
 	w.mu.Unlock()
@@ -108,10 +123,16 @@
 		w.close(errStalled)
 	}
 	if w.wait == number && w.err == nil {
-		w.timer.Reset(min(moveInterval, max(remaining, 0)))
+		w.checkAfter(min(moveInterval, max(remaining, 0)))
 	}
 }
 
+// checkAfter schedules the next check.
+func (w *stallWatch) checkAfter(delay time.Duration) {
+	w.due = time.Now().Add(delay)
+	w.timer.Reset(delay)
+}
+
 // close interrupts the read of the stream.
 func (w *stallWatch) close(reason error) {
 	w.err = reason
