Tell callers how long they may leave a connection idle

Callers lost requests that they sent on a kept connection in the moment in which the router closed it for being idle: neither an answer nor a refusal. They use connections again up to the very limit.

Evidence: TestCallersAreToldIdleTimeLimit failed before:

router_test.go:361: != timeout=12

Responses now announce four fifths of the limit in the Keep-Alive header, so that callers open another connection before the router closes this one.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +28,9 @@
 	defaultGracePeriod = 8 * time.Second
 	// acceptBackoff is the wait after a failed accept, for example due to a lack of file descriptors.
 	acceptBackoff = 20 * time.Millisecond
+	// announcedIdleShare is the share of the idle time limit for which callers are told that they may use a connection
+	// again. A request that is sent when the router closes the connection is lost.
+	announcedIdleShare = 0.8
 )
 
 var (
@@ -136,7 +140,7 @@
 	}
 	c.limits = limits
 	c.server = &http.Server{
-		Handler:           http.HandlerFunc(c.serveRequest),
+		Handler:           c.handlerFor(limits.IdleTimeout),
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.HeaderBytes,
@@ -182,12 +186,18 @@
 	c.draining.Store(true)
 }
 
-// serveRequest serves one request.
-func (c *callerServer) serveRequest(w http.ResponseWriter, r *http.Request) {
-	if c.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	logPanics(c.logger, c.handler, w, r)
+// handlerFor returns the handler for connections with an idle time limit, which responses tell the callers.
+func (c *callerServer) handlerFor(idleTimeout time.Duration) http.Handler {
+	announced := int(announcedIdleShare * idleTimeout.Seconds())
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case c.draining.Load():
+			w.Header().Set("Connection", "close")
+		case announced > 0:
+			w.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(announced))
+		}
+		logPanics(c.logger, c.handler, w, r)
+	})
 }
 
 // shutdown waits for the requests in flight until the context ends, and then closes the remaining connections.
