--- a/internal/dial/meter.go
+++ b/internal/dial/meter.go
@@ -67,18 +67,18 @@
 	}
 )
 
-// TCP opens a connection whose traffic is measured.
+// TCP opens a connection to a backend server whose traffic is measured.
 func (m *LinkMeter) TCP(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := TCP(ctx, network, address)
+	conn, err := backendLimits.dial(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
 	return &meteredConn{conn, m}, nil
 }
 
-// Listen returns a TCP listener on an address. The traffic of its connections is measured.
+// Listen returns a TCP listener on an address for connections of callers. The traffic of its connections is measured.
 func (m *LinkMeter) Listen(ctx context.Context, address string) (net.Listener, error) {
-	listener, err := Listen(ctx, address)
+	listener, err := callerLimits.listen(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -5,10 +5,12 @@
 	"errors"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
 	"citronslip/internal/dispatch"
@@ -28,6 +30,9 @@
 	defaultGracePeriod = 8 * time.Second
 	// acceptBackoff is the wait after a failed accept, for example due to a lack of file descriptors.
 	acceptBackoff = 20 * time.Millisecond
+	// announcedIdleShare is the share of the idle time limit for which callers are told that they may use a connection
+	// again. A request that is sent when the router closes the connection is lost.
+	announcedIdleShare = 0.8
 )
 
 var (
@@ -44,6 +49,7 @@
 	// accepted.
 	callerServer struct {
 		handler  http.Handler
+		logger   *zerolog.Logger
 		draining atomic.Bool // Whether responses ask callers to close their connections.
 
 		mu       sync.Mutex
@@ -72,7 +78,7 @@
 		return err
 	}
 	r.listening.Store(true)
-	c := &callerServer{handler: r.Callers(r.dispatcher, bodies, r.linkMonitor)}
+	c := &callerServer{handler: r.Callers(r.dispatcher, bodies, r.linkMonitor), logger: r.Logger}
 	c.applyLimits(defaultLimits, listener)
 	go c.accept(ctx, listener)
 	go r.followLimits(ctx, c, listener)
@@ -149,10 +155,11 @@
 	}
 	c.limits = limits
 	c.server = &http.Server{
-		Handler:           http.HandlerFunc(c.serveRequest),
+		Handler:           c.handlerFor(limits.IdleTimeout),
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.HeaderBytes,
+		ConnContext:       withCallerConn,
 	}
 	c.listener = &chanListener{Listener: listener, conns: make(chan net.Conn), closed: make(chan struct{})}
 	c.servers = append(c.servers, c.server)
@@ -178,7 +185,7 @@
 		target := c.listener
 		c.mu.Unlock()
 		select {
-		case target.conns <- conn:
+		case target.conns <- &callerConn{Conn: conn, logger: c.logger}:
 		case <-target.closed:
 			_ = conn.Close()
 		}
@@ -194,12 +201,18 @@
 	c.draining.Store(true)
 }
 
-// serveRequest serves one request.
-func (c *callerServer) serveRequest(w http.ResponseWriter, r *http.Request) {
-	if c.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	c.handler.ServeHTTP(w, r)
+// handlerFor returns the handler for connections with an idle time limit, which responses tell the callers.
+func (c *callerServer) handlerFor(idleTimeout time.Duration) http.Handler {
+	announced := int(announcedIdleShare * idleTimeout.Seconds())
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case c.draining.Load():
+			w.Header().Set("Connection", "close")
+		case announced > 0:
+			w.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(announced))
+		}
+		logPanics(c.logger, c.handler, w, r)
+	})
 }
 
 // shutdown waits for the requests in flight until the context ends, and then closes the remaining connections.
