End body reads at the time limit of a request

Callers whose body comes slowly got the refusal 60 s (one idle timeout) after the time limit instead of at it.

Cause: the watchdog ended reads only from its check, and only if the check saw a read in progress. If the check at the time limit came between two reads, the next one was an idle timeout later. With a time limit below the idle timeout there was no check at the limit at all.

Fix: a read that begins after the time limit ends at once, and one check is always at the time limit. A read stores its start before it looks at the time, so a check at the limit that does not see a read is followed by that look.

TestSlowBodiesAreRefused now closes its connection when a check fails, so that its writer does not turn the failure into a deadlock.

--- a/internal/caller/watchdog.go
+++ b/internal/caller/watchdog.go
@@ -86,7 +86,7 @@
 	}
 	watchdog.mu.Lock()
 	defer watchdog.mu.Unlock()
-	watchdog.timer = time.AfterFunc(watchdog.idleTimeout, watchdog.checkProgress)
+	watchdog.timer = time.AfterFunc(min(watchdog.idleTimeout, watchdog.maxDuration), watchdog.checkProgress)
 	return watchdog
 }
 
@@ -127,6 +127,10 @@
 // Read reads from the body under the watchdog.
 func (b watchedBody) Read(data []byte) (int, error) {
 	b.readStart.Store(b.elapsed())
+	// The check at the time limit does not see a read that begins later.
+	if b.elapsed() >= int64(b.maxDuration) {
+		b.endReads()
+	}
 	n, err := b.body.Read(data)
 	b.readStart.Store(0)
 	if errors.Is(err, io.EOF) {
@@ -141,7 +145,17 @@
 // elapsed returns the nanoseconds since startedAt, at least 1.
 func (w *ioWatchdog) elapsed() int64 { return max(int64(time.Since(w.startedAt)), 1) }
 
-// checkProgress ends a read or write that took too long, and schedules the check of the next one that could.
+// endReads ends the read in progress and all further reads, unless the body was read to its end.
+func (w *ioWatchdog) endReads() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.stopped && !w.bodyRead.Load() {
+		_ = w.controller.SetReadDeadline(w.startedAt)
+	}
+}
+
+// checkProgress ends a read or write that took too long, and schedules the check of the next one that could. One check
+// is at the time limit of reads.
 func (w *ioWatchdog) checkProgress() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -150,6 +164,9 @@
 	}
 	now := time.Duration(w.elapsed())
 	untilNext := w.idleTimeout
+	if now < w.maxDuration {
+		untilNext = min(untilNext, w.maxDuration-now)
+	}
 	if start := time.Duration(w.readStart.Load()); start != 0 {
 		remaining := min(start+w.idleTimeout, w.maxDuration) - now
 		if remaining <= 0 {
--- a/internal/caller/watchdog_test.go
+++ b/internal/caller/watchdog_test.go
@@ -8,7 +8,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,10 +23,63 @@
 )
 
 const (
+	// burstBytes is the number of bytes of a steadyBody that come without a pause.
+	burstBytes = 20_000
 	// requestHead is the head of a chat request, to be formatted with the length of the body.
 	requestHead = "POST /v1/chat/completions HTTP/1.1\r\nHost: router\r\nAuthorization: Bearer " + testKey + "\r\nContent-Length: %d\r\n\r\n"
 )
 
+type (
+	// deadlineWriter is a response writer that tells a steadyBody when reads have to end.
+	deadlineWriter struct {
+		*httptest.ResponseRecorder
+		body *steadyBody
+	}
+
+	// steadyBody is a body that comes a byte every half idle timeout until the time limit, and then the rest of burst
+	// without a pause.
+	steadyBody struct {
+		limit   time.Time
+		burst   int           // Bytes left.
+		expired chan struct{} // Closed when reads have to end.
+		expire  sync.Once
+	}
+)
+
+func (w *deadlineWriter) SetReadDeadline(deadline time.Time) error {
+	if !deadline.After(time.Now()) {
+		w.body.expire.Do(func() { close(w.body.expired) })
+	}
+	return nil
+}
+
+func (w *deadlineWriter) SetWriteDeadline(time.Time) error { return nil }
+
+func (b *steadyBody) Read(data []byte) (int, error) {
+	data[0] = ' '
+	pause := min(time.Until(b.limit), idleTimeout/2)
+	if pause <= 0 && b.burst > 0 {
+		b.burst--
+		select {
+		case <-b.expired:
+			return 0, os.ErrDeadlineExceeded
+		default:
+			return 1, nil
+		}
+	}
+	if pause <= 0 {
+		pause = idleTimeout / 2
+	}
+	select {
+	case <-b.expired:
+		return 0, os.ErrDeadlineExceeded
+	case <-time.After(pause):
+		return 1, nil
+	}
+}
+
+func (b *steadyBody) Close() error { return nil }
+
 // runWithStandinEngine runs a test in a synctest bubble with a stand-in inference engine. The bubble ends only once
 // no goroutine is left.
 func runWithStandinEngine(t *testing.T, test func(*is.I, *testFrontend)) {
@@ -76,6 +133,7 @@
 	for _, c := range cases {
 		runWithStandinEngine(t, func(is *is.I, f *testFrontend) {
 			conn := dialFrontend(f)
+			defer conn.Close() // Ends the writer if a check below fails.
 			begin := time.Now()
 			fmt.Fprintf(conn, requestHead, 100_000)
 			done := make(chan struct{})
@@ -103,6 +161,46 @@
 	}
 }
 
+// Guards against a body that is read past the time limit because the check at that time comes between two reads.
+func TestTimeLimitBetweenTwoReadsOfBody(t *testing.T) {
+	const requests = 16
+	runWithStandinEngine(t, func(is *is.I, f *testFrontend) {
+		limit := time.Now().Add(maxDuration)
+		var late atomic.Int64
+		var group sync.WaitGroup
+		for range requests {
+			group.Go(func() {
+				body := &steadyBody{limit: limit, burst: burstBytes, expired: make(chan struct{})}
+				request := newChatRequest(context.Background(), "")
+				request.Body = body
+				response := &deadlineWriter{httptest.NewRecorder(), body}
+				f.front.Handler().ServeHTTP(response, request)
+				if response.Code != http.StatusRequestTimeout || time.Since(limit) > 0 {
+					late.Add(1)
+				}
+			})
+		}
+		group.Wait()
+		is.Equal(late.Load(), int64(0))
+	})
+}
+
+// Guards against a body that may take the idle timeout although the time limit of the request is shorter.
+func TestTimeLimitShorterThanIdleTimeout(t *testing.T) {
+	runWithStandinEngine(t, func(is *is.I, f *testFrontend) {
+		f.front.Duration = idleTimeout / 4
+		conn := dialFrontend(f)
+		defer conn.Close()
+		begin := time.Now()
+		fmt.Fprintf(conn, requestHead, 100_000)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		is.NoErr(err)
+		is.Equal(response.StatusCode, http.StatusRequestTimeout)
+		took := time.Since(begin)
+		is.True(took >= idleTimeout/4 && took < idleTimeout/4+2*time.Second)
+	})
+}
+
 // Guards against callers that keep a generation running by reading its stream slowly or not at all, or by
 // disconnecting.
 func TestSlowReadersAreDisconnected(t *testing.T) {
