Answer the requests that a router reads at the end of a planned stop

Callers of a router that stopped as planned got no answer to requests that they sent in about the last millisecond before its server was closed.

Causes, all at the end of the notice delay, when http.Server.Shutdown was called: net/http drops requests that it reads after this call (it returns from conn.serve if shuttingDown); the close of the listener resets connections that the system has opened and the server has not accepted; an idle connection is closed although its next request has arrived. Every answer during the delay asks for a new connection, so that many are opened just then.

Fix: internal/drain accepts the caller's connections. Requests are served until each connection is closed after its answer. An idle connection ends only if a last read finds no data. Shutdown is called after that, for connections over HTTP/2, which now get a GOAWAY with the first answer after the begin of the stop (TestStoppingRouterEndsConnectionsOverHTTP2 failed before with "1 != 0" open connections).

--- a/internal/caller/stopping_test.go
+++ b/internal/caller/stopping_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -30,3 +31,24 @@
 		client.CloseIdleConnections()
 	})
 }
+
+// Guards against connections over HTTP/2 that callers keep using until the end of a planned stop.
+func TestStoppingRouterEndsConnectionsOverHTTP2(t *testing.T) {
+	runWithStandinEngine(t, func(is *is.I, f *testFrontend) {
+		client := f.client(true)
+		stopping := true
+		for _, open := range []int64{1, 0} {
+			response, err := client.Do(newChatRequest(context.Background(), chatBody("a b c")))
+			is.NoErr(err)
+			is.Equal(response.ProtoMajor, 2)
+			body, err := io.ReadAll(response.Body)
+			is.NoErr(err)
+			is.True(bytes.HasSuffix(body, []byte("data: [DONE]\n\n")))
+			response.Body.Close()
+			time.Sleep(5 * time.Second)
+			is.Equal(f.openConns.Load(), open)
+			f.front.Stopping.Store(&stopping)
+		}
+		client.CloseIdleConnections()
+	})
+}
--- a/internal/caller/watchdog.go
+++ b/internal/caller/watchdog.go
@@ -96,7 +96,7 @@
 // WriteHeader sends the header. While the router stops, it asks the caller to close the connection, so that no caller
 // sends a request on a connection that the end of the stop closes.
 func (w *ioWatchdog) WriteHeader(status int) {
-	if w.http1 && w.isStopping() {
+	if w.isStopping() {
 		w.Header().Set("Connection", "close")
 	}
 	w.ResponseWriter.WriteHeader(status)
--- /dev/null
+++ b/internal/drain/conn.go
@@ -0,0 +1,161 @@
+package drain
+
+import (
+	"bytes"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// minIdleTime is how long a connection must have been idle before it is closed.
+	minIdleTime = 250 * time.Millisecond
+	// maxUnusedTime is how long a new connection may stay open without a request.
+	maxUnusedTime = 5 * time.Second
+	// finalReadTime is the time for a last look at the data that has arrived on an idle connection.
+	finalReadTime = 100 * time.Millisecond
+)
+
+var (
+	// http2Preface is the start of the first data on a connection over HTTP/2.
+	http2Preface = []byte("PRI ")
+)
+
+type (
+	// conn is a connection that ends as soon as it is idle once endIfIdle was called: the next read finds either data
+	// or the end of the connection. So no request is lost that has arrived before.
+	conn struct {
+		net.Conn
+		listener *Listener
+
+		mu         sync.Mutex
+		state      http.ConnState
+		stateSince time.Time
+		received   bool      // Whether data came since the connection was new or idle.
+		used       bool      // Whether data came at all.
+		http2      bool      // Whether the protocol is HTTP/2.
+		deadline   time.Time // Read deadline that the server has set.
+		ending     bool      // Whether the connection ends if no data has arrived.
+	}
+
+	// writeCloser is a connection that can be closed in one direction.
+	writeCloser interface {
+		CloseWrite() error
+	}
+)
+
+// Read reads data. While the connection ends, it returns io.EOF if none has arrived.
+func (c *conn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if n == 0 && isTimeout(err) && c.isEnding() {
+		// The deadline may have passed before the data that has arrived was looked at.
+		if err := c.Conn.SetReadDeadline(time.Now().Add(finalReadTime)); err != nil {
+			return 0, err
+		}
+		n, err = c.Conn.Read(data)
+		if n == 0 && isTimeout(err) {
+			return 0, io.EOF
+		}
+	}
+	if n > 0 {
+		c.recordData(data[:n])
+	}
+	return n, err
+}
+
+// SetReadDeadline sets the read deadline, which takes effect only if the connection does not end.
+func (c *conn) SetReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = deadline
+	if c.ending {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// SetDeadline sets both deadlines.
+func (c *conn) SetDeadline(deadline time.Time) error {
+	if err := c.SetReadDeadline(deadline); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(deadline)
+}
+
+// CloseWrite closes the sending direction if the connection supports that.
+func (c *conn) CloseWrite() error {
+	if writer, ok := c.Conn.(writeCloser); ok {
+		return writer.CloseWrite()
+	}
+	return nil
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.listener.forget(c)
+	return c.Conn.Close()
+}
+
+func (c *conn) isEnding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ending
+}
+
+// recordData records that data has arrived, so that the connection is not idle.
+func (c *conn) recordData(data []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.used && bytes.HasPrefix(data, http2Preface) {
+		c.http2 = true
+	}
+	c.received, c.used = true, true
+	if c.ending {
+		c.ending = false
+		_ = c.Conn.SetReadDeadline(c.deadline)
+	}
+}
+
+func (c *conn) setState(state http.ConnState, http2 bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state, c.stateSince = state, time.Now()
+	c.http2 = c.http2 || http2
+	if state == http.StateIdle {
+		c.received = false
+	}
+}
+
+// endIfIdle makes the connection end if it is idle. It reports whether the connection uses HTTP/2.
+func (c *conn) endIfIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.http2 {
+		return true
+	}
+	age := time.Since(c.stateSince)
+	idle := c.state == http.StateIdle && age >= minIdleTime || c.state == http.StateNew && age >= maxUnusedTime
+	if idle && !c.received && !c.ending {
+		c.ending = true
+		_ = c.Conn.SetReadDeadline(time.Now())
+	}
+	return false
+}
+
+// unwrap returns the connection below TLS, or nil if no Listener has accepted it.
+func unwrap(c net.Conn) *conn {
+	if encrypted, ok := c.(*tls.Conn); ok {
+		c = encrypted.NetConn()
+	}
+	tracked, _ := c.(*conn)
+	return tracked
+}
+
+// usesHTTP2 reports whether HTTP/2 was agreed on in the TLS handshake.
+func usesHTTP2(c net.Conn) bool {
+	encrypted, ok := c.(*tls.Conn)
+	return ok && encrypted.ConnectionState().NegotiatedProtocol == "h2"
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -22,6 +22,7 @@
 	"citronslip/internal/config"
 	"citronslip/internal/crash"
 	"citronslip/internal/delay"
+	"citronslip/internal/drain"
 	"citronslip/internal/engine"
 	"citronslip/internal/event"
 	"citronslip/internal/explain"
@@ -84,6 +85,7 @@
 		queues           *caller.AdmissionQueues
 		front            *caller.Frontend // Handles the requests of callers.
 		callerServer     *http.Server
+		callerListener   *drain.Listener
 		operatorServer   *http.Server // nil if Settings.Admin is empty.
 
 		peerMethods    *peer.Methods // Methods that other routers may call.
@@ -108,10 +110,12 @@
 		return trace.Wrap(err)
 	}
 	defer scopeCloser.Close()
-	listener, err := net.Listen("tcp", r.Settings.Listen)
+	listener, err := drain.Listen(ctx, r.Settings.Listen)
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	r.callerListener = listener
+	r.callerServer.ConnState = r.callerListener.ConnState
 	// Both listeners are opened before any controller runs. Registering an instance under the peer address proves to
 	// other routers that the earlier instance there has ended; it has not while it still listens on that address.
 	r.peerServer.Listener, err = net.Listen("tcp", r.Settings.Peer)
@@ -131,7 +135,7 @@
 	for _, controller := range r.controllers() {
 		group.Go(func() error { return controller(controllersCtx) })
 	}
-	group.Go(func() error { return r.serve(listener) })
+	group.Go(r.serve)
 	if r.operatorServer != nil {
 		group.Go(func() error { return ignoreServerClosed(r.operatorServer.ListenAndServe()) })
 	}
@@ -185,12 +189,16 @@
 	}
 }
 
-func (r *Router) serve(listener net.Listener) error {
+// serve serves callers until the listener is closed.
+func (r *Router) serve() error {
 	var err error
 	if r.Settings.Certificate != "" {
-		err = r.callerServer.ServeTLS(listener, "", "")
+		err = r.callerServer.ServeTLS(r.callerListener, "", "")
 	} else {
-		err = r.callerServer.Serve(listener)
+		err = r.callerServer.Serve(r.callerListener)
+	}
+	if errors.Is(err, net.ErrClosed) {
+		return nil
 	}
 	return ignoreServerClosed(err)
 }
@@ -213,7 +221,7 @@
 	defer cancel()
 	r.membership.Leave(ctx)
 	delay.Sleep(ctx, min(drainNoticeDelay, r.Settings.Grace/4))
-	if err := r.callerServer.Shutdown(ctx); err != nil {
+	if err := r.drainCallers(ctx); err != nil {
 		event.ShutdownTimedOut.Log(r.Logger).Int64("requests", r.front.InFlight()).Send()
 		r.callerServer.Close()
 	}
@@ -229,6 +237,17 @@
 	event.ShutdownFinished.Log(r.Logger).Str("router", r.Settings.Name).Send()
 }
 
+// drainCallers waits until all requests of callers are answered and their connections are closed, or the context ends.
+func (r *Router) drainCallers(ctx context.Context) error {
+	if err := r.callerListener.Stop(ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := r.callerListener.Drain(ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(r.callerServer.Shutdown(ctx)) // Ends connections over HTTP/2.
+}
+
 // settlePending waits for the usage reports of attempts whose usage is unknown, and until other routers have
 // acknowledged the ends of the reservations made there. The wait is limited, so that a backend server that does not
 // answer leaves time for returning the grants. Attempts that are still unresolved are charged at their bound.
