Answer the requests that arrive at the end of a planned stop on an entry host

The listener was closed while connections waited to be accepted, and http.Server.Shutdown drops requests that it reads later.

Fix: the listener for callers is a drain.Listener; the servers are shut down after all its connections have ended. Its socket is without multipath TCP, so that it can drop packets that ask for new connections.

--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -33,10 +34,19 @@
 	return dialer.DialContext(ctx, network, address)
 }
 
-// Listen returns a TCP listener on an address.
-func Listen(ctx context.Context, address string) (net.Listener, error) {
+// Listen returns a TCP listener on an address, without multipath TCP.
+func Listen(ctx context.Context, address string) (*net.TCPListener, error) {
 	config := net.ListenConfig{KeepAliveConfig: keepAlive, Control: setUserTimeout}
-	return config.Listen(ctx, "tcp", address)
+	config.SetMultipathTCP(false) // Such sockets have no packet filters.
+	listener, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := listener.(*net.TCPListener)
+	if !ok {
+		return nil, errors.Join(net.InvalidAddrError(address), listener.Close())
+	}
+	return tcp, nil
 }
 
 // setUserTimeout limits the time for which sent data may stay unacknowledged, by the option TCP_USER_TIMEOUT of the
--- a/internal/dial/meter.go
+++ b/internal/dial/meter.go
@@ -60,9 +60,9 @@
 		meter *LinkMeter
 	}
 
-	// meteredListener accepts connections whose traffic is measured.
-	meteredListener struct {
-		net.Listener
+	// MeteredListener accepts connections whose traffic is measured.
+	MeteredListener struct {
+		*net.TCPListener
 		meter *LinkMeter
 	}
 )
@@ -77,12 +77,12 @@
 }
 
 // Listen returns a TCP listener on an address. The traffic of its connections is measured.
-func (m *LinkMeter) Listen(ctx context.Context, address string) (net.Listener, error) {
+func (m *LinkMeter) Listen(ctx context.Context, address string) (*MeteredListener, error) {
 	listener, err := Listen(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	return &meteredListener{listener, m}, nil
+	return &MeteredListener{listener, m}, nil
 }
 
 // SetBandwidth sets the bandwidth in bytes per second.
@@ -189,8 +189,9 @@
 	return n, err
 }
 
-func (l *meteredListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+// Accept returns the next connection.
+func (l *MeteredListener) Accept() (net.Conn, error) {
+	conn, err := l.TCPListener.Accept()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"citronslip/internal/dispatch"
+	"citronslip/internal/drain"
 	"citronslip/internal/event"
 	"citronslip/pkg/inventory"
 )
@@ -42,7 +43,8 @@
 	// accepted.
 	callerServer struct {
 		handler  http.Handler
-		draining atomic.Bool // Whether responses ask callers to close their connections.
+		hook     func(net.Conn, http.ConnState) // ConnState of the servers.
+		draining atomic.Bool                    // Whether responses ask callers to close their connections.
 
 		mu       sync.Mutex
 		limits   inventory.Limits
@@ -65,12 +67,13 @@
 // then waits for the requests in flight.
 func (r *Router) serve(stop, ctx context.Context) error {
 	bodies := &dispatch.BodyReader{Most: int64(bodyMemoryShare * float64(r.Settings.Memory)), Limit: r.maxBodyBytes}
-	listener, err := r.Meter.Listen(ctx, r.Settings.Caller)
+	socket, err := r.Meter.Listen(ctx, r.Settings.Caller)
 	if err != nil {
 		return err
 	}
 	r.listening.Store(true)
-	c := &callerServer{handler: r.Callers(r.dispatcher, bodies, r.linkMonitor)}
+	listener := &drain.Listener{TCP: socket}
+	c := &callerServer{handler: r.Callers(r.dispatcher, bodies, r.linkMonitor), hook: listener.ConnState}
 	c.applyLimits(defaultLimits, listener)
 	go c.accept(ctx, listener)
 	go r.followLimits(ctx, c, listener)
@@ -98,7 +101,7 @@
 }
 
 // stop ends the router as planned: no request in flight is interrupted within the grace period.
-func (r *Router) stop(ctx context.Context, c *callerServer, listener net.Listener) error {
+func (r *Router) stop(ctx context.Context, c *callerServer, listener *drain.Listener) error {
 	start := time.Now()
 	grace := r.activeSettings.Load().Grace
 	if grace == 0 {
@@ -108,12 +111,10 @@
 	event.ShutdownRequested.Log(r.Logger).Dur("grace", grace).Send()
 	c.drain()
 	time.Sleep(deregistrationDelay)
-	if err := listener.Close(); err != nil {
-		event.ShutdownTimedOut.Log(r.Logger).Err(err).Send()
-	}
 	requestsCtx, cancel := context.WithDeadline(ctx, start.Add(grace-finalWriteTimeout))
 	defer cancel()
-	if err := c.shutdown(requestsCtx); err != nil {
+	// The servers are closed last, since a closed one drops the requests that it reads.
+	if err := errors.Join(listener.Stop(requestsCtx), listener.Drain(requestsCtx), c.shutdown(requestsCtx)); err != nil {
 		event.ShutdownTimedOut.Log(r.Logger).Err(err).Send()
 	}
 	ledgerCtx, cancelLedger := context.WithTimeout(ctx, finalWriteTimeout)
@@ -135,6 +136,7 @@
 	c.limits = limits
 	c.server = &http.Server{
 		Handler:           http.HandlerFunc(c.serveRequest),
+		ConnState:         c.hook,
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.HeaderBytes,
