--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -62,9 +63,19 @@
 	return dialer.DialContext(ctx, network, address)
 }
 
-func (l *peerLimits) listen(ctx context.Context, address string) (net.Listener, error) {
+// listen returns a TCP listener on an address, without multipath TCP.
+func (l *peerLimits) listen(ctx context.Context, address string) (*net.TCPListener, error) {
 	config := net.ListenConfig{KeepAliveConfig: l.keepAlive, Control: l.control}
-	return config.Listen(ctx, "tcp", address)
+	config.SetMultipathTCP(false) // Such sockets have no packet filters.
+	listener, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := listener.(*net.TCPListener)
+	if !ok {
+		return nil, errors.Join(net.InvalidAddrError(address), listener.Close())
+	}
+	return tcp, nil
 }
 
 // control sets the option TCP_USER_TIMEOUT of a socket.
--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -54,6 +54,14 @@
 		Bool("closed", errors.Is(err, io.EOF)).Err(err).Send()
 }
 
+// unwrapCaller returns the connection below a callerConn.
+func unwrapCaller(conn net.Conn) net.Conn {
+	if c, ok := conn.(*callerConn); ok {
+		return c.Conn
+	}
+	return conn
+}
+
 // withCallerConn adds the connection to the context of its requests.
 func withCallerConn(ctx context.Context, conn net.Conn) context.Context {
 	return context.WithValue(ctx, callerConnKey{}, conn)
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"citronslip/internal/dispatch"
+	"citronslip/internal/drain"
 	"citronslip/internal/event"
 	"citronslip/pkg/inventory"
 )
@@ -50,7 +51,8 @@
 	callerServer struct {
 		handler  http.Handler
 		logger   *zerolog.Logger
-		draining atomic.Bool // Whether responses ask callers to close their connections.
+		hook     func(net.Conn, http.ConnState) // ConnState of the servers.
+		draining atomic.Bool                    // Whether responses ask callers to close their connections.
 
 		mu       sync.Mutex
 		limits   inventory.Limits
@@ -73,12 +75,17 @@
 // then waits for the requests in flight.
 func (r *Router) serve(stop, ctx context.Context) error {
 	bodies := &dispatch.BodyReader{Most: int64(bodyMemoryShare * float64(r.Settings.Memory)), Limit: r.maxBodyBytes}
-	listener, err := r.Meter.Listen(ctx, r.Settings.Caller)
+	socket, err := r.Meter.Listen(ctx, r.Settings.Caller)
 	if err != nil {
 		return err
 	}
 	r.listening.Store(true)
-	c := &callerServer{handler: r.Callers(r.dispatcher, bodies, r.linkMonitor), logger: r.Logger}
+	listener := &drain.Listener{TCP: socket}
+	c := &callerServer{
+		handler: r.Callers(r.dispatcher, bodies, r.linkMonitor),
+		logger:  r.Logger,
+		hook:    func(conn net.Conn, state http.ConnState) { listener.ConnState(unwrapCaller(conn), state) },
+	}
 	c.applyLimits(defaultLimits, listener)
 	go c.accept(ctx, listener)
 	go r.followLimits(ctx, c, listener)
@@ -106,7 +113,7 @@
 }
 
 // stop ends the router as planned: no request in flight is interrupted within the grace period.
-func (r *Router) stop(ctx context.Context, c *callerServer, listener net.Listener) error {
+func (r *Router) stop(ctx context.Context, c *callerServer, listener *drain.Listener) error {
 	start := time.Now()
 	grace := r.activeSettings.Load().Grace
 	if grace == 0 {
@@ -116,12 +123,10 @@
 	event.ShutdownRequested.Log(r.Logger).Dur("grace", grace).Send()
 	c.drain()
 	time.Sleep(deregistrationDelay)
-	if err := listener.Close(); err != nil {
-		event.ShutdownTimedOut.Log(r.Logger).Err(err).Send()
-	}
 	requestsCtx, cancel := context.WithDeadline(ctx, start.Add(grace-finalWriteTimeout))
 	defer cancel()
-	if err := c.shutdown(requestsCtx); err != nil {
+	// The servers are closed last, since a closed one drops the requests that it reads.
+	if err := errors.Join(listener.Stop(requestsCtx), listener.Drain(requestsCtx), c.shutdown(requestsCtx)); err != nil {
 		event.ShutdownTimedOut.Log(r.Logger).Err(err).Send()
 	}
 	ledgerCtx, cancelLedger := context.WithTimeout(ctx, finalWriteTimeout)
@@ -156,6 +161,7 @@
 	c.limits = limits
 	c.server = &http.Server{
 		Handler:           c.handlerFor(limits.IdleTimeout),
+		ConnState:         c.hook,
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.HeaderBytes,
