Continue a stream only with its next events

Seen by callers: after a stream had broken off, whatever the next server sent with a 2xx status was appended: a page, the head of a response, the text of an error in the form of an event. Events came twice or were left out if that server began anew or skipped some, and an empty answer (204, 206, a page, a stream without a recognizable end) ended the stream as complete.

Cause: the resumption was checked for success only. Which events follow, and whether the response is a stream of events at all, was left to the server. A stream without event IDs was continued with the start of another one.

Now the continuation must be declared as a stream of events; each event needs an ID later than the last one, and the first event of another server may leave out none if the IDs were consecutive so far. Everything else counts as a failed attempt, so that the stream goes to another server or is aborted. The end of a response that is neither chunked nor of a known length is not the end of a resumable stream, since it looks the same as a lost connection.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -27,7 +27,7 @@
 )
 
 var (
-	errNotResumed = errors.New("dispatch: backend server answered the resumption of a stream with an error")
+	errNotResumed = errors.New("dispatch: backend server answered the resumption of a stream with something else")
 )
 
 type (
@@ -66,6 +66,9 @@
 		mayHaveRun      bool             // Whether a server may have started to execute the request.
 		permit          ratelimit.Permit // Permit of the current attempt.
 		lastEvent       string
+		resuming        bool           // Whether the server of the current attempt has sent no event yet that continues a stream.
+		skipsIDs        bool           // Whether the IDs of the stream's events have skipped numbers.
+		otherContent    bool           // Whether the response that has begun is not a stream of events.
 		errorResponse   *errorResponse // Error of a server, returned if no retry succeeds.
 		events          int64          // Number of events forwarded to the caller.
 		timeToFirstByte time.Duration  // Measured from the arrival of the request.
@@ -266,10 +269,10 @@
 		c.Pool.BackOff(server, o.Rest)
 		c.Limits.Observe(server.process(), c.permit, o.Limit)
 		switch {
-		case o.Success && c.route.Stream:
+		case o.Success && c.route.Stream && !(c.responseStarted && o.OtherContent):
 			return c.forwardStream(ctx, server, choice, o)
 		case c.responseStarted:
-			// The caller has received a part of a stream, to which an error response cannot be appended.
+			// The caller has received a part of a stream, to which another response cannot be appended.
 			choice.Done(c.outcomeOrCancelled(ctx, routing.Broken{}))
 			c.logNoResponse(server, false, errNotResumed)
 			return c.allowRetry(ctx)
@@ -305,6 +308,9 @@
 // allowRetry reports whether a request that may have been executed may be sent again, and takes the retry out of the
 // retry budget. It also returns the reason for the failure of the attempt.
 func (c *call) allowRetry(ctx context.Context) (bool, Reason) {
+	if c.responseStarted && !c.resumable() {
+		return false, c.failureReason(ctx)
+	}
 	if ctx.Err() != nil || !c.attemptsLeft() || c.route.Repeat == inventory.AtMostOnce || !c.Repeats.Allow(c.service) {
 		return false, c.failureReason(ctx)
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -126,6 +126,10 @@
 		Head    any   // Status and headers of the protocol, for the Response; not interpreted here.
 		Length  int64 // Length of the body in bytes, or -1 if unknown.
 		Body    io.ReadCloser
+		// OtherContent is whether the response is declared as something else than a stream of events, Unframed whether
+		// its end cannot be told from a lost connection.
+		OtherContent, Unframed bool
+
 		Load    *routing.Load          // Nil if the response carried no load report.
 		Leaving bool                   // Whether the server announced that it is about to be removed.
 		Rest    time.Duration          // How long the server asks this router to send no requests; zero if it did not ask.
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -25,8 +24,6 @@
 )
 
 var (
-	idField = []byte("id:")
-
 	errStalled = errors.New("dispatch: no complete event within the stall timeout")
 )
 
@@ -36,20 +33,25 @@
 func (c *call) forwardStream(ctx context.Context, server *Server, choice *routing.Choice, o Answered) (bool, Reason) {
 	reader := &sse.Reader{Source: o.Body, Most: maxEventBytes}
 	start := time.Now()
+	c.resuming = c.responseStarted
 	stallTimer := time.AfterFunc(c.stallTimeout(), func() { _ = o.Body.Close() }) // Interrupts the read.
 	defer stallTimer.Stop()
 	for {
 		data, err := reader.Next()
 		stalled := !stallTimer.Stop()
-		if stalled {
+		switch {
+		case stalled:
 			err = errStalled
-		}
-		if errors.Is(err, io.EOF) {
+		case err == nil:
+			err = c.checkOrder(data)
+		case errors.Is(err, io.EOF) && o.Unframed && c.route.Repeat == inventory.Resumable:
+			err = errEndUnknown
+		case errors.Is(err, io.EOF):
 			return c.finishStream(choice, o, start)
 		}
 		if err != nil {
 			choice.Done(c.outcomeOrCancelled(ctx, routing.Broken{Reset: true}))
-			if !stalled {
+			if !stalled && !errors.Is(err, errEventOrder) {
 				c.recordSuspect(ctx, server)
 			}
 			c.logNoResponse(server, true, err)
@@ -93,6 +95,7 @@
 	if !c.responseStarted {
 		c.timeToFirstByte = time.Since(c.request.Arrived)
 		c.responseStarted = true
+		c.otherContent = o.OtherContent
 		if c.response.Begin(o.Head, -1) != nil {
 			return false
 		}
@@ -107,13 +110,3 @@
 	}
 	return true
 }
-
-// eventID returns the ID of an event, or an empty string if it has none.
-func eventID(data []byte) string {
-	for line := range bytes.Lines(data) {
-		if value, ok := bytes.CutPrefix(line, idField); ok {
-			return string(bytes.TrimSpace(value))
-		}
-	}
-	return ""
-}
