Relay only entries of servers to other routers

A router that could not reach the store and asked another one for the servers got none when the table also held about a megabyte of another program's entries, and was not ready.

Cause: rows that name no server were kept and relayed like the others, so that an answer exceeded the size limit of a message.

A router that has an unreadable row in place of a readable one drops it, as the registry of the servers does.

--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -39,7 +39,8 @@
 type (
 	// relayCache holds the rows of the store that other routers may fetch.
 	relayCache struct {
-		storeAge func() time.Duration // Age of the store's last answer.
+		storeAge func() time.Duration     // Age of the store's last answer.
+		readable func(row store.Row) bool // Whether a row is the entry of a backend server.
 
 		mu        sync.Mutex
 		directory store.Row
@@ -64,7 +65,8 @@
 	}
 }
 
-// applyServers applies changed rows of backend servers, or a list of all of them.
+// applyServers applies changed rows of backend servers, or a list of all of them. Rows of other programs are not kept: a
+// few large ones would exceed the size limit of an answer.
 func (c *relayCache) applyServers(change store.Change) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -77,7 +79,7 @@
 	for _, row := range change.Rows {
 		switch {
 		case c.servers[row.Name].Version > row.Version:
-		case row.Deleted:
+		case row.Deleted || !c.readable(row):
 			delete(c.servers, row.Name)
 		default:
 			c.servers[row.Name] = row
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -200,6 +200,10 @@
 		Store: r.Store, Table: r.DirectoryKey.Table, Part: r.DirectoryKey.Part, Apply: r.applyDirectory, Newest: true, Logger: r.Logger,
 	}
 	r.relayCache.storeAge = r.ledger.StoreAge
+	r.relayCache.readable = func(row store.Row) bool {
+		_, err := r.DecodeServer(row.Name, row.Value)
+		return err == nil
+	}
 	list := []controller{
 		{"directory", directory.Run},
 		{"servers", r.serverFollower.Run},
