Compare the version of an unreadable row before it applies

Seen by callers: none. A feed that goes on from the first page of a list repeats the rows that changed since. If an odd entry had stood in a server's row meanwhile, its repetition took the server out of use until the next change. The registry also forgot that the process in the row was leaving.

Cause: a row that cannot be decoded removed the entry without a look at the versions, and not by way of forget, which remembers the process.

Evidence, on the code before: --- FAIL: TestUnreadableRowAppliesOnlyToItsVersion "" != a

--- a/internal/dispatch/server_registry.go
+++ b/internal/dispatch/server_registry.go
@@ -160,14 +160,16 @@
 
 // upsert applies a row, which may be one of a list of all.
 func (r *ServerRegistry) upsert(row store.Row, listed bool) {
+	old := r.entries[row.Name]
+	if old != nil && old.version > row.Version {
+		return
+	}
 	server, err := r.Decode(row.Name, row.Value)
 	if err != nil {
 		event.ServerEntryInvalid.Log(r.Logger).Str("server", row.Name).Int64("version", row.Version).Err(err).Send()
-		delete(r.entries, row.Name)
-		return
-	}
-	old := r.entries[row.Name]
-	if old != nil && old.version > row.Version {
+		if old != nil {
+			r.forget(row.Name, old)
+		}
 		return
 	}
 	if old != nil && old.server.Born != server.Born {
--- a/internal/dispatch/server_registry_test.go
+++ b/internal/dispatch/server_registry_test.go
@@ -153,3 +153,22 @@
 	now = now.Add(time.Minute) // The picker sends new servers few requests at first.
 	is.Equal(names(), map[string]bool{"c": true, "d": true})
 }
+
+// Guards against an older unreadable row, which a feed repeats after a list, that takes a server out of use, and against
+// new requests to a process that was leaving before its row could not be read for a time.
+func TestUnreadableRowAppliesOnlyToItsVersion(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	r := newServerRegistry(&now)
+	r.Apply(store.Change{Whole: true, Rows: []store.Row{row("a", "ready", 5)}, Version: 4, Outage: noOutage})
+	r.Apply(store.Change{Rows: []store.Row{row("a", "bad", 4)}, Version: 5, Outage: noOutage})
+	is.Equal(pickName(r), "a")
+	r.Apply(store.Change{Rows: []store.Row{row("a", "bad", 6)}, Version: 6, Outage: noOutage})
+	is.Equal(pickName(r), "")
+	r.Apply(store.Change{Rows: []store.Row{row("a", "ready", 7)}, Version: 7, Outage: noOutage})
+	is.Equal(pickName(r), "a")
+	r.Apply(store.Change{Rows: []store.Row{row("b", "leaving", 8), row("a", "", 9)}, Version: 9, Outage: noOutage})
+	r.Apply(store.Change{Rows: []store.Row{row("b", "bad", 10)}, Version: 10, Outage: noOutage})
+	r.Apply(store.Change{Rows: []store.Row{row("b", "running", 11)}, Version: 11, Outage: noOutage}) // The same start time.
+	is.Equal(pickName(r), "")
+}
