Continue a chat stream only with the rest of the answer

Seen by callers of the product's own interface: after a stream had broken off, a page or the text of an error that the engine sent in answer to the resumption was appended, and with an end marker behind it the stream looked complete.

Cause: the relay forwarded every event of a response with status 200, whatever its content type and its data.

Evidence, on the code before: --- FAIL: TestStreamGoesOnOnlyWithTheAnswer (8 of 13 cases: page, page without type, JSON, text in the stream, error event, error data, whole head, answer then a trouble)

The continuation of a stream whose start the caller has received must now be declared as a stream of events, and each event must be a part of an answer, a comment or the end marker. Events of an answer that come twice still cannot be told from new ones: they have no IDs.

--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"time"
 
@@ -17,15 +18,21 @@
 	// maxReportedTokens is the largest accepted token count, which is the largest integer that every JSON parser
 	// represents exactly.
 	maxReportedTokens = 1 << 53
+	// eventStreamType is the media type of a stream of events.
+	eventStreamType = "text/event-stream"
 )
 
 var (
 	errCallerLost  = errors.New("caller: connection to the caller lost")
 	errBackendLost = errors.New("caller: response from the backend server ended early")
+	// errNotContinued is returned for a response that does not continue the stream whose start the caller received.
+	errNotContinued = errors.New("caller: response from the backend server does not continue the stream")
 
 	doneMarker   = []byte("[DONE]")
 	usageKey     = []byte(`"usage"`)
 	emptyChoices = []byte(`"choices":[]`)
+	choicesKey   = []byte(`"choices"`)
+	commentField = []byte(":")
 )
 
 type (
@@ -43,6 +50,7 @@
 		totalUsage          func(tokenUsage) tokenUsage // Adds the usage of earlier attempts; nil if none.
 		flush               func() error
 		forwardUsage        bool          // Whether the caller receives the usage event.
+		continues           bool          // Whether the caller received the start of the stream from an earlier response.
 		onFirstEvent        func()        // Called once, before the first event.
 		contentEvents       int           // Number of content events relayed.
 		lastEventAt         time.Time     // Time of the latest content event.
@@ -54,9 +62,13 @@
 )
 
 // copyEvents forwards events until the stream ends. It returns nil only after the end marker. A partial event is
-// dropped, so that the caller sees only complete events.
-func (r *relay) copyEvents(body io.Reader) error {
-	events := sse.Reader{Source: body}
+// dropped, so that the caller sees only complete events. Nothing else than events of an answer is appended to a stream
+// whose start the caller received.
+func (r *relay) copyEvents(response *http.Response) error {
+	if r.continues && !isEventStream(response.Header) {
+		return errNotContinued
+	}
+	events := sse.Reader{Source: response.Body}
 	for {
 		event, err := events.Next()
 		if err != nil {
@@ -77,6 +89,9 @@
 	if bytes.Equal(data, doneMarker) {
 		r.endMarkerSeen = true
 	}
+	if r.continues && !r.endMarkerSeen && !isAnswerEvent(event, data) {
+		return errNotContinued
+	}
 	reported := r.readUsage(data)
 	if reported && !r.forwardUsage && bytes.Contains(data, emptyChoices) {
 		return nil
@@ -116,6 +131,20 @@
 	return nil
 }
 
+// isEventStream reports whether the header of a response declares a stream of events.
+func isEventStream(header http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(header.Get("Content-Type"))
+	return err == nil && mediaType == eventStreamType
+}
+
+// isAnswerEvent reports whether an event, with the given data, is a part of an answer or a comment.
+func isAnswerEvent(event, data []byte) bool {
+	if data == nil {
+		return bytes.HasPrefix(event, commentField) || len(bytes.TrimSpace(event)) == 0
+	}
+	return bytes.Contains(data, choicesKey) || bytes.Contains(data, usageKey)
+}
+
 // countEvent counts a content event and updates the longest gap between two of them.
 func (r *relay) countEvent() {
 	now := time.Now()
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -44,7 +44,7 @@
 func (c *chatCall) relayStream(ctx context.Context, a *attempt, response *http.Response) attemptResult {
 	c.prepareRelay(a)
 	defer func() { c.maxTokenGap = max(c.maxTokenGap, c.relay.maxGap) }()
-	err := c.relay.copyEvents(response.Body)
+	err := c.relay.copyEvents(response)
 	for i := 0; errors.Is(err, errBackendLost) && ctx.Err() == nil && i < maxResumes; i++ {
 		resumed := false
 		resumed, err = c.resumeStream(ctx, a, err)
@@ -66,7 +66,9 @@
 
 // prepareRelay prepares the relay of an attempt's stream to the caller.
 func (c *chatCall) prepareRelay(a *attempt) {
-	c.relay = &relay{out: c.w, flush: flusher(c.w), forwardUsage: c.chat.Usage, finishWithoutCaller: c.claim != nil}
+	c.relay = &relay{
+		out: c.w, flush: flusher(c.w), forwardUsage: c.chat.Usage, finishWithoutCaller: c.claim != nil, continues: c.headerSent,
+	}
 	if c.priorOutput > 0 {
 		c.relay.totalUsage = c.totalUsage
 	}
@@ -87,7 +89,7 @@
 		c.headerSent = true
 		c.sendStreamError = func(refusal *Refusal) { c.relay.sendError(refusal, c.requestID) }
 		header := c.w.Header()
-		header.Set("Content-Type", "text/event-stream")
+		header.Set("Content-Type", eventStreamType)
 		header.Set("Cache-Control", "no-cache")
 		c.w.WriteHeader(http.StatusOK)
 	}
@@ -104,7 +106,8 @@
 	}
 	defer response.Body.Close()
 	event.StreamResumed.Log(c.front.Logger).Str("request", c.requestID).Str("server", a.choice.Server.Name).Send()
-	return true, c.relay.copyEvents(response.Body)
+	c.relay.continues = c.headerSent
+	return true, c.relay.copyEvents(response)
 }
 
 // finishStream ends an attempt whose stream is complete.
@@ -120,7 +123,7 @@
 	if c.claim != nil {
 		result.answer = claim.Answer{
 			Status: http.StatusOK,
-			Header: http.Header{"Content-Type": {"text/event-stream"}},
+			Header: http.Header{"Content-Type": {eventStreamType}},
 			Body:   c.capture.Bytes(),
 		}
 	}
