Use no connection to an engine again after a refusal

Seen by callers of the product's own interface: an engine that wrote the refusal of an earlier request once more on a kept connection made the next request on it look refused. It was charged nothing and sent to another engine, or its caller was told that it had not run, while the engine ran it.

Cause: the client kept connections after refusals, and responses of engines do not name the request that they belong to.

Evidence, on the code before: --- FAIL: TestRepeatedRefusalIsNotThatOfTheNextRequest request a-1 was sent on a connection after a refusal

A connection on which a request got an error status now accepts no further writes. net/http then sends the next request on another one, since nothing of it was sent.

What remains: a successful response that is written once more cannot be told from the next one. That needs an ID in the responses of engines.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -118,23 +118,29 @@
 
 // NewHTTPClient returns an HTTP client for backend servers, which follows no redirects. Without reuse each call opens a
 // new connection, on which the transport never repeats a request by itself.
-func NewHTTPClient(reuse bool) *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func NewHTTPClient(reuse bool) *http.Client { return newClient(newTransport(reuse)) }
+
+func newClient(transport http.RoundTripper) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			DisableKeepAlives:   !reuse,
-			DisableCompression:  true,
-			MaxIdleConns:        0,
-			MaxIdleConnsPerHost: maxIdleConnsPerServer,
-			IdleConnTimeout:     idleConnTimeout,
-
-			MaxResponseHeaderBytes: maxResponseHeaderBytes,
-		},
+		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
+func newTransport(reuse bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableKeepAlives:   !reuse,
+		DisableCompression:  true,
+		MaxIdleConns:        0,
+		MaxIdleConnsPerHost: maxIdleConnsPerServer,
+		IdleConnTimeout:     idleConnTimeout,
+
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+	}
+}
+
 // Error implements error.
 func (e *RefusedError) Error() string {
 	return fmt.Sprintf("engine: refused with status %d", e.Status)
@@ -170,7 +176,11 @@
 func (c *Client) Do(request *http.Request) (*http.Response, error) {
 	var sent atomic.Bool
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			if !wasRefused(info.Conn) {
+				sent.Store(true)
+			}
+		},
 	})
 	response, err := c.HTTP.Do(request.WithContext(ctx))
 	switch {
--- /dev/null
+++ b/internal/engine/transport.go
@@ -0,0 +1,71 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+)
+
+var (
+	errRefusedBefore = errors.New("engine: connection was used for a refused request")
+)
+
+type (
+	// refusalTransport sends no request on a connection after a response with an error status.
+	refusalTransport struct {
+		http.RoundTripper
+	}
+
+	// refusalConn is a connection of a refusalTransport.
+	refusalConn struct {
+		net.Conn
+		refused atomic.Bool // Whether a request on it was answered with an error status.
+	}
+)
+
+// NewEngineHTTPClient returns an HTTP client like NewHTTPClient with reuse, which sends no request on a connection on
+// which an earlier one was refused: a faulty engine may write a refusal once more, and its responses do not tell to which
+// request they belong.
+func NewEngineHTTPClient() *http.Client {
+	transport := newTransport(true)
+	dial := transport.DialContext
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &refusalConn{Conn: conn}, nil
+	}
+	return newClient(refusalTransport{transport})
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t refusalTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	var conn *refusalConn
+	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { conn, _ = info.Conn.(*refusalConn) },
+	})
+	response, err := t.RoundTripper.RoundTrip(request.WithContext(ctx))
+	if err == nil && conn != nil && response.StatusCode >= http.StatusBadRequest {
+		conn.refused.Store(true)
+	}
+	return response, err
+}
+
+// Write implements net.Conn. If it fails because of an earlier refusal, no part of the request was sent, and net/http
+// sends it on another connection.
+func (c *refusalConn) Write(data []byte) (int, error) {
+	if c.refused.Load() {
+		return 0, errRefusedBefore
+	}
+	return c.Conn.Write(data)
+}
+
+// wasRefused reports whether nothing can be sent on a connection because of an earlier refusal.
+func wasRefused(conn net.Conn) bool {
+	c, ok := conn.(*refusalConn)
+	return ok && c.refused.Load()
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -272,7 +272,7 @@
 	r.hosts = &hosts.Client{Platform: client}
 	r.weights = &weights.Client{Platform: client}
 	r.placements.router = r
-	r.engines = &engine.Client{HTTP: engine.NewHTTPClient(true)}
+	r.engines = &engine.Client{HTTP: engine.NewEngineHTTPClient()}
 }
 
 // buildRequestHandling creates the parts that decide on requests: budgets, idempotency, billing, routing and queues.
