Relay the servers' rows in packed form

Seen by callers: none so far. A router that cannot reach the store gets the rows of about three thousand servers or more from no other router. One that starts then is never ready, and one that runs does not learn which servers leave.

Cause: an answer with the rows in base64 exceeds the 1 MiB of a message. Found while large odd entries were tested.

A router of an earlier build neither says nor sends that, and is served as before. The packed rows are kept until they change.

--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -5,9 +5,11 @@
 	"encoding/base64"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,8 +48,9 @@
 		directory store.Row
 		config    int64 // Version of the configuration in directory, by its own count.
 		servers   map[string]store.Row
-		version   int64 // Version of the store up to which servers are known.
-		era       int64 // Era of the store to which version belongs.
+		version   int64  // Version of the store up to which servers are known.
+		era       int64  // Era of the store to which version belongs.
+		packed    string // The servers as the field packed of an answer; empty if they have changed since.
 	}
 
 	// peerBudgets reserves tokens at other routers.
@@ -76,6 +79,7 @@
 	if change.Whole || c.servers == nil {
 		c.servers = make(map[string]store.Row)
 	}
+	c.packed = ""
 	for _, row := range change.Rows {
 		switch {
 		case c.servers[row.Name].Version > row.Version:
@@ -96,19 +100,42 @@
 	if c.config > int64(query.Config) {
 		answer.Directory = encodeRow(c.directory)
 	}
-	if c.era > int64(query.Era) || c.era == int64(query.Era) && c.version > int64(query.Servers) {
-		for _, row := range c.servers {
-			answer.Servers = append(answer.Servers, *encodeRow(row))
-		}
+	if c.era < int64(query.Era) || c.era == int64(query.Era) && c.version <= int64(query.Servers) {
+		return answer, nil
+	}
+	if query.Packed != nil && *query.Packed {
+		packed, err := c.packServers()
+		answer.Packed = &packed
+		return answer, err
+	}
+	for _, row := range c.servers {
+		answer.Servers = append(answer.Servers, *encodeRow(row))
 	}
 	return answer, nil
 }
 
+// packServers returns the rows of the servers as the field packed of an answer. Those of thousands of servers would
+// otherwise exceed the size limit of a message. The caller holds the lock.
+func (c *relayCache) packServers() (string, error) {
+	if c.packed != "" {
+		return c.packed, nil
+	}
+	data, err := store.PackRows(slices.Collect(maps.Values(c.servers)))
+	if err != nil {
+		return "", err
+	}
+	c.packed = base64.StdEncoding.EncodeToString(data)
+	return c.packed, nil
+}
+
 // query returns the versions that this router has, to ask another router for newer rows.
 func (c *relayCache) query() wire.RelayQuery {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return wire.RelayQuery{Directory: int(c.directory.Version), Servers: int(c.version), Config: int(c.config), Era: int(c.era)}
+	packed := true
+	return wire.RelayQuery{
+		Directory: int(c.directory.Version), Servers: int(c.version), Config: int(c.config), Era: int(c.era), Packed: &packed,
+	}
 }
 
 func encodeRow(row store.Row) *wire.RelayRow {
@@ -150,21 +177,39 @@
 		r.applyRelayedDirectory(*answer.Directory, address)
 	}
 	r.applyRelayedCrashes(answer.Crashes, address)
-	if len(answer.Servers) == 0 || answer.Era < query.Era || answer.Era == query.Era && answer.Version <= query.Servers {
+	if answer.Era < query.Era || answer.Era == query.Era && answer.Version <= query.Servers {
 		return true
 	}
-	change := store.Change{Whole: true, Version: int64(answer.Version), Era: int64(answer.Era), Source: address}
+	rows, err := r.decodeServers(answer)
+	if err != nil {
+		event.RelayFailed.Log(r.Logger).Str("peer", address).Err(err).Send()
+		return true
+	}
+	if len(rows) > 0 {
+		r.applyServers(store.Change{Whole: true, Rows: rows, Version: int64(answer.Version), Era: int64(answer.Era), Source: address})
+	}
+	return true
+}
+
+// decodeServers returns the rows of the servers in an answer.
+func (r *Router) decodeServers(answer wire.RelayAnswer) ([]store.Row, error) {
+	if answer.Packed != nil {
+		data, err := base64.StdEncoding.DecodeString(*answer.Packed)
+		if err != nil {
+			return nil, err
+		}
+		return store.UnpackRows(data, r.ServerTable)
+	}
+	rows := make([]store.Row, 0, len(answer.Servers))
 	for _, w := range answer.Servers {
 		row, err := decodeRow(w)
 		if err != nil {
-			event.RelayFailed.Log(r.Logger).Str("peer", address).Err(err).Send()
-			return true
+			return nil, err
 		}
 		row.Table = r.ServerTable
-		change.Rows = append(change.Rows, row)
+		rows = append(rows, row)
 	}
-	r.applyServers(change)
-	return true
+	return rows, nil
 }
 
 // answerRelay returns the rows that another router asks for.
--- a/internal/store/snapshot.go
+++ b/internal/store/snapshot.go
@@ -80,6 +80,19 @@
 	return result, err
 }
 
+// PackRows returns rows of a table in the packed form of a snapshot.
+func PackRows(rows []Row) ([]byte, error) { return Pack(encodeSnapshot(rows, 0, 0)) }
+
+// UnpackRows returns the rows of a table that PackRows packed. Its errors wrap ErrPacked.
+func UnpackRows(data []byte, table string) ([]Row, error) {
+	var snapshot wire.Snapshot
+	if err := Unpack(data, &snapshot); err != nil {
+		return nil, err
+	}
+	result, err := (&Snapshot{Table: table}).toResult(snapshot)
+	return result.Rows, err
+}
+
 // chunkKey returns the key of a chunk. The names have two digits, so that a listing sorts the chunks by index.
 func (s *Snapshot) chunkKey(i int) Key {
 	return Key{Table: snapshotTable, Part: s.Table, Name: fmt.Sprintf("%02d", i)}
--- a/internal/wire/relay.go
+++ b/internal/wire/relay.go
@@ -18,6 +18,10 @@
 	// Era of the store to which the versions belong; 0 if unknown.
 	Era int `json:"era"`
 
+	// Rows of all backend servers in place of the field servers, as a packed Snapshot
+	// in base64.
+	Packed *string `json:"packed,omitempty,omitzero"`
+
 	// Rows of all backend servers, if the router's version of the store is newer than
 	// the sender's.
 	Servers []RelayRow `json:"servers,omitempty,omitzero"`
@@ -42,6 +46,9 @@
 	// Era of the store to which the versions belong; 0 if unknown.
 	Era int `json:"era"`
 
+	// Whether the sender can read the field packed of the answer.
+	Packed *bool `json:"packed,omitempty,omitzero"`
+
 	// Version of the store up to which the sender has all changes to the rows of
 	// backend servers.
 	Servers int `json:"servers"`
