--- a/internal/caller/software_test.go
+++ b/internal/caller/software_test.go
@@ -127,6 +127,7 @@
 		panic(err)
 	}
 	w.Header().Set(engine.HeaderLoad, string(load))
+	w.Header().Set("Content-Type", "text/event-stream")
 	action, attempt, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	switch action {
 	case "v1":
--- a/internal/dispatch/software_test.go
+++ b/internal/dispatch/software_test.go
@@ -23,7 +23,7 @@
 	}
 }
 
-// newTestStreams returns a tracker for the only router of a fleet.
+// newTestStreams returns a tracker for the only router of a fleet, which has known the servers for an hour.
 func newTestStreams(servers []dispatch.Server) *resume.Tracker {
 	logger := zerolog.Nop()
 	t := &resume.Tracker{
@@ -37,7 +37,9 @@
 		Logger:     &logger,
 		Metrics:    tally.NoopScope,
 	}
+	t.Now = func() time.Time { return time.Now().Add(-time.Hour) }
 	t.Observe(dispatch.Origins(servers))
+	t.Now = time.Now
 	return t
 }
 
@@ -156,10 +158,6 @@
 func TestStreamOfUnknownSoftwareVersionIsRefused(t *testing.T) {
 	is := is.New(t)
 	b := newTestDispatcher(func(context.Context, int, dispatch.Attempt) dispatch.Outcome { return completeAnswer(eventText(3, 4)) })
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	go func() { _ = b.Streams.Run(ctx) }()
-	time.Sleep(100 * time.Millisecond)
 	is.True(b.takeUp("of the only version").ended)
 	b.Pool.Update(twoVersions())
 	b.Streams.Observe(dispatch.Origins(twoVersions()))
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -156,7 +156,7 @@
 
 // movable reports whether the stream may continue at another server.
 func (c *call) movable() bool {
-	return c.responseStarted && c.route.Repeat == inventory.Resumable && c.attemptsLeft()
+	return c.responseStarted && c.route.Repeat == inventory.Resumable && c.resumable() && c.attemptsLeft()
 }
 
 // reserveMove picks the server at which the stream continues. It returns nil if there is none at present.
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -10,6 +9,7 @@
 	"citronslip/internal/event"
 	"citronslip/internal/routing"
 	"citronslip/internal/sse"
+	"citronslip/pkg/inventory"
 )
 
 const (
@@ -18,24 +18,25 @@
 	maxEventBytes = 64 << 10
 )
 
-var (
-	idField = []byte("id:")
-)
-
 // forwardStream forwards a stream of events. Only complete events reach the caller, so that an interrupted stream can
 // be resumed after its last event. A stream without a complete event is given up or moved by the stall watch, however
 // many bytes it sends.
 func (c *call) forwardStream(ctx context.Context, server *Server, choice *routing.Choice, o Answered) (bool, Reason) {
 	reader := &sse.Reader{Source: o.Body, Most: maxEventBytes}
 	start := time.Now()
+	c.resuming = c.responseStarted
 	watch := c.watchStall(ctx, o.Body)
 	for {
 		data, err := reader.Next()
 		closed := watch.pause()
-		if closed != nil {
+		switch {
+		case closed != nil:
 			err = closed
-		}
-		if errors.Is(err, io.EOF) {
+		case err == nil:
+			err = c.checkOrder(data)
+		case errors.Is(err, io.EOF) && o.Unframed && c.route.Repeat == inventory.Resumable:
+			err = errEndUnknown
+		case errors.Is(err, io.EOF):
 			return c.finishStream(choice, o, start)
 		}
 		if errors.Is(err, errMoved) {
@@ -43,7 +44,7 @@
 		}
 		if err != nil {
 			choice.Done(c.outcomeOrCancelled(ctx, routing.Broken{Reset: true}))
-			if closed == nil {
+			if closed == nil && !errors.Is(err, errEventOrder) {
 				c.recordSuspect(ctx, server)
 			}
 			c.logNoResponse(server, true, err)
@@ -93,6 +94,7 @@
 	if !c.responseStarted {
 		c.timeToFirstByte = time.Since(c.request.Arrived)
 		c.responseStarted = true
+		c.otherContent = o.OtherContent
 		if c.response.Begin(o.Head, -1) != nil {
 			return false
 		}
@@ -107,13 +109,3 @@
 	}
 	return true
 }
-
-// eventID returns the ID of an event, or an empty string if it has none.
-func eventID(data []byte) string {
-	for line := range bytes.Lines(data) {
-		if value, ok := bytes.CutPrefix(line, idField); ok {
-			return string(bytes.TrimSpace(value))
-		}
-	}
-	return ""
-}
