Take the end of the connection for the end of a stream without length

Callers of resumable streams would get them as broken off, or sent a second time, if the server sends neither a length nor chunks and ends the stream with its connection.

A response without any event still does not complete a stream that has begun.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -132,7 +132,7 @@
 		Length  int64 // Length of the body in bytes, or -1 if unknown.
 		Body    io.ReadCloser
 		// OtherContent is whether the response is declared as something else than a stream of events, Unframed whether
-		// its end cannot be told from a lost connection.
+		// it ends with its connection, as it has neither a length nor chunks.
 		OtherContent, Unframed bool
 
 		Load    *routing.Load          // Nil if the response carried no load report.
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -13,8 +13,9 @@
 
 	// errEventOrder is returned for an event that cannot be the next one of the stream.
 	errEventOrder = errors.New("dispatch: event is not the next one of the stream")
-	// errEndUnknown is returned at the end of a stream whose end cannot be told from a lost connection.
-	errEndUnknown = errors.New("dispatch: end of the stream cannot be told from a lost connection")
+	// errEndUnknown is returned for a response without any event whose end is that of its connection. A server that has
+	// just closed the connection sends the same.
+	errEndUnknown = errors.New("dispatch: connection ended without an event")
 )
 
 // resumable reports whether another server can continue the response that the caller has received a part of.
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -34,7 +34,7 @@
 			err = closed
 		case err == nil:
 			err = c.checkOrder(data)
-		case errors.Is(err, io.EOF) && o.Unframed && c.route.Repeat == inventory.Resumable:
+		case errors.Is(err, io.EOF) && o.Unframed && !c.answerBegun && c.route.Repeat == inventory.Resumable:
 			err = errEndUnknown
 		case errors.Is(err, io.EOF):
 			return c.finishStream(choice, o, start)
