Log how a budget row of an older copy is counted on

After a restore no log line told which contents of a budget row a router combined, so that a wrong sum could not be traced to a step. Event 252 names the row of the copy, the row that the router knows and the row that it writes. The restore tests print the log lines of all routers when a series fails; the routers' backoffs are random, so that a failing series cannot be played again from its seed.

--- a/internal/prepaid/prepaid_test.go
+++ b/internal/prepaid/prepaid_test.go
@@ -31,6 +31,8 @@
 	request = 5000 // Tokens of one request that spend sends.
 	// serialWriteTime is the duration of one write of an account's rows while writes are serialised by fleet.writeSlot.
 	serialWriteTime = 3 * time.Millisecond
+	// logTime is the layout of times in the log lines of a fleet.
+	logTime = "04:05.000"
 )
 
 type (
@@ -48,9 +50,16 @@
 		heartbeatLists   atomic.Int64  // Number of reads of all heartbeat rows.
 		bytesRead        atomic.Int64  // Bytes of the rows that were read.
 		calls            atomic.Int64  // Number of all calls to the store.
+		logs             syncBuffer    // Log lines of all routers.
 		writeSlot        chan struct{} // Limits concurrent writes of grants to its capacity; nil for no limit.
 	}
 
+	// syncBuffer is a buffer for concurrent use.
+	syncBuffer struct {
+		mu     sync.Mutex
+		buffer bytes.Buffer
+	}
+
 	// router is one host, on which processes run one after the other.
 	router struct {
 		fleet            *fleet
@@ -95,6 +104,18 @@
 	return f
 }
 
+func (b *syncBuffer) Write(data []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(data)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
 func directory(version int64, total inventory.Tokens) *inventory.Directory {
 	d := &inventory.Directory{Version: version, Budgets: []inventory.Budget{{Name: "prepaid", Account: account, Tokens: total}}}
 	d.Prepare()
@@ -178,11 +199,13 @@
 
 // start runs the next process of the router.
 func (r *router) start(ctx context.Context) {
-	logger := zerolog.Nop()
+	logger := zerolog.New(&r.fleet.logs).Hook(zerolog.HookFunc(func(e *zerolog.Event, _ zerolog.Level, _ string) {
+		e.Str("at", time.Now().Format(logTime)).Str("router", r.name)
+	}))
 	number := r.processNumber.Add(1)
 	ledger := &prepaid.Ledger{
 		Node:      r.name,
-		Instance:  fmt.Sprintf("%s/%d", r.name, number),
+		Instance:  r.instance(),
 		Address:   r.name,
 		Store:     routerStore{r.fleet.store, r, number},
 		Peers:     peers{r.fleet},
@@ -201,6 +224,9 @@
 	}()
 }
 
+// instance returns the name of the current process.
+func (r *router) instance() string { return fmt.Sprintf("%s/%d", r.name, r.processNumber.Load()) }
+
 // kill ends the process abruptly, without closing its grants. Later writes of it do not reach the store.
 func (r *router) kill() {
 	r.processNumber.Add(1)
--- a/internal/prepaid/restore.go
+++ b/internal/prepaid/restore.go
@@ -95,6 +95,8 @@
 		w.Puts = append(w.Puts, store.Put{Key: grantKey(a.name, l.Node), Value: encode(next.grant.PrepaidGrant)})
 	}
 	if changed {
+		event.PrepaidReconciled.Log(l.Logger).Str("account", a.name).Any("copy", a.restored.budget.PrepaidSum).Any("known", a.budget.PrepaidSum).
+			Any("next", next.budget.PrepaidSum).Send()
 		next.budget.applyTotal(a.totalVersion, a.total)
 		w.Puts = append(w.Puts, store.Put{Key: budgetKey(a.name), Value: encode(next.budget.PrepaidSum)})
 	}
--- a/internal/prepaid/restore_test.go
+++ b/internal/prepaid/restore_test.go
@@ -47,8 +47,10 @@
 // restore makes the store come back from a copy after restoreDowntime.
 func (f *fleet) restore(c store.Copy) {
 	f.refusesCalls.Store(true)
+	fmt.Fprintln(&f.logs, time.Now().Format(logTime), "store is away")
 	time.Sleep(restoreDowntime)
 	f.store.Restore(c)
+	fmt.Fprintln(&f.logs, time.Now().Format(logTime), "store is restored")
 	f.refusesCalls.Store(false)
 }
 
@@ -92,6 +94,11 @@
 	t.Helper()
 	f.start(t.Context())
 	defer f.stop()
+	defer func() {
+		if t.Failed() {
+			t.Log(f.logs.String())
+		}
+	}()
 	random := rand.New(rand.NewPCG(seed, 2))
 	var copies []store.Copy // One for each second.
 	spent := inventory.Tokens(0)
