Count each change of a budget row once after restores

Callers could consume more than their budgets after the store came back from older copies several times within seconds, without any killed router.

Cause: a router added the difference between two contents of a budget row of one era to the row of the new era. That difference held what the later content had taken over from eras before.

A row now keeps apart what the writes of each era themselves changed, with their number. A router takes over, era by era, the changes of which it knows more writes; this gives the same sums in any order and when repeated. Eras without changes need no entry, and 16 are kept instead of 4. For older ones the larger sums hold and a router counts its grant once more.

The series of random restores now also check that the budget row counts all grants. In the tests a router that is cut off no longer gets the answer of a feed that was waiting.

--- a/internal/prepaid/heartbeat.go
+++ b/internal/prepaid/heartbeat.go
@@ -333,9 +333,7 @@
 			continue
 		}
 		next := plannedRows{budget: a.budget, era: a.era, capBefore: a.spendCap, unansweredBefore: a.unanswered}
-		l.countWrite(&next.budget)
-		next.budget.Granted -= a.grant.Amount
-		next.budget.Closed += int(min(a.used(), int64(a.grant.Amount)))
+		l.countWrite(&next.budget, int(min(a.used(), int64(a.grant.Amount))), -a.grant.Amount)
 		grantRow, budgetRow := grantKey(a.name, l.Node), budgetKey(a.name)
 		w := store.Write{
 			Expect: []store.Condition{{Key: grantRow, Version: a.grant.version}, {Key: budgetRow, Version: a.budget.version}},
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -63,19 +63,19 @@
 		total         inventory.Tokens
 		totalVersion  int64 // Configuration version of the total.
 		budget        budgetState
-		grant         grantState         // Row of this router's grant.
-		loaded        bool               // Whether the budget row and the grant row were read.
-		era           int64              // Era of the store whose rows budget and grant are.
-		restored      *accountRows       // Rows in a later era, with which budget and grant are to be reconciled; nil before they were read.
-		grownAt       time.Time          // When the grant last grew after it had not for maturityTime.
-		matureAmount  int64              // Amount of the grant before that.
-		inherited     bool               // Whether an earlier process of this router may have left a grant.
-		spent         int64              // Tokens that were settled by this instance.
-		reserved      int64              // Tokens that are reserved by requests in progress.
-		spendCap      int64              // Limit of spending while a write that shrinks the grant is unanswered; -1 if none.
-		unanswered    *wire.PrepaidBasis // Position of the budget row after the earliest unanswered write that shrinks the grant; nil if none.
-		grantDemand   rateMeter          // Demand on this router's grant, by its own callers and other routers.
-		callerDemand  rateMeter          // Demand by this router's own callers only.
+		grant         grantState       // Row of this router's grant.
+		loaded        bool             // Whether the budget row and the grant row were read.
+		era           int64            // Era of the store whose rows budget and grant are.
+		restored      *accountRows     // Rows in a later era, with which budget and grant are to be reconciled; nil before they were read.
+		grownAt       time.Time        // When the grant last grew after it had not for maturityTime.
+		matureAmount  int64            // Amount of the grant before that.
+		inherited     bool             // Whether an earlier process of this router may have left a grant.
+		spent         int64            // Tokens that were settled by this instance.
+		reserved      int64            // Tokens that are reserved by requests in progress.
+		spendCap      int64            // Limit of spending while a write that shrinks the grant is unanswered; -1 if none.
+		unanswered    *wire.PrepaidEra // Era and number of the earliest unanswered write that shrinks the grant; nil if none.
+		grantDemand   rateMeter        // Demand on this router's grant, by its own callers and other routers.
+		callerDemand  rateMeter        // Demand by this router's own callers only.
 		ranking       *ranking
 		waiters       []*waiter // In the order of arrival.
 		writerRunning bool      // Whether the account's writer goroutine runs.
--- a/internal/prepaid/plan.go
+++ b/internal/prepaid/plan.go
@@ -37,7 +37,7 @@
 		era    int64 // Era of the store in which the write was planned.
 		// capBefore and unansweredBefore are the values of the account before a write that makes the grant smaller.
 		capBefore        int64
-		unansweredBefore *wire.PrepaidBasis
+		unansweredBefore *wire.PrepaidEra
 		resolves         bool // Whether the write settles what became of an unanswered one before the current era.
 	}
 )
@@ -104,20 +104,18 @@
 	if waitingTokens > 0 && required > amount && !l.fitsFirstWaiter(a, amount) {
 		return l.refuseOrReread(a)
 	}
-	next.budget.Granted += int(amount) - a.grant.Amount
 	next.grant.Amount = int(amount)
 	next.grant.Opened = int(min(opened, amount))
-	return l.planGrantAndBudgetWrite(a, next)
+	return l.planGrantAndBudgetWrite(a, next, 0, next.grant.Amount-a.grant.Amount)
 }
 
 // lowerSpendCap limits spending until a write that shrinks the grant is answered. Any one of several unanswered writes
 // may have taken effect, so the smallest limit applies.
 func (l *Ledger) lowerSpendCap(a *account, limit int64) {
 	if a.unanswered == nil {
-		written := a.budget
-		l.countWrite(&written)
-		position := written.position()
-		a.unanswered = &position
+		changes := a.budget.changesIn(int(l.storeStatus.era))
+		changes.Sequence++
+		a.unanswered = &changes
 	}
 	if a.spendCap < 0 || limit < a.spendCap {
 		a.spendCap = limit
@@ -210,11 +208,11 @@
 	next := plannedRows{budget: a.budget, grant: grantState{version: a.grant.version}}
 	next.grant.Holder = l.Instance
 	next.budget.applyTotal(a.totalVersion, a.total)
+	closed, granted := 0, 0
 	if a.grant.version != 0 && !l.isRestored(a.grant) {
-		next.budget.Granted -= a.grant.Amount
-		next.budget.Closed += l.chargedTokens(a.grant)
+		closed, granted = l.chargedTokens(a.grant), -a.grant.Amount
 	}
-	return l.planGrantAndBudgetWrite(a, next)
+	return l.planGrantAndBudgetWrite(a, next, closed, granted)
 }
 
 // chargedTokens returns the number of tokens that count as spent of a grant whose holder, an earlier process of this
@@ -223,12 +221,19 @@
 	return int(Spendable(int64(g.Opened), int64(g.Amount), l.storeStatus.maxSilence(g)))
 }
 
-// countWrite sets the fields of a budget row that order its writes.
-func (l *Ledger) countWrite(budget *budgetState) {
-	if int64(budget.Era) != l.storeStatus.era {
-		budget.Era, budget.Sequence = int(l.storeStatus.era), 0
+// countWrite counts a write of a budget row that changes the tokens of ended grants and the sum of open ones.
+func (l *Ledger) countWrite(budget *budgetState, closed, granted int) {
+	budget.Era = int(l.storeStatus.era)
+	if closed == 0 && granted == 0 {
+		return
 	}
-	budget.Sequence++
+	budget.Closed += closed
+	budget.Granted += granted
+	changes := budget.changesIn(budget.Era)
+	changes.Sequence++
+	changes.Closed += closed
+	changes.Granted += granted
+	budget.setChanges(changes)
 }
 
 // planGrantWrite returns a write of this router's grant row only.
@@ -241,10 +246,11 @@
 	}, next, true
 }
 
-// planGrantAndBudgetWrite returns a write of this router's grant row and the account's budget row.
-func (l *Ledger) planGrantAndBudgetWrite(a *account, next plannedRows) (store.Write, plannedRows, bool) {
+// planGrantAndBudgetWrite returns a write of this router's grant row and the account's budget row, in which the tokens of
+// ended grants and the sum of open ones change.
+func (l *Ledger) planGrantAndBudgetWrite(a *account, next plannedRows, closed, granted int) (store.Write, plannedRows, bool) {
 	grantRow, budgetRow := grantKey(a.name, l.Node), budgetKey(a.name)
-	l.countWrite(&next.budget)
+	l.countWrite(&next.budget, closed, granted)
 	next.grant.Clock, next.grant.Era = int(l.storeStatus.storeClock.Milliseconds()), int(l.storeStatus.era)
 	return store.Write{
 		Expect: []store.Condition{{Key: grantRow, Version: a.grant.version}, {Key: budgetRow, Version: a.budget.version}},
--- a/internal/prepaid/prepaid_test.go
+++ b/internal/prepaid/prepaid_test.go
@@ -172,7 +172,11 @@
 	if c.router.storeUnreachable.Load() {
 		return store.Result{}, store.ErrUnavailable
 	}
-	return c.countRead(c.Store.Feed(ctx, table, after, wait))
+	result, err := c.Store.Feed(ctx, table, after, wait)
+	if c.router.storeUnreachable.Load() {
+		return store.Result{}, store.ErrUnknown // The answer does not arrive either.
+	}
+	return c.countRead(result, err)
 }
 
 func (p peers) Reserve(ctx context.Context, address, name, account string, tokens int64) (bool, error) {
--- a/internal/prepaid/restore.go
+++ b/internal/prepaid/restore.go
@@ -24,9 +24,9 @@
 	// the store does not answer. By then other routers have read the budget row, so that they know of the grant if the store
 	// comes back without it.
 	maturityTime = 2 * time.Second
-	// maxBases is the number of earlier eras that a budget row keeps apart, for routers that reach the store only after it
+	// maxEras is the number of eras whose changes a budget row keeps apart, for routers that reach the store only after it
 	// has come back several times.
-	maxBases = 4
+	maxEras = 16
 	// reconcileSpacing times the number of routers is the time over which the routers of a large fleet spread the
 	// reconciliation of accounts whose grants they do not hold.
 	reconcileSpacing = 20 * time.Millisecond
@@ -85,7 +85,7 @@
 	}
 	next := plannedRows{grant: a.restored.grant}
 	var changed bool
-	next.budget, changed = l.reconcile(a, a.restored.budget.clone())
+	next.budget, changed = l.reconcile(a, a.restored.budget)
 	w := store.Write{Expect: []store.Condition{
 		{Key: grantKey(a.name, l.Node), Version: a.restored.grant.version},
 		{Key: budgetKey(a.name), Version: a.restored.budget.version},
@@ -112,80 +112,98 @@
 }
 
 // reconcile returns the budget row of a new era with what this router knows of the time before, and whether it differs
-// from the one in the store. The first router that writes the row counts on from the latest content that it knows; others
-// that know a later one add the difference.
+// from the one in the store.
 func (l *Ledger) reconcile(a *account, restored budgetState) (budgetState, bool) {
-	next := restored
-	if l.isReconciled(a, restored) {
-		if !a.loaded || !next.include(&a.budget) {
-			return next, false
+	next, reconciled := restored, l.isReconciled(a, restored)
+	changed, uncounted := false, 0
+	if a.loaded {
+		changed = !next.includeDropped(&a.budget)
+		if changed && a.grant.Holder == l.Instance {
+			uncounted = a.grant.Amount // The row may lack this router's grant.
 		}
-		l.countWrite(&next)
-		return next, true
+		changed = next.merge(&a.budget) || changed
 	}
-	if a.loaded && a.budget.isAfter(restored.position()) {
-		next.PrepaidSum = a.budget.PrepaidSum
+	if reconciled && !changed {
+		return next, false
 	}
-	next.Bases = appendBasis(next.Bases, next.position())
-	if a.loaded {
-		next.include(&a.budget) // A content of an era before that of the row, if it is later than what the row includes.
+	if !reconciled {
+		next.Since = int((l.storeStatus.storeClock + l.settleTime()).Milliseconds())
 	}
-	next.Since = int((l.storeStatus.storeClock + l.settleTime()).Milliseconds())
-	l.countWrite(&next)
+	l.countWrite(&next, 0, uncounted)
 	return next, true
 }
 
-// include adds to a row what a content of an earlier era has beyond it, and reports whether there is any.
-func (s *budgetState) include(known *budgetState) bool {
-	position := known.position()
-	if i := s.basisOf(known.Era); i >= 0 {
-		if !known.isAfter(s.Bases[i]) {
-			return false
-		}
-		s.add(s.Bases[i], position)
-		s.Bases[i] = position
-		return true
+// merge adds the changes of each era that a known content of the row includes beyond this one, and reports whether there are
+// any. The writes of an era form one sequence, so of two contents the one with more of them includes the other's changes. The
+// changes of an era are thus counted once, whichever routers tell of them, in any order.
+func (s *budgetState) merge(known *budgetState) (changed bool) {
+	if known.Version > s.Version {
+		s.Version, s.Total, changed = known.Version, known.Total, true
 	}
-	// The row counts on from a content before that era. Both include a content of some era before, if only that of a row
-	// that did not exist, which has era zero.
-	common := append([]wire.PrepaidBasis{{}}, known.Bases...)
-	for _, basis := range slices.Backward(common) {
-		j := s.basisOf(basis.Era)
-		if j < 0 {
+	oldest := max(s.oldestEra(), known.oldestEra())
+	for _, e := range known.Eras {
+		own := s.changesIn(e.Era)
+		if e.Era < oldest || e.Sequence <= own.Sequence {
 			continue
 		}
-		s.add(basis, position)
-		if basis.Sequence > s.Bases[j].Sequence {
-			s.add(s.Bases[j], basis)
-			s.Bases[j] = basis
-		}
-		s.Bases = appendBasis(s.Bases, position)
-		return true
+		s.Closed += e.Closed - own.Closed
+		s.Granted += e.Granted - own.Granted
+		s.setChanges(e)
+		changed = true
 	}
-	if known.Closed+known.Granted <= s.Closed+s.Granted {
-		return false
+	return changed
+}
+
+// includeDropped makes the row include at least as much of the eras that it or a known content no longer keeps apart as that
+// content. It reports whether both included the same.
+func (s *budgetState) includeDropped(known *budgetState) bool {
+	oldest := max(s.oldestEra(), known.oldestEra())
+	closed, granted := s.before(oldest)
+	knownClosed, knownGranted := known.before(oldest)
+	if knownClosed+knownGranted > closed+granted {
+		s.Closed += knownClosed - closed
+		s.Granted += knownGranted - granted
+	}
+	return closed == knownClosed && granted == knownGranted
+}
+
+// oldestEra returns the oldest era whose changes are known: that of the oldest entry if earlier ones may have been dropped,
+// otherwise the first.
+func (s *budgetState) oldestEra() int {
+	if len(s.Eras) < maxEras {
+		return 0
 	}
-	s.Closed, s.Granted = known.Closed, known.Granted // The eras between are no longer known.
-	s.Bases = appendBasis(s.Bases, position)
-	return true
+	return s.Eras[0].Era
 }
 
-// add adds the difference of two contents to the row.
-func (s *budgetState) add(before, after wire.PrepaidBasis) {
-	s.Closed += after.Closed - before.Closed
-	s.Granted += after.Granted - before.Granted
+// before returns the part of the row that was written before an era.
+func (s *budgetState) before(era int) (closed, granted int) {
+	closed, granted = s.Closed, s.Granted
+	for _, e := range s.Eras {
+		if e.Era >= era {
+			closed -= e.Closed
+			granted -= e.Granted
+		}
+	}
+	return closed, granted
 }
 
-// basisOf returns the index of the content of an era that the row includes, or -1.
-func (s *budgetState) basisOf(era int) int {
-	return slices.IndexFunc(s.Bases, func(b wire.PrepaidBasis) bool { return b.Era == era })
+// changesIn returns the changes of an era, which are zero if the row was not written in it.
+func (s *budgetState) changesIn(era int) wire.PrepaidEra {
+	for _, e := range s.Eras {
+		if e.Era == era {
+			return e
+		}
+	}
+	return wire.PrepaidEra{Era: era}
 }
 
-// appendBasis returns the latest maxBases contents. It leaves the slice as it is.
-func appendBasis(bases []wire.PrepaidBasis, basis wire.PrepaidBasis) []wire.PrepaidBasis {
-	bases = append(slices.Clone(bases), basis)
-	slices.SortFunc(bases, func(x, y wire.PrepaidBasis) int { return cmp.Compare(x.Era, y.Era) })
-	return bases[max(0, len(bases)-maxBases):]
+// setChanges replaces the changes of an era and keeps those of the latest maxEras eras apart.
+func (s *budgetState) setChanges(changes wire.PrepaidEra) {
+	eras := slices.DeleteFunc(slices.Clone(s.Eras), func(e wire.PrepaidEra) bool { return e.Era == changes.Era })
+	eras = append(eras, changes)
+	slices.SortFunc(eras, func(x, y wire.PrepaidEra) int { return cmp.Compare(x.Era, y.Era) })
+	s.Eras = eras[max(0, len(eras)-maxEras):]
 }
 
 // isReconciled reports whether a budget row holds what was known of the time before the current era. One of an earlier
@@ -202,22 +220,6 @@
 	return false
 }
 
-// clone returns a copy whose bases can be changed.
-func (s budgetState) clone() budgetState {
-	s.Bases = slices.Clone(s.Bases)
-	return s
-}
-
-// position returns the position of a budget row's content in the order of its writes.
-func (s *budgetState) position() wire.PrepaidBasis {
-	return wire.PrepaidBasis{Era: s.Era, Sequence: s.Sequence, Closed: s.Closed, Granted: s.Granted}
-}
-
-// isAfter reports whether the content of the row was written later than that of a position.
-func (s *budgetState) isAfter(p wire.PrepaidBasis) bool {
-	return s.Era > p.Era || s.Era == p.Era && s.Sequence > p.Sequence
-}
-
 // settleTime returns how long no tokens are granted after a budget row was reconciled: not at all if that comes so late
 // that the other routers have had the time.
 func (l *Ledger) settleTime() time.Duration {
@@ -247,11 +249,10 @@
 }
 
 // planResolve decides about a write before the new era that would have made the grant smaller and was not answered. If the
-// budget row counts on from a content that may include it, the tokens are another's and the grant is written as smaller.
+// budget row has changes of that era that may include it, the tokens are another's and the grant is written as smaller.
 // Otherwise they are still counted as this router's.
 func (l *Ledger) planResolve(a *account) (store.Write, plannedRows, bool) {
-	i := a.budget.basisOf(a.unanswered.Era)
-	included := i >= 0 && a.budget.Bases[i].Sequence >= a.unanswered.Sequence
+	included := a.budget.changesIn(a.unanswered.Era).Sequence >= a.unanswered.Sequence || a.unanswered.Era < a.budget.oldestEra()
 	smaller := max(a.spendCap, a.used())
 	if !included || a.grant.Holder != l.Instance || smaller >= int64(a.grant.Amount) {
 		a.spendCap, a.unanswered = -1, nil
--- a/internal/prepaid/restore_test.go
+++ b/internal/prepaid/restore_test.go
@@ -3,20 +3,25 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"citronslip/internal/dispatch"
 	"citronslip/internal/store"
+	"citronslip/internal/wire"
 	"citronslip/pkg/inventory"
 )
 
 const (
 	// restoreDowntime is how long the store is away before it comes back from a copy.
 	restoreDowntime = 2 * time.Second
+	// quietTime is the time without faults in which all routers have written what a copy lacks.
+	quietTime = 8 * time.Second
 )
 
 type (
@@ -89,6 +94,17 @@
 	}
 }
 
+// Guards against a budget that is exceeded when the store comes back from older copies many times, also right after each
+// other, while all routers run and reach it.
+func TestNeverOverspentByRunningRoutersAfterRestores(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		seed := rapid.Uint64().Draw(r, "seed")
+		faults := restoreFaults{restores: rapid.IntRange(1, 20).Draw(r, "restores")}
+		routers := rapid.SampledFrom([]int{3, 6, 12}).Draw(r, "routers") // Only the largest fleet has borrowers.
+		synctest.Test(t, func(t *testing.T) { f := newFleet(routers, total); f.playRestores(t, seed, faults) })
+	})
+}
+
 // playRestores plays random faults on a new fleet and checks that the budget is not exceeded.
 func (f *fleet) playRestores(t *testing.T, seed uint64, faults restoreFaults) {
 	t.Helper()
@@ -125,4 +141,66 @@
 		}
 	}
 	t.Logf("%d of %d spent", spent, total)
+	f.connect(f.routers...)
+	if sum := f.checkGrantsAreCounted(t); sum.Closed+sum.Granted < int(spent) {
+		t.Fatalf("%d tokens spent, the budget row counts %d", spent, sum.Closed+sum.Granted)
+	}
+}
+
+// connect lets only the given routers reach the store.
+func (f *fleet) connect(routers ...*router) {
+	for _, r := range f.routers {
+		r.storeUnreachable.Store(!slices.Contains(routers, r))
+	}
+}
+
+// checkGrantsAreCounted waits until the routers have written what a copy lacks and checks that the budget row, which it
+// returns, counts the grants of all routers.
+func (f *fleet) checkGrantsAreCounted(t *testing.T) wire.PrepaidSum {
+	t.Helper()
+	time.Sleep(quietTime)
+	sum, granted := f.budgetRow(t), 0
+	for _, r := range f.routers {
+		if grant := f.grantRow(t, r.name); grant.Holder == r.instance() {
+			granted += grant.Amount
+		}
+	}
+	if granted > sum.Granted {
+		t.Fatalf("the routers hold %d tokens, the budget row counts %d", granted, sum.Granted)
+	}
+	return sum
+}
+
+// Guards against returned tokens that are subtracted twice from a budget row, because a router tells of them as a change of
+// one era and another as a change of the next.
+func TestReturnedTokensAreCountedOnce(t *testing.T) {
+	withFleet(t, 3, total, func(t *testing.T, is *is.I, f *fleet) {
+		for _, r := range f.routers {
+			r.spend(t, total, 20, 100*time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		holder, uninformed, late := f.routers[0], f.routers[1], f.routers[2]
+		beforeReturn := f.store.Copy()
+		amountBefore := f.grantRow(t, holder.name).Amount
+		f.connect(holder, late)
+		is.True(!holder.ledger.Load().ReserveForPeer(t.Context(), "other/1", account, int64(total))) // Returns unused tokens.
+		time.Sleep(100 * time.Millisecond)
+		is.True(f.grantRow(t, holder.name).Amount < amountBefore)
+		time.Sleep(2 * time.Second) // The other connected router reads the budget row.
+
+		f.connect(uninformed)
+		f.restore(beforeReturn)
+		time.Sleep(time.Second)
+		afterFirst := f.store.Copy()
+		f.connect(holder)
+		time.Sleep(time.Second)
+
+		f.connect(uninformed)
+		f.restore(afterFirst)
+		time.Sleep(time.Second)
+		f.connect(uninformed, late)
+		time.Sleep(time.Second)
+		f.connect(f.routers...)
+		f.checkGrantsAreCounted(t)
+	})
 }
--- a/internal/wire/prepaid.go
+++ b/internal/wire/prepaid.go
@@ -18,19 +18,19 @@
 	Holder string `json:"holder"`
 }
 
-// PrepaidBasis is a content of a budget row in an earlier era, which the later
-// contents of the row include.
-type PrepaidBasis struct {
-	// Tokens charged for grants that had ended.
+// PrepaidEra is what the writes of one era of the store changed in a budget row,
+// without what they took over from earlier eras.
+type PrepaidEra struct {
+	// Change of the tokens charged for grants that have ended.
 	Closed int `json:"closed"`
 
-	// Era in which the content was written.
+	// Era of the store.
 	Era int `json:"era"`
 
-	// Sum of the amounts of all grants that were open, in tokens.
+	// Change of the sum of the amounts of all open grants, in tokens.
 	Granted int `json:"granted"`
 
-	// Number of the write in that era.
+	// Number of writes of the row in the era.
 	Sequence int `json:"sequence"`
 }
 
@@ -69,22 +69,19 @@
 // PrepaidSum is the row with the totals of the prepaid token budget of one client
 // account. Closed plus Granted never exceeds Total.
 type PrepaidSum struct {
-	// Latest content before each of the last times that the store came back from an
-	// older copy, as far as routers knew it, oldest first.
-	Bases []PrepaidBasis `json:"bases"`
-
 	// Tokens charged for grants that have ended.
 	Closed int `json:"closed"`
 
 	// Era of the store in which the row was written; 0 if unknown.
 	Era int `json:"era"`
 
+	// Changes of the latest eras in which the row was written, oldest first. Closed
+	// and Granted include them.
+	Eras []PrepaidEra `json:"eras"`
+
 	// Sum of the amounts of all open grants, in tokens.
 	Granted int `json:"granted"`
 
-	// Number of writes of the row in its era.
-	Sequence int `json:"sequence"`
-
 	// Time of the store's clock in milliseconds from which on tokens are granted
 	// again after the store came back from an older copy; 0 if it did not.
 	Since int `json:"since"`
