Tell other routers at once of a grant that grew

Callers could consume more than their budgets when the store came back from an older copy and a router was killed or cut off from the store at that time: up to 1,000,296 of 1,000,000 tokens in the random series.

Cause: only the store and the router itself knew that its grant had grown, until the others read the budget row up to a second later. When the store forgot the write and the router could not write it again, the others took the tokens a second time (events of one series): 00:22.050 router 2 243 amount=102973 opened=102973 used=94491 00:22.650 store is away 00:24.650 store is restored; router 2 is killed 00:26.852 router 2 242 before=router-2/1 amount=95800 (row of the copy)

They take over the changes of each era when they reconcile, as from rows that they have read, also for accounts that they do not serve.

--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -215,7 +215,8 @@
 		Listener: listener,
 		Plain:    true, // The platform lets only routers connect to this address.
 		Methods: &peer.Methods{
-			Relay: r.answerRelay, Reserve: r.reserveForPeer, Settle: r.settleForPeer, Take: r.limiter.Take, Limit: r.limiter.Report,
+			Relay: r.answerRelay, Reserve: r.reserveForPeer, Settle: r.settleForPeer, Known: r.learnBudget,
+			Take: r.limiter.Take, Limit: r.limiter.Report,
 		},
 		Timeout: peerTimeout,
 		Logger:  r.Logger,
@@ -237,6 +238,18 @@
 	return wire.BudgetAnswer{Done: true}, nil
 }
 
+// learnBudget remembers a budget row that another router has written.
+func (r *Router) learnBudget(_ context.Context, known wire.PrepaidKnown) (wire.BudgetAnswer, error) {
+	r.ledger.LearnBudget(known)
+	return wire.BudgetAnswer{Done: true}, nil
+}
+
+// Tell tells another router of a budget row.
+func (b *peerBudgets) Tell(ctx context.Context, address string, known wire.PrepaidKnown) error {
+	_, err := b.client.TellBudget(ctx, address, known)
+	return err
+}
+
 // Reserve reserves tokens at another router. The error wraps prepaid.ErrPeerTimeout if the router did not answer in
 // time.
 func (b *peerBudgets) Reserve(ctx context.Context, address, reservation, account string, tokens int64) (bool, error) {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -114,6 +114,11 @@
 	return call[wire.BudgetAnswer](ctx, c, address, MethodBudgetCancel, params)
 }
 
+// TellBudget tells a router of a budget row in the store.
+func (c *Client) TellBudget(ctx context.Context, address string, params wire.PrepaidKnown) (wire.BudgetAnswer, error) {
+	return call[wire.BudgetAnswer](ctx, c, address, MethodBudgetKnown, params)
+}
+
 // GetRequestState asks for the state of a request.
 func (c *Client) GetRequestState(ctx context.Context, address string, params wire.RequestQuery) (wire.RequestState, error) {
 	return call[wire.RequestState](ctx, c, address, MethodRequestState, params)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -30,6 +30,8 @@
 	MethodBudgetSettle = "budget.settle"
 	// MethodBudgetCancel releases an unused reservation.
 	MethodBudgetCancel = "budget.cancel"
+	// MethodBudgetKnown tells a router of a budget row in the store.
+	MethodBudgetKnown = "budget.known"
 	// MethodRequestState asks for the state of a request.
 	MethodRequestState = "request.state"
 	// MethodRequestExplain asks what happened to a request.
@@ -91,6 +93,7 @@
 		Reserve Handler[wire.BudgetReserve, wire.BudgetAnswer]        // MethodBudgetReserve.
 		Settle  Handler[wire.BudgetSettle, wire.BudgetAnswer]         // MethodBudgetSettle.
 		Cancel  Handler[wire.BudgetCancel, wire.BudgetAnswer]         // MethodBudgetCancel.
+		Known   Handler[wire.PrepaidKnown, wire.BudgetAnswer]         // MethodBudgetKnown.
 		State   Handler[wire.RequestQuery, wire.RequestState]         // MethodRequestState.
 		Explain Handler[wire.RequestQuery, wire.RequestExplanation]   // MethodRequestExplain.
 		Report  Handler[wire.QuarantineReport, wire.QuarantineAnswer] // MethodQuarantineReport.
@@ -156,6 +159,8 @@
 		return invoke(ctx, m.Settle, params)
 	case MethodBudgetCancel:
 		return invoke(ctx, m.Cancel, params)
+	case MethodBudgetKnown:
+		return invoke(ctx, m.Known, params)
 	case MethodRequestState:
 		return invoke(ctx, m.State, params)
 	case MethodRequestExplain:
--- a/internal/prepaid/borrow.go
+++ b/internal/prepaid/borrow.go
@@ -9,6 +9,7 @@
 
 	"citronslip/internal/dispatch"
 	"citronslip/internal/event"
+	"citronslip/internal/wire"
 	"citronslip/pkg/inventory"
 )
 
@@ -38,13 +39,15 @@
 )
 
 type (
-	// PeerClient is a client to reserve tokens in the grants of other routers.
+	// PeerClient is a client to reserve tokens in the grants of other routers and to tell them of budget rows.
 	PeerClient interface {
 		// Reserve returns whether the router at the address reserved the tokens under the name. Its error wraps
 		// ErrPeerTimeout if the router was reached and did not answer.
 		Reserve(ctx context.Context, address, name, account string, tokens int64) (bool, error)
 		// Settle ends the reservation with that name and reports the used tokens.
 		Settle(ctx context.Context, address, name, account string, used int64) error
+		// Tell tells the router at the address of a budget row.
+		Tell(ctx context.Context, address string, known wire.PrepaidKnown) error
 	}
 
 	// borrowedReservation is a reservation at another router.
--- a/internal/prepaid/heartbeat.go
+++ b/internal/prepaid/heartbeat.go
@@ -259,7 +259,7 @@
 // startWriterIfGranted starts the writer of an account if this router may hold a grant of it. The caller holds the
 // lock.
 func (l *Ledger) startWriterIfGranted(a *account) {
-	if a.loaded || a.inherited {
+	if a.loaded || a.inherited || a.wasTold() && l.recentlyRestored() {
 		l.startWriter(a)
 	}
 }
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -63,6 +63,7 @@
 		total         inventory.Tokens
 		totalVersion  int64 // Configuration version of the total.
 		budget        budgetState
+		told          budgetState      // Changes in budget rows of which other routers have told; its sums do not count.
 		grant         grantState       // Row of this router's grant.
 		loaded        bool             // Whether the budget row and the grant row were read.
 		era           int64            // Era of the store whose rows budget and grant are.
--- a/internal/prepaid/prepaid_test.go
+++ b/internal/prepaid/prepaid_test.go
@@ -201,6 +201,19 @@
 	return nil
 }
 
+func (p peers) Tell(_ context.Context, address string, known wire.PrepaidKnown) error {
+	time.Sleep(p.fleet.roundTrip)
+	if p.fleet.peersUnreachable.Load() {
+		return context.DeadlineExceeded
+	}
+	for _, r := range p.fleet.routers {
+		if l := r.ledger.Load(); r.name == address && l != nil {
+			l.LearnBudget(known)
+		}
+	}
+	return nil
+}
+
 // start runs the next process of the router.
 func (r *router) start(ctx context.Context) {
 	logger := zerolog.New(&r.fleet.logs).Hook(zerolog.HookFunc(func(e *zerolog.Event, _ zerolog.Level, _ string) {
--- a/internal/prepaid/restore.go
+++ b/internal/prepaid/restore.go
@@ -68,7 +68,7 @@
 	for _, a := range l.accounts {
 		a.restored = nil
 		switch {
-		case !a.loaded:
+		case !a.loaded && !a.wasTold():
 		case l.isHolder(a) || a.grant.Holder == l.Instance && a.used() < int64(a.grant.Amount):
 			l.startWriter(a)
 		default:
@@ -96,7 +96,7 @@
 	}
 	if changed {
 		event.PrepaidReconciled.Log(l.Logger).Str("account", a.name).Any("copy", a.restored.budget.PrepaidSum).Any("known", a.budget.PrepaidSum).
-			Any("next", next.budget.PrepaidSum).Send()
+			Any("told", a.told.Eras).Any("next", next.budget.PrepaidSum).Send()
 		next.budget.applyTotal(a.totalVersion, a.total)
 		w.Puts = append(w.Puts, store.Put{Key: budgetKey(a.name), Value: encode(next.budget.PrepaidSum)})
 	}
@@ -123,6 +123,7 @@
 		}
 		changed = next.merge(&a.budget) || changed
 	}
+	changed = next.merge(&a.told) || changed
 	if reconciled && !changed {
 		return next, false
 	}
--- a/internal/prepaid/restore_test.go
+++ b/internal/prepaid/restore_test.go
@@ -82,6 +82,33 @@
 	}
 }
 
+// Guards against tokens that are granted twice, because the store forgot the growth of a grant whose holder is killed before
+// it can tell, and which no other router had read.
+func TestGrowthOfKilledRouterIsCounted(t *testing.T) {
+	withFleet(t, 3, total, func(t *testing.T, is *is.I, f *fleet) {
+		spent := 0
+		for _, r := range f.routers {
+			spent += r.spend(t, total, 5, 100*time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		saved := f.store.Copy()
+		killed := f.routers[0]
+		amountBefore := f.grantRow(t, killed.name).Amount
+		killedSpent := killed.spend(t, total, 100, time.Millisecond)
+		is.True(killedSpent > amountBefore)
+		spent += killedSpent
+		f.refusesCalls.Store(true)
+		killed.kill()
+		f.restore(saved)
+		for range 200 {
+			spent += f.routers[1].spend(t, total, 1, 50*time.Millisecond)
+			spent += f.routers[2].spend(t, total, 1, 50*time.Millisecond)
+		}
+		t.Logf("%d of %d spent", spent, total)
+		is.True(spent <= int(total))
+	})
+}
+
 // Guards against a budget that is exceeded when the store comes back from older copies, once or more often, while routers
 // are killed and cut off from it.
 func TestNeverOverspentWhileStoreIsRestored(t *testing.T) {
@@ -105,6 +132,19 @@
 	})
 }
 
+// Guards against the same while routers are also killed and cut off from the store.
+func TestNeverOverspentByKilledRoutersAfterRestores(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		seed := rapid.Uint64().Draw(r, "seed")
+		faults := restoreFaults{
+			restores: rapid.IntRange(1, 4).Draw(r, "restores"),
+			kills:    rapid.IntRange(0, 3).Draw(r, "kills"),
+			cuts:     rapid.IntRange(0, 4).Draw(r, "cuts"),
+		}
+		synctest.Test(t, func(t *testing.T) { f := newFleet(6, total); f.playRestores(t, seed, faults) })
+	})
+}
+
 // playRestores plays random faults on a new fleet and checks that the budget is not exceeded.
 func (f *fleet) playRestores(t *testing.T, seed uint64, faults restoreFaults) {
 	t.Helper()
--- a/internal/prepaid/write.go
+++ b/internal/prepaid/write.go
@@ -193,6 +193,9 @@
 	if a.used() > int64(a.grant.Amount) {
 		event.PrepaidSpentUnknown.Log(l.Logger).Str("account", a.name).Int64("used", a.used()).Int("amount", a.grant.Amount).Send()
 	}
+	if a.grant.Amount > previous.Amount {
+		l.tellPeers(a)
+	}
 	event.PrepaidGrantWritten.Log(l.Logger).Str("account", a.name).Int("amount", a.grant.Amount).Int("opened", a.grant.Opened).
 		Int64("used", a.used()).Int64("free", a.budget.available()).Int64("version", version).Send()
 	l.admitWaiters(a)
--- a/internal/wire/prepaid.go
+++ b/internal/wire/prepaid.go
@@ -57,6 +57,15 @@
 
 type PrepaidJson map[string]interface{}
 
+// PrepaidKnown tells another router of a budget row that the sender has written.
+type PrepaidKnown struct {
+	// Client account of the budget.
+	Account string `json:"account"`
+
+	// Content of the row.
+	Sum PrepaidSum `json:"sum"`
+}
+
 // PrepaidRouter is one running router in a PrepaidView.
 type PrepaidRouter struct {
 	// Address at which other routers reach it.
