Read rows after an outage before they are written

Callers could consume more than their budgets when the store came back from an older copy, without any killed router: 1,000,756 of 1,000,000 tokens.

Cause: a router that had not noticed the new era planned a write from its rows of the old one. Its conditions held by chance, as the copy had the same versions. The write had the number of a write of another router that the store had forgotten; the others took it for known and did not count it (from the log: router 4 grows by 56446 as write 15 of era 1, the store forgets it, and the copy then has another write 15): copy=1.15 g946605 known=1.14 g899469 next=2.1 g946605

After a failed call, or 0.7 s without an answer, a router now reads the rows before it writes them. The answer tells the era.

--- a/internal/prepaid/heartbeat.go
+++ b/internal/prepaid/heartbeat.go
@@ -39,6 +39,7 @@
 		predecessor      wire.PrepaidAlive // Heartbeat row of the previous process of this router.
 		predecessorRead  bool              // Whether that row was read.
 		era              int64             // Era of the latest answer.
+		failedAt         time.Time         // When a call last failed; zero once a later call was answered.
 		restoredAt       time.Time         // When this process noticed that the store had come back from an older copy; zero if it has not.
 	}
 )
@@ -51,9 +52,18 @@
 		s.startClock = clock - sent.Sub(started)
 	}
 	s.answeredAt = now
+	if !sent.Before(s.failedAt) {
+		s.failedAt = time.Time{}
+	}
 	s.storeClock = max(s.storeClock, clock)
 }
 
+// mayBeRestored reports whether the store may have come back from an older copy since its last answer: a call has failed
+// since, or a heartbeat should have been answered.
+func (s *storeStatus) mayBeRestored(now time.Time) bool {
+	return !s.failedAt.IsZero() || s.age(now) > heartbeatInterval+maxRejectionLatency
+}
+
 // age returns the time since the last answer of the store. Before the first answer it is AutonomyDelay.
 func (s *storeStatus) age(now time.Time) time.Duration {
 	if s.answeredAt.IsZero() {
@@ -171,6 +181,7 @@
 	}
 	wasUnreachable := l.storeStatus.age(l.Now()) > storeUnreachableAge
 	if err != nil {
+		l.storeStatus.failedAt = l.Now()
 		l.logAutonomyChange(false)
 		return
 	}
@@ -326,7 +337,7 @@
 			l.mu.Unlock()
 			return nil
 		}
-		if a.era != l.storeStatus.era {
+		if a.era != l.storeStatus.era || l.storeStatus.mayBeRestored(l.Now()) {
 			if err := l.reconcileNow(ctx, a); err != nil {
 				return err
 			}
--- a/internal/prepaid/restore.go
+++ b/internal/prepaid/restore.go
@@ -300,6 +300,9 @@
 func (l *Ledger) reconcileNow(ctx context.Context, a *account) error {
 	capBefore, unansweredBefore := a.spendCap, a.unanswered
 	w, next, ok := l.planReconcile(a)
+	if ok && len(w.Puts) > 0 && l.storeStatus.mayBeRestored(l.Now()) {
+		w, next, _ = l.planReread(a)
+	}
 	next.era, next.capBefore, next.unansweredBefore = l.storeStatus.era, capBefore, unansweredBefore
 	l.mu.Unlock()
 	if !ok {
--- a/internal/prepaid/restore_test.go
+++ b/internal/prepaid/restore_test.go
@@ -109,6 +109,33 @@
 	})
 }
 
+// Guards against a write that was planned before a restore and is carried out after it, as its conditions hold by chance: it
+// has the number of a write that the store has forgotten, which is then not counted.
+func TestNoWriteIsPlannedBeforeAndDoneAfterRestore(t *testing.T) {
+	withFleet(t, 2, total, func(t *testing.T, is *is.I, f *fleet) {
+		grower, unaware := f.routers[0], f.routers[1]
+		reserve := func(r *router, tokens int) dispatch.Reservation {
+			reservation, _ := r.ledger.Load().Reserve(t.Context(),
+				dispatch.ReservationRequest{Account: account, Total: total, Tokens: inventory.Tokens(tokens)})
+			return reservation
+		}
+		f.peersUnreachable.Store(true)
+		grower.spend(t, total, 10, 100*time.Millisecond)
+		unaware.spend(t, total, 10, 100*time.Millisecond)
+		time.Sleep(2200 * time.Millisecond) // No heartbeat is due when the store comes back.
+		saved := f.store.Copy()
+		f.connect(grower)
+		is.True(reserve(grower, f.grantRow(t, grower.name).Amount) != nil)
+		f.refusesCalls.Store(true)
+		time.Sleep(900 * time.Millisecond)
+		f.connect(f.routers...)
+		f.store.Restore(saved)
+		f.refusesCalls.Store(false)
+		_ = reserve(unaware, f.grantRow(t, unaware.name).Amount-45_000) // 5000 more than is left of its grant.
+		f.checkGrantsAreCounted(t)
+	})
+}
+
 // Guards against a budget that is exceeded when the store comes back from older copies, once or more often, while routers
 // are killed and cut off from it.
 func TestNeverOverspentWhileStoreIsRestored(t *testing.T) {
--- a/internal/prepaid/write.go
+++ b/internal/prepaid/write.go
@@ -71,6 +71,11 @@
 		l.mu.Lock()
 		capBefore, unansweredBefore := a.spendCap, a.unanswered
 		w, next, ok := l.planWrite(a)
+		if ok && len(w.Puts) > 0 && l.storeStatus.mayBeRestored(l.Now()) {
+			// In a new era the conditions of the write might hold by chance.
+			a.spendCap, a.unanswered = capBefore, unansweredBefore
+			w, next, _ = l.planReread(a)
+		}
 		next.era, next.capBefore, next.unansweredBefore = l.storeStatus.era, capBefore, unansweredBefore
 		if !ok {
 			a.writerRunning = false
@@ -159,6 +164,7 @@
 		if errors.Is(err, store.ErrUnavailable) {
 			a.spendCap, a.unanswered = next.capBefore, next.unansweredBefore // Nothing was written.
 		}
+		l.storeStatus.failedAt = l.Now()
 		l.backoff.recordFailure(l.Now())
 		a.idleRetryAt = l.Now().Add(time.Duration(rand.Int64N(int64(maxIdleRetryDelay))))
 		event.PrepaidWriteFailed.Log(l.Logger).Str("account", a.name).Err(err).Send()
