Remove a data race from a test of rate limits

TestPatientRequestsUseTheWholeLimit sets the longest wait of the requests while routers already send some. With -race and GOMAXPROCS=2 the test failed 5 of 5 times:

WARNING: DATA RACE Write ... limiter_test.go:228, Previous read ... fleet_test.go:311

The wait is now an atomic value; no check changes. With -race and GOMAXPROCS=2 the tests of the package passed twice.

--- a/internal/ratelimit/fleet_test.go
+++ b/internal/ratelimit/fleet_test.go
@@ -58,7 +58,7 @@
 		stop    context.CancelFunc
 		running sync.WaitGroup
 		logger  zerolog.Logger
-		maxWait time.Duration // Of all requests.
+		maxWait atomic.Int64 // Of all requests, in nanoseconds.
 	}
 
 	// server is a backend server that may name a limit.
@@ -308,7 +308,7 @@
 // send sends one request if there is a permit for it.
 func (r *router) send(l *ratelimit.Limiter) {
 	r.pause()
-	permit, err := l.Acquire(r.fleet.ctx, process, r.fleet.maxWait)
+	permit, err := l.Acquire(r.fleet.ctx, process, time.Duration(r.fleet.maxWait.Load()))
 	if err != nil {
 		r.refused.Add(1)
 		return
--- a/internal/ratelimit/limiter_test.go
+++ b/internal/ratelimit/limiter_test.go
@@ -225,7 +225,7 @@
 // Guards against callers that are refused although they could have waited for their turn.
 func TestPatientRequestsUseTheWholeLimit(t *testing.T) {
 	withFleet(t, 300, 0.04, func(is *is.I, f *fleet) {
-		f.maxWait = time.Second
+		f.maxWait.Store(int64(time.Second))
 		f.setLimit(10)
 		time.Sleep(60 * time.Second)
 		is.True(f.checkLimit(10) > 9)
