Let the callers of the budget test wait for their refusals

TestBudgetIsNeverExceeded was listed because it once saw no more than 20 refusals for an exhausted budget within 30 s. The test is wrong: its callers give up after 3 s, but a router may take 1 s to fetch tokens and then 3.15 s to wait for reservations in progress before it refuses. Once the budget is used up and some router reports such reservations, every caller leaves before its refusal.

Whose reservations were in progress was not traced.

Now the callers of this test wait 6 s, and only refusals after the partition count, which is stricter.

--- a/internal/fleet/budget_test.go
+++ b/internal/fleet/budget_test.go
@@ -23,6 +23,9 @@
 	// maxOutputTokens is the output limit of a request. With the prompt, the upper bound reserved for an attempt is
 	// about three times the tokens that it uses.
 	maxOutputTokens = 64
+	// refusalTimeout is longer than a router waits for tokens before it refuses a request: 1 s for its grant and 3.15 s for
+	// reservations to be settled.
+	refusalTimeout = 6 * time.Second
 )
 
 // Guards against overspending a tight prepaid budget that two groups of routers use, which do not know each other at
@@ -33,6 +36,7 @@
 	t.Parallel()
 	is := is.New(t)
 	f := startFleet(t, harness.NewInventory(testKey, 2, tightTokens), nil)
+	f.callTimeout = refusalTimeout
 	f.startRouters(2)
 	f.startRouters(2)
 	load := f.startLoad(24)
@@ -66,9 +70,10 @@
 	killed.restart()
 	f.waitReady(killed)
 	load.waitForMore(t, 50)
+	refused := load.budgetExhausted.Load()
 	partitioned.platformProxy.heal()
 	eventually(t, "requests are refused because the budget is exhausted", func() bool {
-		return load.budgetExhausted.Load() > 20
+		return load.budgetExhausted.Load()-refused > 20
 	})
 	suspended.resume()
 	load.waitForMore(t, 50)
--- a/internal/fleet/harness_test.go
+++ b/internal/fleet/harness_test.go
@@ -35,7 +35,7 @@
 	testBudget         = "prepaid" // Prepaid budget of testAccount.
 	maxWait            = 30 * time.Second
 	retryBackoff       = 5 * time.Millisecond
-	callTimeout        = 3 * time.Second // Longest wait of a caller for a response.
+	callTimeout        = 3 * time.Second // Longest wait of a caller for a response, unless a test sets another.
 	scanPageSize       = 1000
 	keptLogLines       = 20 // Log lines kept for failure messages when older ones are dropped.
 	operatorCredential = "operator-credential"
@@ -57,6 +57,7 @@
 		rng                 *rand.Rand
 		mu                  sync.Mutex // Guards rng.
 		client              *http.Client
+		callTimeout         time.Duration // Longest wait of a caller for a response.
 	}
 
 	// routerProcess is a router that runs as a process of its own. It keeps its addresses when it is restarted.
@@ -112,6 +113,8 @@
 		backends:  &standin.Fleet{Inventory: inv},
 		rng:       rand.New(rand.NewPCG(seed, 0)),
 		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}},
+
+		callTimeout: callTimeout,
 	}
 	f.platform.Table.Inject = f.injectFault
 	if err := f.backends.Start(); err != nil {
@@ -226,9 +229,9 @@
 	return err == nil && response.status == http.StatusOK
 }
 
-// send sends a request to one router, within callTimeout.
+// send sends a request to one router, within the callTimeout of the fleet.
 func (f *fleet) send(ctx context.Context, p *routerProcess, req apiRequest) (apiResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, f.callTimeout)
 	defer cancel()
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
