--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -131,15 +131,16 @@
 	}
 	ledgerCtx, cancelLedger := context.WithTimeout(ctx, finalWriteTimeout)
 	defer cancelLedger()
-	defer r.handOverStreams(ledgerCtx)()
+	handedOver := r.handOverStreams(ledgerCtx)
+	defer func() { <-handedOver }()
 	if err := r.ledger.Close(ledgerCtx); err != nil {
 		event.GrantsLeftOpen.Log(r.Logger).Err(err).Send()
 	}
 	return nil
 }
 
-// handOverStreams begins to hand the records of streams to other routers. The returned function waits until that is done.
-func (r *Router) handOverStreams(ctx context.Context) (wait func()) {
+// handOverStreams begins to hand the records of streams to other routers. The returned channel is closed when that is done.
+func (r *Router) handOverStreams(ctx context.Context) <-chan struct{} {
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	done := make(chan struct{})
 	go func() {
@@ -147,7 +148,7 @@
 		defer cancel()
 		r.streams.HandOver(ctx)
 	}()
-	return func() { <-done }
+	return done
 }
 
 // applyLimits serves connections that are accepted from now on with the given limits. It starts a server for them
