--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -21,10 +21,6 @@
 const (
 	// minAttemptTimeout is the remaining time below which no further attempt is sent.
 	minAttemptTimeout = 20 * time.Millisecond
-	// OtherHostRetryAfter is the retry delay given to callers that should use another host.
-	OtherHostRetryAfter = 50 * time.Millisecond
-	// defaultRetryAfter is the retry delay in refusals for which no better estimate is known.
-	defaultRetryAfter = 300 * time.Millisecond
 )
 
 var (
@@ -356,59 +352,3 @@
 	}
 	return o
 }
-
-// fail ends a request that got no successful response.
-func (c *call) fail(ctx context.Context, reason Reason) {
-	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
-		if c.responseStarted {
-			c.response.Abort()
-		}
-		c.setResult("caller left", "")
-	case c.responseStarted:
-		c.response.Abort()
-		c.setResult("aborted", reason)
-	case c.errorResponse != nil:
-		c.sendErrorResponse()
-	case c.mayHaveRun && reason.NotExecuted():
-		c.refuse(IncompleteResponse, 0)
-	case !c.mayHaveRun && !reason.NotExecuted():
-		c.refuse(DeadlineTooShort, defaultRetryAfter)
-	default:
-		c.refuse(reason, c.retryAfter)
-	}
-}
-
-// retryAfterOf returns the time until a server accepts requests again if err says that the servers asked for a pause or
-// are at their rate limits, and zero otherwise.
-func retryAfterOf(err error) time.Duration {
-	var busyErr *routing.BusyError
-	var exhaustedErr *ratelimit.ExhaustedError
-	switch {
-	case errors.As(err, &busyErr):
-		return busyErr.After
-	case errors.As(err, &exhaustedErr):
-		return exhaustedErr.After
-	}
-	return 0
-}
-
-// pickFailureReason returns why no server was selected.
-func pickFailureReason(err error) Reason {
-	if isExhausted(err) {
-		return RateLimited
-	}
-	return NoServerAvailable
-}
-
-func (c *call) refuse(reason Reason, retryAfter time.Duration) {
-	switch {
-	case retryAfter > 0:
-	case reason == LinkFull:
-		retryAfter = OtherHostRetryAfter
-	default:
-		retryAfter = defaultRetryAfter
-	}
-	c.response.Refuse(Refusal{Reason: reason, After: retryAfter})
-	c.setResult("refused", reason)
-}
