Refuse a stream that routers cut off together cannot know

Callers whose router was cut off from the store together with others could get events of two software versions: the cut-off routers confirmed to each other that only the old version serves.

Cause: a router whose own knowledge may be out of date accepted the word of any other router, also of one that is cut off like itself.

Now all homes of the stream have to answer in that case, which those of the other side do not. While the store is away from all routers streams are taken up as before (TestStreamsAreTakenUpWhileStoreIsAway). In a large fleet all five homes of a stream may be on the same side by chance, one in 32 if the fleet is halved.

Evidence: TestRoutersThatAreCutOffTogetherDoNotGuess failed before:

not true: errors.Is(err, resume.ErrUnknown)

--- a/internal/resume/find.go
+++ b/internal/resume/find.go
@@ -41,8 +41,13 @@
 		t.count("found_elsewhere")
 		return Origin{Service: r.Service, Software: r.Software}, nil
 	}
-	// What this router knows may be out of date, unless there is nobody who could know more.
 	if len(homes) > 0 && !t.Current() {
+		// Routers that are cut off together know the same. Only if all of the homes answer is it likely that nobody can know
+		// of another version, because the store is away from all.
+		if len(answers) < len(homes) {
+			t.count("unknown")
+			return Origin{}, ErrUnknown
+		}
 		for i := range states {
 			states[i].Sure = false
 		}
--- a/internal/resume/fleet_test.go
+++ b/internal/resume/fleet_test.go
@@ -56,7 +56,7 @@
 		address  string
 		tracker  atomic.Pointer[resume.Tracker]
 		cancel   context.CancelFunc
-		isolated atomic.Bool // Whether it reaches neither the store nor other routers.
+		isolated atomic.Bool // Whether it reaches neither the store nor routers that do, only other isolated ones.
 		dead     atomic.Bool
 	}
 
@@ -181,7 +181,7 @@
 	p.router.fleet.calls.Add(1)
 	time.Sleep(hop)
 	r := p.router.fleet.byName[address]
-	if r.isolated.Load() || p.router.isolated.Load() {
+	if r.isolated.Load() != p.router.isolated.Load() {
 		<-ctx.Done()
 		return nil, errNoAnswer
 	}
--- a/internal/resume/resume_test.go
+++ b/internal/resume/resume_test.go
@@ -175,6 +175,26 @@
 	})
 }
 
+// Guards against routers that are cut off together and confirm each other's outdated knowledge.
+func TestRoutersThatAreCutOffTogetherDoNotGuess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 6, "v1")
+		defer f.close()
+		time.Sleep(2 * streamWindow)
+		for _, r := range f.routers[3:] {
+			r.isolated.Store(true)
+		}
+		f.serve("v1", "v2")
+		f.routers[0].begin("new", "v2")
+		time.Sleep(100 * time.Millisecond)
+		for _, r := range f.routers[3:] {
+			_, err := r.find("new")
+			is.True(errors.Is(err, resume.ErrUnknown))
+		}
+	})
+}
+
 // Guards against losing records when the routers that keep them stop one after the other.
 func TestRecordsOutliveRollingRestart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
