Keep the software version of each service in its row

After the loss of all routers a caller's stream could go on at another software version, if all servers were replaced before a router ran again.

Cause: the row of a service said only that several versions had served, and existed only then. A fleet that started took the version that it found for the only one.

The row now names the version and is written for each service. A router that finds another version at its start refuses streams that it does not know, for the time in which they can have begun before. The time at which several versions served last is kept apart from the time of the write.

--- a/internal/resume/resume.go
+++ b/internal/resume/resume.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// Table is the table with a row for each service in which several software versions serve or have served.
+	// Table is the table with a row for each service, which says which software versions serve.
 	Table = "software"
 	// copies is the number of other routers that keep the record of a stream. With three, most streams can be taken up
 	// after two thirds of the routers were killed at the same moment.
--- a/internal/resume/row.go
+++ b/internal/resume/row.go
@@ -22,6 +22,8 @@
 	rowCheckInterval = 15 * time.Second
 	// readRetryInterval is the time until the next try after a failed reading.
 	readRetryInterval = time.Second
+	// clockTolerance is the difference between two times that are taken as the same, as the store's clock is only estimated.
+	clockTolerance = time.Second
 )
 
 type (
@@ -37,7 +39,8 @@
 	// service is what the row of a service says.
 	service struct {
 		several   bool      // Whether several versions serve.
-		severalAt time.Time // When several versions served last, or a later time.
+		software  string    // One of the versions that served last.
+		severalAt time.Time // When several versions served last, or a later time; zero if that is not known.
 	}
 )
 
@@ -86,50 +89,62 @@
 			event.SoftwareRowInvalid.Log(t.Logger).Str("service", row.Name).Err(err).Send()
 			value.Several = true // The careful reading; the row is written again.
 		}
-		known := service{several: value.Several, severalAt: now}
-		if !value.Several {
+		known := service{several: value.Several, software: value.Software}
+		switch {
+		case value.Several:
+			known.severalAt = now
+		case value.Clock > 0:
 			known.severalAt = now.Add(min(time.Duration(value.Clock)*time.Millisecond-result.Clock, 0))
 		}
 		t.rows.byService[row.Name] = known
 		if !t.rows.read {
-			t.learn(row.Name, known.severalAt)
+			t.learn(row.Name, known, now)
 		}
 	}
 	t.rows.read = true
 }
 
-// learn records when several versions of a service served before this router started. The caller holds the lock.
-func (t *Tracker) learn(service string, at time.Time) {
+// learn records what a row says about the time before this router started. The caller holds the lock.
+func (t *Tracker) learn(name string, known service, now time.Time) {
 	if t.histories == nil {
 		t.histories = make(map[string]*history)
 	}
-	h := t.histories[service]
+	h := t.histories[name]
 	if h == nil {
 		h = &history{}
-		t.histories[service] = h
+		t.histories[name] = h
 	}
-	if at.After(h.severalAt) {
-		h.severalAt = at
+	if known.severalAt.After(h.severalAt) {
+		h.severalAt = known.severalAt
+	}
+	switch {
+	case h.latest == "":
+		h.latest = known.software
+	case known.software != "" && h.latest != known.software:
+		h.severalAt = now // All servers were replaced while no router ran.
 	}
 }
 
-// writeRows writes the rows of the services in which several versions began or ceased to serve.
+// writeRows writes the rows of the services whose versions have changed.
 func (t *Tracker) writeRows(ctx context.Context) {
 	t.mu.Lock()
 	changed := t.changedRows()
-	row := wire.ResumeRow{Clock: int(t.StoreClock().Milliseconds())}
+	now, clock := t.Now(), t.StoreClock()
 	t.mu.Unlock()
-	if len(changed) == 0 || row.Clock == 0 {
+	if len(changed) == 0 || clock == 0 {
 		return
 	}
 	var write store.Write
-	for service, next := range changed {
-		row.Several = next.several
+	for name, next := range changed {
+		row := wire.ResumeRow{Several: next.several, Software: next.software}
+		if !next.severalAt.IsZero() {
+			row.Clock = int(max((clock - now.Sub(next.severalAt)).Milliseconds(), 1))
+		}
 		value, err := json.Marshal(row)
 		if err != nil {
-			panic(err) // A struct of numbers can always be encoded.
+			panic(err) // A struct of texts and numbers can always be encoded.
 		}
-		write.Puts = append(write.Puts, store.Put{Key: store.Key{Table: Table, Name: service}, Value: value})
+		write.Puts = append(write.Puts, store.Put{Key: store.Key{Table: Table, Name: name}, Value: value})
 	}
 	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
 	defer cancel()
@@ -141,19 +156,17 @@
 	}
 }
 
-// changedRows returns what the rows that have to be written are to say. A service without servers gets one too: a fleet that
-// restarts would not know that those that come next are of another version. The caller holds the lock.
+// changedRows returns what the rows that have to be written are to say. The caller holds the lock.
 func (t *Tracker) changedRows() map[string]service {
 	changed := make(map[string]service)
 	if !t.rows.read || t.watchedAt.IsZero() {
 		return changed
 	}
 	for name, h := range t.histories {
-		next := service{several: len(h.present) > 1, severalAt: h.severalAt}
-		if h.emptyAt.After(h.severalAt) {
-			next.severalAt = h.emptyAt
-		}
-		if row := t.rows.byService[name]; next.several != row.several || !next.several && next.severalAt.After(row.severalAt) {
+		next := service{several: len(h.present) > 1, software: h.latest, severalAt: h.severalAt}
+		row := t.rows.byService[name]
+		later := next.severalAt.After(row.severalAt.Add(clockTolerance))
+		if next.several != row.several || next.software != row.software || !next.several && later {
 			changed[name] = next
 		}
 	}
--- a/internal/wire/resume.go
+++ b/internal/wire/resume.go
@@ -58,14 +58,18 @@
 	Records []ResumeRecord `json:"records"`
 }
 
-// ResumeRow is the row of a service in which several software versions serve or
-// have served. Routers that start read it.
+// ResumeRow is the row of a service. It tells routers that start which software
+// versions served before.
 type ResumeRow struct {
-	// Time of the store's clock in milliseconds when the row was written.
+	// Time of the store's clock in milliseconds when several versions served last; 0
+	// if none is known.
 	Clock int `json:"clock"`
 
 	// Whether several versions served when the row was written.
 	Several bool `json:"several"`
+
+	// One of the versions that served last.
+	Software string `json:"software"`
 }
 
 // ResumeState says what a router knows of the software versions that served in a
