Hand over the records of many streams without holding up others

Records beyond 4,096 for one router were dropped without a trace, and a full table of records refused to renew one that it held.

Cause: the addresses were hashed and sorted anew for each record, under the tracker's lock and that of the servers.

Addresses are now hashed once, the five best are selected in one pass, and the lock is taken for each record. Dropped records are counted (resume_dropped), and a known record is renewed.

Evidence: TestManyRecordsDoNotHoldUpStreams (3,000 records, 400 routers) failed before:

not true: time.Since(begin) < 100*time.Millisecond

--- a/internal/resume/copy.go
+++ b/internal/resume/copy.go
@@ -28,29 +28,34 @@
 	}
 )
 
-// copyOwn hands the records of this router's streams of a service to other routers. The caller holds the lock.
+// copyOwn hands the records of this router's streams of a service to other routers.
 func (t *Tracker) copyOwn(service string) {
-	now := t.Now()
-	for key, r := range t.records {
-		if r.own && r.origin.Service == service && now.Before(r.expires) {
-			t.copyRecord(key, r)
-		}
-	}
+	t.copyRecords(t.selectRecords(func(r *record) bool { return r.own && r.origin.Service == service }))
 }
 
 // HandOver hands all records that other routers may need to them, before this router ends. It returns when they are delivered,
 // or when the context ends.
 func (t *Tracker) HandOver(ctx context.Context) {
+	t.copyRecords(t.selectRecords(func(r *record) bool {
+		s := t.state(r.origin.Service, r.expires.Sub(t.Now()))
+		return s.Several || !s.Sure
+	}))
+	for t.isSending() && delay.Sleep(ctx, sendCheckInterval) {
+	}
+}
+
+// selectRecords returns the records that are still needed and that selected accepts, which is called with the lock held.
+func (t *Tracker) selectRecords(selected func(r *record) bool) []*transfer {
 	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Now()
+	var transfers []*transfer
 	for key, r := range t.records {
-		left := r.expires.Sub(t.Now())
-		if s := t.state(r.origin.Service, left); left > 0 && (s.Several || !s.Sure) {
-			t.copyRecord(key, r)
+		if now.Before(r.expires) && selected(r) {
+			transfers = append(transfers, &transfer{key: key, record: r})
 		}
 	}
-	t.mu.Unlock()
-	for t.isSending() && delay.Sleep(ctx, sendCheckInterval) {
-	}
+	return transfers
 }
 
 // isSending reports whether records wait for other routers.
@@ -60,13 +65,22 @@
 	return len(t.outboxes) > 0
 }
 
-// copyRecord hands a record to the first of its homes. The caller holds the lock.
-func (t *Tracker) copyRecord(key uint64, r *record) {
-	homes := t.homes(key)
-	first := homes[:min(len(homes), copies)]
-	tr := &transfer{key: key, record: r, spares: homes[len(first):]}
-	for _, address := range first {
-		t.enqueue(address, tr)
+// copyRecords hands records to the first of their homes. The lock is taken for each of them, so that first events and questions
+// of other routers do not wait for many.
+func (t *Tracker) copyRecords(transfers []*transfer) {
+	if len(transfers) == 0 {
+		return
+	}
+	routers := newRing(t.Members())
+	for _, tr := range transfers {
+		homes := routers.homes(tr.key)
+		first := homes[:min(len(homes), copies)]
+		tr.spares = homes[len(first):]
+		t.mu.Lock()
+		for _, address := range first {
+			t.enqueue(address, tr)
+		}
+		t.mu.Unlock()
 	}
 }
 
@@ -81,9 +95,11 @@
 		t.outboxes[address] = box
 		go t.deliver(address, box)
 	}
-	if len(box.pending) < maxPending {
-		box.pending = append(box.pending, tr)
+	if len(box.pending) >= maxPending {
+		t.count("dropped")
+		return
 	}
+	box.pending = append(box.pending, tr)
 }
 
 // deliver hands the waiting records to a router until there are none. Those that it does not take go to another router.
--- a/internal/resume/find.go
+++ b/internal/resume/find.go
@@ -35,7 +35,7 @@
 	if stream.Request != "" {
 		query.Stream = strconv.FormatUint(key, keyBase)
 	}
-	homes := t.homes(key)
+	homes := newRing(t.Members()).homes(key)
 	answers := t.ask(ctx, homes, query)
 	if r := recordIn(answers); r != nil {
 		t.count("found_elsewhere")
@@ -72,7 +72,7 @@
 	t.mu.Unlock()
 	if query.Relay && err == nil && answer.Record == nil && t.Joined() {
 		query.Relay = false
-		answer.Record = recordIn(t.ask(ctx, t.homes(key), query))
+		answer.Record = recordIn(t.ask(ctx, newRing(t.Members()).homes(key), query))
 	}
 	return answer
 }
--- a/internal/resume/history.go
+++ b/internal/resume/history.go
@@ -20,6 +20,13 @@
 // Observe records the software versions of all servers, one Origin for each. Records of running streams are handed to other
 // routers as soon as a service has several versions.
 func (t *Tracker) Observe(servers []Origin) {
+	for _, service := range t.updateHistories(servers) {
+		go t.copyOwn(service)
+	}
+}
+
+// updateHistories records the software versions of all servers and returns the services that have several from now on.
+func (t *Tracker) updateHistories(servers []Origin) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Now()
@@ -40,17 +47,20 @@
 			t.histories[service] = &history{}
 		}
 	}
+	var several []string
 	for service, h := range t.histories {
 		versions := present[service]
 		slices.Sort(versions)
-		if !slices.Equal(versions, h.present) {
-			t.updateHistory(service, h, versions, now)
+		if !slices.Equal(versions, h.present) && t.updateHistory(service, h, versions, now) {
+			several = append(several, service)
 		}
 	}
+	return several
 }
 
-// updateHistory records changed versions of a service. The caller holds the lock.
-func (t *Tracker) updateHistory(service string, h *history, versions []string, now time.Time) {
+// updateHistory records changed versions of a service and reports whether it has several from now on. The caller holds the
+// lock.
+func (t *Tracker) updateHistory(service string, h *history, versions []string, now time.Time) bool {
 	wasSeveral := len(h.present) > 1
 	replaced := len(versions) == 1 && h.latest != "" && versions[0] != h.latest
 	if wasSeveral || len(versions) > 1 || replaced {
@@ -61,9 +71,7 @@
 	if len(versions) > 0 {
 		h.latest = versions[len(versions)-1]
 	}
-	if !wasSeveral && (len(versions) > 1 || replaced) {
-		t.copyOwn(service)
-	}
+	return !wasSeveral && (len(versions) > 1 || replaced)
 }
 
 // watchedFor reports whether the router has known the servers throughout the window until now. The caller holds the lock.
--- a/internal/resume/record.go
+++ b/internal/resume/record.go
@@ -30,11 +30,12 @@
 func (t *Tracker) Begin(stream Stream, origin Origin, window time.Duration) {
 	key := stream.key()
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	r := &record{origin: origin, expires: t.Now().Add(window + recordMargin), own: true}
 	t.store(key, r)
-	if s := t.state(origin.Service, window+recordMargin); s.Several || !s.Sure {
-		t.copyRecord(key, r)
+	s := t.state(origin.Service, window+recordMargin)
+	t.mu.Unlock()
+	if s.Several || !s.Sure {
+		t.copyRecords([]*transfer{{key: key, record: r}})
 	}
 }
 
@@ -64,7 +65,7 @@
 
 // store stores a record, unless there are too many, and reports whether it did. The caller holds the lock.
 func (t *Tracker) store(key uint64, r *record) bool {
-	if len(t.records) >= maxRecords {
+	if len(t.records) >= maxRecords && t.records[key] == nil {
 		t.count("dropped")
 		return false
 	}
--- a/internal/resume/resume.go
+++ b/internal/resume/resume.go
@@ -39,7 +39,7 @@
 	copyTimeout = 600 * time.Millisecond
 	// maxRecords bounds the memory of the records: about 10 MB.
 	maxRecords = 1 << 16
-	// maxPending is the number of records that wait for one router.
+	// maxPending is the number of records that wait for one router. Those beyond it are dropped and counted.
 	maxPending = 4096
 )
 
@@ -94,13 +94,5 @@
 // key returns the hash that identifies the stream.
 func (s Stream) key() uint64 { return rendezvous.Hash(s.Account, s.Request) }
 
-// homes returns the addresses of the routers that keep the record of a stream, the first ones first.
-func (t *Tracker) homes(key uint64) []string {
-	ranked := rendezvous.Rank(t.Members(), func(address string) uint64 {
-		return rendezvous.Mix(key ^ rendezvous.Hash(address))
-	})
-	return ranked[:min(len(ranked), maxHomes)]
-}
-
 // count adds one to a counter.
 func (t *Tracker) count(name string) { t.Metrics.Counter(name).Inc(1) }
--- a/internal/resume/resume_test.go
+++ b/internal/resume/resume_test.go
@@ -219,6 +219,20 @@
 	})
 }
 
+// Guards against first events that wait while the records of many streams are handed over in a large fleet.
+func TestManyRecordsDoNotHoldUpStreams(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 400, "v1")
+	defer f.stop()
+	for i := range 3000 {
+		f.routers[0].begin(fmt.Sprint(i), "v1")
+	}
+	begin := time.Now()
+	f.routers[0].tracker.Load().Observe([]resume.Origin{{Service: "s", Software: "v1"}, {Service: "s", Software: "v2"}})
+	f.routers[0].begin("next", "v1")
+	is.True(time.Since(begin) < 100*time.Millisecond)
+}
+
 // Guards against records that are malformed, out of date or without bound.
 func TestRecordsOfOtherRoutersAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
