--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -55,7 +55,7 @@
 		begin  time.Time // Start of the wait.
 		due    time.Time // Time of the next check.
 		late   bool      // Whether a check of this wait was late.
-		mover  call      // Copy of the call at the start of the wait.
+		call   call      // Copy of the call at the start of the wait.
 		err    error     // Why the body was closed; nil if it was not.
 		target *selection
 	}
@@ -64,26 +64,26 @@
 // watchStall starts the watch of a stream that waits for its first event.
 func (c *call) watchStall(ctx context.Context, body io.Closer) *stallWatch {
 	w := &stallWatch{body: body}
-	w.resume(ctx, c)
+	w.startWait(ctx, c)
 	return w
 }
 
-// resume starts a wait for an event.
-func (w *stallWatch) resume(ctx context.Context, c *call) {
+// startWait starts a wait for an event.
+func (w *stallWatch) startWait(ctx context.Context, c *call) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.wait++
 	w.begin = time.Now()
 	w.late = false
-	w.mover = *c
+	w.call = *c
 	number := w.wait
 	delay := c.firstStallCheck()
 	w.due = w.begin.Add(delay)
 	w.timer = time.AfterFunc(delay, func() { w.check(ctx, number) })
 }
 
-// pause ends the wait for an event. It returns an error if the body was closed meanwhile.
-func (w *stallWatch) pause() error {
+// endWait ends the wait for an event. It returns an error if the body was closed meanwhile.
+func (w *stallWatch) endWait() error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.wait++
@@ -104,17 +104,17 @@
 		w.mu.Unlock()
 		return
 	}
-	mover := w.mover
-	remaining := time.Until(w.begin.Add(mover.stallTimeout()))
+	current := w.call
+	remaining := time.Until(w.begin.Add(current.stallTimeout()))
 	w.mu.Unlock()
 	var target *selection
-	if remaining > 0 && mover.movable() {
-		target = mover.reserveMove(ctx) // May ask another router for a permit.
+	if remaining > 0 && current.movable() {
+		target = current.reserveMove(ctx) // May ask another router for a permit.
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
-	case target != nil && (w.wait != number || !mover.Repeats.Allow(mover.service)):
+	case target != nil && (w.wait != number || !current.Repeats.Allow(current.service)):
 		target.choice.Done(routing.Cancelled{})
 	case target != nil:
 		w.close(errMoved)
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -28,7 +28,7 @@
 	watch := c.watchStall(ctx, o.Body)
 	for {
 		data, err := reader.Next()
-		closed := watch.pause()
+		closed := watch.endWait()
 		switch {
 		case closed != nil:
 			err = closed
@@ -60,7 +60,7 @@
 			c.setResult("caller left", "")
 			return false, ""
 		}
-		watch.resume(ctx, c)
+		watch.startWait(ctx, c)
 	}
 }
 
