Let a stream that broke off wait for a server that is busy at that moment

Callers lost streams that had broken off when, just then, no server accepted the rest, or the link of the host was full: the connection was closed at once, although the caller would have waited for a second or more. A configuration that fills the link of a small host does this to every stream that breaks off.

Cause: only streams of silent servers looked for a server before they were given up; one whose connection was lost had a single try.

Without such a server the stream ends at once.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -66,6 +66,7 @@
 		target          *selection       // Server reserved for the next attempt; nil if it is still to be picked.
 		lastEvent       string
 		software        string         // Software version at which the stream goes on; empty before its first event.
+		brokenAt        time.Time      // When the stream last broke off and could continue at another server.
 		resuming        bool           // Whether the server of the current attempt has sent no event yet that continues a stream.
 		skipsIDs        bool           // Whether the IDs of the stream's events have skipped numbers.
 		otherContent    bool           // Whether the response that has begun is not a stream of events.
@@ -177,11 +178,17 @@
 	c.lastEvent = c.request.LastEvent
 	for {
 		if c.target == nil && c.Behind != nil && c.Behind() {
+			if c.waitToContinue(ctx) {
+				continue
+			}
 			c.fail(ctx, LinkFull)
 			return
 		}
 		server, choice, err := c.selectServer(ctx)
 		if err != nil {
+			if c.waitToContinue(ctx) {
+				continue
+			}
 			c.logNoServerAvailable()
 			c.retryAfter = retryAfterOf(err)
 			c.fail(ctx, pickFailureReason(err))
@@ -331,6 +338,7 @@
 		return false, c.failureReason(ctx)
 	}
 	if c.responseStarted {
+		c.brokenAt = time.Now()
 		c.logEvent(event.StreamMoved).Str("last", c.lastEvent).Int64("events", c.events).Send()
 	}
 	return true, IncompleteResponse
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -145,3 +145,36 @@
 		is.Equal(len(b.sends), 3)
 	})
 }
+
+// Guards against ending a stream that broke off because the server that can continue it accepts no requests at that moment.
+func TestBrokenStreamWaitsForServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, blocked := range []string{"server busy", "link of the host full"} {
+			is := is.New(t)
+			b := newTestDispatcher(func(_ context.Context, number int, _ dispatch.Attempt) dispatch.Outcome {
+				if number == 1 {
+					return brokenAnswer(eventText(1, 2))
+				}
+				return completeAnswer(eventText(3, 4))
+			})
+			b.Pool.Update([]dispatch.Server{{Name: "a", Service: "s", Born: 1}})
+			begin := time.Now()
+			send := b.respond
+			b.respond = func(ctx context.Context, number int, a dispatch.Attempt) dispatch.Outcome {
+				if number == 1 && blocked == "server busy" {
+					b.Pool.Update([]dispatch.Server{{Name: "a", Service: "s", Born: 1}, {Name: "b", Service: "s", Born: 1}})
+					b.Pool.BackOff(&dispatch.Server{Name: "b"}, 400*time.Millisecond)
+				}
+				return send(ctx, number, a)
+			}
+			if blocked == "link of the host full" {
+				b.Pool.Update([]dispatch.Server{{Name: "a", Service: "s", Born: 1}, {Name: "b", Service: "s", Born: 1}})
+				b.Behind = func() bool { return len(b.sends) > 0 && time.Since(begin) < 400*time.Millisecond }
+			}
+			a := b.serveWithoutTimeout("/stream/1")
+			is.Equal(a.body.String(), eventText(1, 4))
+			is.True(a.ended)
+			is.True(time.Since(begin) >= 400*time.Millisecond)
+		}
+	})
+}
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"citronslip/internal/delay"
 	"citronslip/internal/ratelimit"
 	"citronslip/internal/routing"
 	"citronslip/pkg/inventory"
@@ -173,3 +174,13 @@
 	}
 	return &selection{server, choice, c.permit, c.trial}
 }
+
+// waitToContinue waits for a moment if a stream has broken off, its caller still waits, and a server could continue it that
+// accepts no requests at present. Otherwise it returns false.
+func (c *call) waitToContinue(ctx context.Context) bool {
+	patience := (c.stallTimeout() - stallMargin) / 2 // The caller counts from the last event, which came earlier.
+	if !c.responseStarted || time.Since(c.brokenAt) > patience || !c.Pool.Picker.HasCandidate(c.routingRequest()) {
+		return false
+	}
+	return delay.Sleep(ctx, moveInterval)
+}
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -83,3 +84,17 @@
 	p.expectedCached = append(p.expectedCached, 0)
 	return int32(len(p.serversByIndex) - 1)
 }
+
+// HasCandidate reports whether a server could be picked for the request if it accepted new work: one of its service and
+// software version that is not leaving and was not tried.
+func (p *Picker) HasCandidate(r *Request) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.servers {
+		fits := s.config.Service == r.Service && (r.Software == "" || s.config.Software == r.Software)
+		if fits && !s.config.Leaving && !s.leaving && !slices.Contains(r.Tried, s.config.Name) {
+			return true
+		}
+	}
+	return false
+}
