Claim the trial of blocked content only for a stream that can move

A router that looked for a server for the stream of a silent one could claim the only trial of content that has crashed servers, find no server, and so keep all others from trying it for 15 s.

The server is picked first now, and given back if the content is blocked.

--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -163,7 +163,7 @@
 // reserveMove picks the server at which the stream continues. It returns nil if there is none at present.
 func (c *call) reserveMove(ctx context.Context) *selection {
 	if ctx.Err() != nil || time.Until(c.deadline()) < minAttemptTimeout || !c.Repeats.Available(c.service) ||
-		c.Behind != nil && c.Behind() || c.isBlocked() {
+		c.Behind != nil && c.Behind() {
 		return nil
 	}
 	request := c.routingRequest()
@@ -172,6 +172,11 @@
 	if err != nil {
 		return nil
 	}
+	// The check may claim the only trial of blocked content, so that it comes last.
+	if c.isBlocked() {
+		choice.Done(routing.Cancelled{})
+		return nil
+	}
 	return &selection{server, choice, c.permit, c.trial}
 }
 
