Ask for the software version of resumable streams only

A request with Last-Event-Id on a route whose streams cannot be resumed was refused while several software versions serve: no record of such a stream is kept. Found by the review, by reading.

--- a/internal/dispatch/software.go
+++ b/internal/dispatch/software.go
@@ -39,7 +39,7 @@
 // takeUp finds the software version that began the stream that the request takes up, if it takes one up. It returns an empty
 // reason on success.
 func (c *call) takeUp(ctx context.Context) Reason {
-	if !c.route.Stream || c.request.LastEvent == "" {
+	if !c.route.Stream || c.route.Repeat != inventory.Resumable || c.request.LastEvent == "" {
 		return ""
 	}
 	origin, err := c.Streams.Find(ctx, c.stream(), c.candidateServices(), c.resumeWindow())
