Take no requests seconds after the begin of a planned stop

Callers of a router that stopped as planned had requests cut off that it had taken 3.7 to 7.6 s after the stop signal, when the rest of the grace period was too short for them (LOST).

Cause: since connections are drained in place of being shut down. A connection whose response had begun before the stop did not ask for the close, and was served on when it became idle; a new connection without a request stayed open for 5 s; and new ones were accepted for up to 1 s.

A connection now ends as soon as its response is complete, unless its next request has arrived; new ones without a request end after 250 ms, and are accepted for 300 ms.

Evidence: both tests failed before:

listener_test.go:231: not true: time.Since(begin) < 2*time.Second --- FAIL: TestUnusedConnectionsEndSoonAfterStop (5.12s) listener_test.go:268: not true: err != nil --- FAIL: TestConnectionEndsBehindResponseThatBeganBeforeStop

--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -13,10 +13,14 @@
 const (
 	// minIdleTime is how long a connection must have been idle before it is closed.
 	minIdleTime = 250 * time.Millisecond
-	// maxUnusedTime is how long a new connection may stay open without a request.
-	maxUnusedTime = 5 * time.Second
-	// finalReadTime is the time for a last look at the data that has arrived on an idle connection.
-	finalReadTime = 100 * time.Millisecond
+	// maxUnusedTime is how long a new connection may stay open without a request. A request that comes later may not be
+	// answered within the grace period.
+	maxUnusedTime = 250 * time.Millisecond
+	// finalReadTime is the time for a last look at the data that has arrived on an idle connection. It is shorter than a caller
+	// takes to send its next request: one that is taken late may not be answered within the grace period.
+	finalReadTime = time.Millisecond
+	// finalReads is the number of these looks. The time of one may pass before the process gets to it.
+	finalReads = 2
 )
 
 var (
@@ -51,14 +55,7 @@
 func (c *conn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
 	if n == 0 && isTimeout(err) && c.isEnding() {
-		// The deadline may have passed before the data that has arrived was looked at.
-		if err := c.Conn.SetReadDeadline(time.Now().Add(finalReadTime)); err != nil {
-			return 0, err
-		}
-		n, err = c.Conn.Read(data)
-		if n == 0 && isTimeout(err) {
-			return 0, io.EOF
-		}
+		n, err = c.readFinally(data)
 	}
 	if n > 0 {
 		c.recordData(data[:n])
@@ -66,6 +63,21 @@
 	return n, err
 }
 
+// readFinally reads data that has arrived, or returns io.EOF. The deadline of the read before may have passed before the data
+// was looked at.
+func (c *conn) readFinally(data []byte) (int, error) {
+	for range finalReads {
+		if err := c.Conn.SetReadDeadline(time.Now().Add(finalReadTime)); err != nil {
+			return 0, err
+		}
+		n, err := c.Conn.Read(data)
+		if n > 0 || !isTimeout(err) {
+			return n, err
+		}
+	}
+	return 0, io.EOF
+}
+
 // SetReadDeadline sets the read deadline, which takes effect only if the connection does not end.
 func (c *conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
@@ -124,9 +136,20 @@
 	defer c.mu.Unlock()
 	c.state, c.stateSince = state, time.Now()
 	c.http2 = c.http2 || http2
-	if state == http.StateIdle {
-		c.received = false
+	if state != http.StateIdle {
+		return
 	}
+	c.received = false
+	if c.listener.stopping.Load() && !c.http2 {
+		// The response may have begun before the stop, so that it did not ask for the close.
+		c.end()
+	}
+}
+
+// end makes the connection end. The caller holds the lock.
+func (c *conn) end() {
+	c.ending = true
+	_ = c.Conn.SetReadDeadline(time.Now())
 }
 
 // endIfIdle makes the connection end if it is idle. It reports whether the connection uses HTTP/2.
@@ -139,8 +162,7 @@
 	age := time.Since(c.stateSince)
 	idle := c.state == http.StateIdle && age >= minIdleTime || c.state == http.StateNew && age >= maxUnusedTime
 	if idle && !c.received && !c.ending {
-		c.ending = true
-		_ = c.Conn.SetReadDeadline(time.Now())
+		c.end()
 	}
 	return false
 }
--- a/internal/drain/listener.go
+++ b/internal/drain/listener.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,7 +20,7 @@
 	// acceptWait is how long a stopped listener waits for a connection that the system has already opened.
 	acceptWait = 100 * time.Millisecond
 	// maxAcceptTime bounds the time in which a stopped listener accepts connections.
-	maxAcceptTime = time.Second
+	maxAcceptTime = 300 * time.Millisecond
 	// pollInterval is the time between two looks at the open connections.
 	pollInterval = 10 * time.Millisecond
 
@@ -33,6 +34,8 @@
 	Listener struct {
 		TCP TCPListener
 
+		stopping atomic.Bool // Whether connections end once they are idle.
+
 		once    sync.Once
 		closed  chan struct{} // Closed when no connection is accepted any more.
 		mu      sync.Mutex
@@ -105,6 +108,7 @@
 // refuses new ones.
 func (l *Listener) Stop(ctx context.Context) error {
 	l.once.Do(l.init)
+	l.stopping.Store(true)
 	// If this fails, only a connection that is opened in the moment of the close is reset.
 	_ = dropNewConnections(l.TCP)
 	if err := l.beginStop(); err != nil {
--- a/internal/drain/listener_test.go
+++ b/internal/drain/listener_test.go
@@ -73,6 +73,12 @@
 }
 
 func serve(t *testing.T, listener drain.TCPListener) *testServer {
+	t.Helper()
+	return serveWith(t, listener, func(http.ResponseWriter) { time.Sleep(time.Millisecond) })
+}
+
+// serveWith starts a server that answers requests by a function.
+func serveWith(t *testing.T, listener drain.TCPListener, respond func(w http.ResponseWriter)) *testServer {
 	t.Helper()
 	s := &testServer{listener: &drain.Listener{TCP: listener}, ended: make(chan error, 1)}
 	s.server = &http.Server{
@@ -81,7 +87,7 @@
 			if s.stopping.Load() {
 				w.Header().Set("Connection", "close")
 			}
-			time.Sleep(time.Millisecond)
+			respond(w)
 		}),
 	}
 	go func() { s.ended <- s.server.Serve(s.listener) }()
@@ -217,3 +223,48 @@
 	s.stop(t)
 	is.True(time.Since(begin) < 2*time.Second)
 }
+
+// Guards against connections without a request on which a server that stops takes one seconds later.
+func TestUnusedConnectionsEndSoonAfterStop(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, listen(t))
+	var conns []net.Conn
+	for range 20 {
+		conns = append(conns, s.dial(t))
+	}
+	begin := time.Now()
+	s.stop(t)
+	is.True(time.Since(begin) < 2*time.Second)
+	for _, conn := range conns {
+		_, err := exchange(conn)
+		is.True(err != nil)
+	}
+}
+
+// Guards against a further request on a connection whose response began before the stop, and so did not ask for the close.
+func TestConnectionEndsBehindResponseThatBeganBeforeStop(t *testing.T) {
+	is := is.New(t)
+	begun, release := make(chan struct{}, 2), make(chan struct{})
+	s := serveWith(t, listen(t), func(w http.ResponseWriter) {
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		begun <- struct{}{}
+		<-release
+	})
+	conn := s.dial(t)
+	status := make(chan int, 1)
+	go func() {
+		n, _ := exchange(conn)
+		status <- n
+	}()
+	<-begun
+	var stop sync.WaitGroup
+	stop.Go(func() { s.stop(t) })
+	time.Sleep(time.Second)
+	close(release)
+	is.Equal(<-status, http.StatusOK)
+	time.Sleep(5 * time.Millisecond) // A caller is not faster.
+	_, err := exchange(conn)
+	is.True(err != nil)
+	stop.Wait()
+}
