Tell the end of a response from the reset of its connection

A response with neither a length nor chunks ends with its connection. Callers got its start, framed as whole, if the backend server reset the connection while the request was still being sent, for example after it had answered early.

Cause: Linux reports the loss of a connection once per socket. If the write of the request learned of it, the read of the response returned io.EOF, which net/http takes for the end of such a response. Both fronts were affected; the class is a loss taken for a regular end.

A read that meets io.EOF now looks at the state of the socket: it is CLOSE_WAIT if the peer has ended its data, and CLOSE if the connection was reset, timed out or was closed on this side. Only in the first case the data has ended. The look costs one system call at the end of a connection.

--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -60,7 +60,11 @@
 
 func (l *peerLimits) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: ConnectTimeout, KeepAliveConfig: l.keepAlive, Control: l.control}
-	return dialer.DialContext(ctx, network, address)
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return WithLossDetection(conn), nil
 }
 
 // listen returns a TCP listener on an address, without multipath TCP.
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -19,6 +19,7 @@
 
 	"github.com/gravitational/trace"
 
+	"citronslip/internal/dial"
 	"citronslip/internal/platform"
 )
 
@@ -133,8 +134,15 @@
 
 func newTransport(reuse bool) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialContext := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return dial.WithLossDetection(conn), nil
+	}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dialContext,
 		DisableKeepAlives:   !reuse,
 		DisableCompression:  true,
 		MaxIdleConns:        0,
