Refuse requests that a stopping router cannot finish

An operator of a similar system reported that a planned stop took requests late in its grace period, passed them on, and cut them at its end with no answer, among them some that may not be repeated. It could happen here.

Cause: a stopping router refuses connections after 2.2 s, but a request on an open connection whose body arrives slowly, or that waits for a budget or a permit, was sent to a server whatever was left of the grace period.

From the end of the 2.2 s on, a request that no server has run is sent only if its deadline is before the close of the connections. Else it is refused with status 503, which promises that it was not run, on a connection that closes, so that the caller goes to another host. Streams that a server has begun go on.

Evidence: the test sends the second half of a body 3 s after the stop signal of a router with a grace period of 4 s. It failed before, as the request was run and its response cut:

stop_late_test.go:37: 200 != 503 --- FAIL: TestPlannedStopRefusesLateRequestsThatItCannotFinish

TestPlannedStop*, TestGracefulShutdown and the tests of internal/dispatch pass with the race detector.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -40,7 +40,10 @@
 		Streams   *resume.Tracker
 		// Behind reports whether updates of the backend servers, and the requests sent to them, are delayed so much
 		// that a server that is about to be removed would still get requests. It is optional.
-		Behind  func() bool
+		Behind func() bool
+		// Closing returns when a stopping router closes the connections of its callers, once it takes no more requests that
+		// may last longer, and the zero time before. It is optional.
+		Closing func() time.Time
 		Logger  *zerolog.Logger
 		Metrics tally.Scope
 	}
@@ -177,6 +180,10 @@
 func (c *call) run(ctx context.Context) {
 	c.lastEvent = c.request.LastEvent
 	for {
+		if c.outlastsRouter() {
+			c.fail(ctx, Stopping)
+			return
+		}
 		if c.target == nil && c.Behind != nil && c.Behind() {
 			if c.waitToContinue(ctx) {
 				continue
@@ -216,6 +223,15 @@
 	}
 }
 
+// outlastsRouter reports whether a request that no server has run may last longer than a router that stops.
+func (c *call) outlastsRouter() bool {
+	if c.Closing == nil || c.mayHaveRun {
+		return false
+	}
+	closing := c.Closing()
+	return !closing.IsZero() && c.deadline().After(closing)
+}
+
 // selectServer returns the server that was reserved for the next attempt, or picks one.
 func (c *call) selectServer(ctx context.Context) (*Server, *routing.Choice, error) {
 	target := c.target
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -36,6 +36,8 @@
 	DeadlineTooShort Reason = "deadline cannot be met"
 	// LinkFull means that the network link of the router's host has no bandwidth left.
 	LinkFull Reason = "link of the host full"
+	// Stopping means that the router stops before the deadline of the request.
+	Stopping Reason = "router stops"
 	// StreamUnknown means that the request takes up a stream of which it is not known which software version began it.
 	StreamUnknown Reason = "software version of the stream not known"
 	// CrashesServers means that requests with the same content, or with a part of it, have crashed backend servers.
--- a/internal/dispatch/failure.go
+++ b/internal/dispatch/failure.go
@@ -63,7 +63,7 @@
 func (c *call) refuse(reason Reason, retryAfter time.Duration) {
 	switch {
 	case retryAfter > 0:
-	case reason == LinkFull:
+	case reason == LinkFull, reason == Stopping:
 		retryAfter = OtherHostRetryAfter
 	default:
 		retryAfter = defaultRetryAfter
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -123,7 +123,9 @@
 	event.ShutdownRequested.Log(r.Logger).Dur("grace", grace).Send()
 	c.drain()
 	time.Sleep(deregistrationDelay)
-	requestsCtx, cancel := context.WithDeadline(ctx, start.Add(grace-finalWriteTimeout))
+	closing := start.Add(grace - finalWriteTimeout)
+	r.closing.Store(&closing)
+	requestsCtx, cancel := context.WithDeadline(ctx, closing)
 	defer cancel()
 	// The servers are closed last, since a closed one drops the requests that it reads.
 	if err := errors.Join(listener.Stop(requestsCtx), listener.Drain(requestsCtx), c.shutdown(requestsCtx)); err != nil {
@@ -139,6 +141,14 @@
 	return nil
 }
 
+// closingTime returns when the connections of callers are closed, or the zero time before the end of deregistrationDelay.
+func (r *Router) closingTime() time.Time {
+	if closing := r.closing.Load(); closing != nil {
+		return *closing
+	}
+	return time.Time{}
+}
+
 // handOverStreams begins to hand the records of streams to other routers. The returned channel is closed when that is done.
 func (r *Router) handOverStreams(ctx context.Context) <-chan struct{} {
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -88,6 +88,7 @@
 		started        time.Time
 		listening      atomic.Bool // Whether connections of callers are accepted.
 		stopping       atomic.Bool
+		closing        atomic.Pointer[time.Time] // When the connections of callers are closed; nil until new ones are refused.
 		wasReady       atomic.Bool
 	}
 )
@@ -186,6 +187,7 @@
 		Limits:    r.limiter,
 		Streams:   r.streams,
 		Behind:    r.linkMonitor.ShouldHoldSends,
+		Closing:   r.closingTime,
 		Repeats: &dispatch.RetryBudget{
 			Ratio:   r.Settings.RetryRatio,
 			Slack:   r.Settings.RetrySlack,
