Refuse late requests that a stopping router cannot finish on its own front

Cause: connections over HTTP/2 are told to go away only after all connections over HTTP/1.1 have ended, so one stream over HTTP/1.1 kept them open; and nothing looked at the rest of the grace period when a body had arrived.

From the end of the notice delay on, a request that enters the admission queue is refused with status 503 and Citronslip-Run "no" if its time limit is later than the close of the connections. The answer closes the connection, or ends it over HTTP/2. Requests that already wait in the queue are still served: they came before and are treated like those in flight.

--- a/internal/caller/frontend.go
+++ b/internal/caller/frontend.go
@@ -42,6 +42,8 @@
 		Instance string // Identity of this process.
 		Version  *board.Cell[ActiveConfig]
 		Stopping *board.Cell[bool] // Whether a graceful shutdown has begun.
+		// When the connections of callers are closed, once requests that may last longer are refused; empty before.
+		Closing  *board.Cell[time.Time]
 		Ledger   *budget.Ledger
 		Picker   *routing.Picker
 		Retrier  *routing.Retrier
@@ -126,6 +128,16 @@
 	return stopping != nil && *stopping
 }
 
+// stopRefusal returns the refusal of a request that may last longer than a router that stops, or nil. The context has the
+// time limit of the request.
+func (f *Frontend) stopRefusal(ctx context.Context) *Refusal {
+	closing := f.Closing.Load()
+	if end, ok := ctx.Deadline(); closing == nil || ok && !end.After(*closing) {
+		return nil
+	}
+	return newRetryableRefusal(http.StatusServiceUnavailable, CodeUnavailable, "this router stops", time.Second)
+}
+
 // handleModels lists the models that the client account may use.
 func (f *Frontend) handleModels(w http.ResponseWriter, r *http.Request) {
 	c, refusal := f.newCall(w, r)
--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -86,8 +86,12 @@
 	return queue
 }
 
-// awaitAdmission waits in the queue of the call's service. releaseAdmissionSlot must be called after the last attempt.
+// awaitAdmission waits in the queue of the call's service, unless the router stops before the request has to end.
+// releaseAdmissionSlot must be called after the last attempt.
 func (c *call) awaitAdmission(ctx context.Context, cost int64) *Refusal {
+	if refusal := c.front.stopRefusal(ctx); refusal != nil {
+		return refusal
+	}
 	c.startDeadline = time.Now().Add(c.front.Queues.MaxWait)
 	c.queue = c.front.Queues.forService(c.index.Service(c.ruleDecision.Service))
 	queuedAt := time.Now()
--- a/internal/caller/stopping_test.go
+++ b/internal/caller/stopping_test.go
@@ -4,10 +4,13 @@
 	"bytes"
 	"context"
 	"io"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"citronslip/internal/caller"
 )
 
 // Guards against callers that send a request on a connection which the end of a planned stop closes: while a router
@@ -52,3 +55,28 @@
 		client.CloseIdleConnections()
 	})
 }
+
+// Guards against a stopping router that takes requests which it may have to cut, and against one that refuses others.
+func TestStoppingRouterTakesRequestsThatEndBeforeIt(t *testing.T) {
+	runWithStandinEngine(t, func(is *is.I, f *testFrontend) {
+		client := f.client(false)
+		for _, test := range []struct {
+			untilClose time.Duration
+			status     int
+		}{{maxDuration + time.Second, http.StatusOK}, {maxDuration - time.Second, http.StatusServiceUnavailable}} {
+			stopping, closing := true, time.Now().Add(test.untilClose)
+			f.front.Stopping.Store(&stopping)
+			f.front.Closing.Store(&closing)
+			response, err := client.Do(newChatRequest(context.Background(), chatBody("a b c")))
+			is.NoErr(err)
+			_, err = io.Copy(io.Discard, response.Body)
+			is.NoErr(err)
+			response.Body.Close()
+			is.Equal(response.StatusCode, test.status)
+			is.True(response.Close)
+			if test.status != http.StatusOK {
+				is.Equal(response.Header.Get(caller.HeaderRun), "no")
+			}
+		}
+	})
+}
--- a/internal/caller/testfrontend_test.go
+++ b/internal/caller/testfrontend_test.go
@@ -154,7 +154,7 @@
 	}
 	picker.Update(servers)
 	f.front = &caller.Frontend{
-		Router: "r", Instance: "i", Version: version, Stopping: &board.Cell[bool]{}, Ledger: f.ledger, Picker: picker,
+		Router: "r", Instance: "i", Version: version, Stopping: &board.Cell[bool]{}, Closing: &board.Cell[time.Time]{}, Ledger: f.ledger, Picker: picker,
 		Retrier: &routing.Retrier{}, Queues: &caller.AdmissionQueues{MaxWait: time.Minute, Logger: &logger},
 		Claims:  &claim.Claims{Table: &table.Memory{}, Objects: &object.Memory{}, Instance: "i", Logger: &logger},
 		Biller:  &claim.Biller{Table: &table.Memory{}, Instance: "i", Logger: &logger},
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -44,6 +44,7 @@
 		stops     []func()
 		versions  int                                           // Number of committed configuration versions.
 		authority *certificate.Authority                        // Issues router certificates; nil means plain TCP.
+		grace     time.Duration                                 // Time limit of a graceful shutdown.
 		faults    atomic.Pointer[func(call string) table.Fault] // Faults of the table; nil means none.
 		client    *http.Client
 	}
@@ -71,8 +72,8 @@
 }
 
 // startWith is like start, with certificates of an authority for the connections between the routers; nil means plain
-// TCP.
-func startWith(t *testing.T, declared *inventory.Inventory, routers int, authority *certificate.Authority) *fleet {
+// TCP. It applies changes to the fleet first.
+func startWith(t *testing.T, declared *inventory.Inventory, routers int, authority *certificate.Authority, changes ...func(*fleet)) *fleet {
 	t.Helper()
 	f := &fleet{
 		authority: authority,
@@ -80,6 +81,10 @@
 		platform:  &standin.Platform{},
 		standins:  &standin.Fleet{Inventory: declared},
 		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}},
+		grace:     maxWait,
+	}
+	for _, change := range changes {
+		change(f)
 	}
 	f.platform.Table.Inject = func(call string) table.Fault {
 		if faults := f.faults.Load(); faults != nil {
@@ -152,7 +157,7 @@
 	settings.Peer = f.peers[i]
 	settings.Seeds = strings.Join(f.peers, ",")
 	settings.Platform = platform
-	settings.Grace = maxWait
+	settings.Grace = f.grace
 	settings.Body = 1 << 20
 	if f.authority != nil {
 		files, err := f.authority.Issue(settings.Name, "urn:citronslip:router", 0)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -221,6 +221,9 @@
 	defer cancel()
 	r.membership.Leave(ctx)
 	delay.Sleep(ctx, min(drainNoticeDelay, r.Settings.Grace/4))
+	if closing, ok := ctx.Deadline(); ok {
+		r.shared.Closing.Store(&closing)
+	}
 	if err := r.drainCallers(ctx); err != nil {
 		event.ShutdownTimedOut.Log(r.Logger).Int64("requests", r.front.InFlight()).Send()
 		r.callerServer.Close()
@@ -343,6 +346,7 @@
 		Instance:    r.instance,
 		Version:     &r.shared.Version,
 		Stopping:    &r.shared.Stopping,
+		Closing:     &r.shared.Closing,
 		Ledger:      r.ledger,
 		Picker:      r.picker,
 		Retrier:     &routing.Retrier{},
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"time"
+
 	"citronslip/internal/board"
 	"citronslip/internal/budget"
 	"citronslip/internal/caller"
@@ -32,5 +34,8 @@
 		Live board.Cell[[]string]
 		// Whether a graceful shutdown has begun; written by Router.stop.
 		Stopping board.Cell[bool]
+		// When a stopping router closes the connections of callers, once it takes no more requests that may last longer;
+		// written by Router.stop.
+		Closing board.Cell[time.Time]
 	}
 )
