Take an unframed chat answer for whole only if it is complete JSON

A backend server that crashes while it sends a chat answer with neither a length nor chunks closes its connection as if the answer had ended. On the product's own front callers got status 200 with the start of the answer, framed as whole, and with an idempotency key it was recorded and billed as the answer.

Cause: the end of the connection was taken for the end of the answer. It belongs to the class of the reset that was taken for an end. A chat answer is one JSON value, so an unframed one that is not valid JSON counts as broken off now: status 502, run unknown, or another attempt if the request may be repeated. Streams end with a marker and were not affected. An unframed response of a plain service has nothing that tells its end from a crash.

Evidence: the test failed before:

unframed_test.go:40: 200 != 502 --- FAIL: TestUnframedAnswerCutShortIsNotComplete

internal/caller passes with the race detector.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -289,6 +290,9 @@
 // readAnswer reads an answer that is one JSON body.
 func (c *chatCall) readAnswer(ctx context.Context, a *attempt, response *http.Response) attemptResult {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err == nil && isUnframed(response) && !json.Valid(body) {
+		err = errBackendLost
+	}
 	if err != nil || len(body) > maxAnswerBytes {
 		return c.handleRequestError(ctx, a, fmt.Errorf("%w: %v", engine.ErrConnectionLost, err))
 	}
@@ -309,6 +313,12 @@
 	}
 }
 
+// isUnframed reports whether a response has neither a length nor chunks. It ends with its connection, also if the backend server
+// crashes.
+func isUnframed(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // fetchUsage queries the backend server for the usage of an attempt whose answer reported none. Without a report the
 // whole bound counts as used.
 func (c *chatCall) fetchUsage(ctx context.Context, a *attempt) tokenUsage {
