--- a/internal/dial/meter.go
+++ b/internal/dial/meter.go
@@ -36,6 +36,8 @@
 	LinkMeter struct {
 		Bandwidth float64 // Bytes per second in each direction. Zero means unknown, and never congested.
 		Now       func() time.Time
+		// Open, if set, opens the connections to backend servers in place of a TCP dialer.
+		Open func(ctx context.Context, network, address string) (net.Conn, error)
 
 		received atomic.Int64 // Bytes, with packet headers.
 		sent     atomic.Int64 // Bytes, with packet headers.
@@ -69,7 +71,11 @@
 
 // TCP opens a connection to a backend server whose traffic is measured.
 func (m *LinkMeter) TCP(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := backendLimits.dial(ctx, network, address)
+	open := m.Open
+	if open == nil {
+		open = backendLimits.dial
+	}
+	conn, err := open(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
