Send requests through another router while the servers are out of reach

What callers saw: a router that was partitioned from all servers of a service answered 503 to all requests for it, while the other routers served theirs.

Cause: a router had one way to a backend server, its own connections. Failures of the way opened the circuits of servers that were sound.

Change: internal/proxy knows to which servers no connection can be opened, asks other routers which of them reach those servers, and sends attempts through one. The router of the caller keeps all decisions about the request. Direct connections are used again after a test.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -315,7 +315,10 @@
 }
 
 func (c *call) newAttempt(server *Server) Attempt {
-	a := Attempt{Request: c.request, Server: server, Left: time.Until(c.deadline()), Rank: c.route.Priority, LastEvent: c.lastEvent}
+	a := Attempt{
+		Request: c.request, Server: server, Left: time.Until(c.deadline()), Rank: c.route.Priority, LastEvent: c.lastEvent,
+		Permitted: c.permit.Issued(),
+	}
 	if c.account != nil {
 		a.Account = c.account.Name
 		if c.account.Rank != nil {
--- /dev/null
+++ b/internal/dispatch/carry.go
@@ -0,0 +1,92 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"citronslip/internal/event"
+	"citronslip/internal/ratelimit"
+)
+
+var (
+	// ErrNotCarried is returned when a request of another router may not be sent to its server at present.
+	ErrNotCarried = errors.New("dispatch: request of another router not sent")
+)
+
+type (
+	// PauseError is returned when a server wants no requests from this router for a time.
+	PauseError struct {
+		After time.Duration // Time until it accepts requests again.
+	}
+
+	// Carried is the permission to send one request of another router, which keeps all other decisions about it.
+	Carried struct {
+		dispatcher *Dispatcher
+		server     *Server
+		permit     ratelimit.Permit
+	}
+)
+
+// Error implements error.
+func (e *PauseError) Error() string {
+	return fmt.Sprintf("dispatch: the server wants no requests for %v", e.After)
+}
+
+// Carry decides whether a request of another router may be sent to the server at an address. What servers ask of a
+// router holds for such requests as well: a server sees only from which router they come. Unless the other router has a
+// permit, Carry obtains one if the server has a rate limit. Its error is a *PauseError or wraps ErrNotCarried.
+func (d *Dispatcher) Carry(ctx context.Context, address string, permit bool) (*Carried, error) {
+	if d.Behind != nil && d.Behind() {
+		return nil, fmt.Errorf("%w: %s", ErrNotCarried, LinkFull)
+	}
+	server, leaving := d.Pool.at(address)
+	if server == nil || leaving {
+		return nil, fmt.Errorf("%w: no server at %s, or it is leaving", ErrNotCarried, address)
+	}
+	if wait := d.Pool.Picker.BusyTime(server.Name); wait > 0 {
+		return nil, &PauseError{After: wait}
+	}
+	carried := &Carried{dispatcher: d, server: server}
+	if permit {
+		return carried, nil
+	}
+	var err error
+	carried.permit, err = d.Limits.Acquire(ctx, server.process(), 0)
+	var exhausted *ratelimit.ExhaustedError
+	switch {
+	case errors.As(err, &exhausted):
+		return nil, &PauseError{After: exhausted.After}
+	case err != nil:
+		return nil, fmt.Errorf("%w: %w", ErrNotCarried, err)
+	}
+	return carried, nil
+}
+
+// Observe records what the head of the response says about the server.
+func (c *Carried) Observe(outcome Outcome) {
+	d := c.dispatcher
+	switch o := outcome.(type) {
+	case Refused:
+		if o.Misdirected {
+			return
+		}
+		c.observe(o.Leaving, o.Limit)
+		d.Pool.ReportLoad(c.server, o.Load)
+		d.Pool.BackOff(c.server, o.After)
+	case Answered:
+		c.observe(o.Leaving, o.Limit)
+		d.Pool.ReportLoad(c.server, o.Load)
+		d.Pool.BackOff(c.server, o.Rest)
+	case NotSent, NoResponse:
+	}
+}
+
+func (c *Carried) observe(leaving bool, limit ratelimit.Announcement) {
+	if leaving {
+		event.ServerLeaving.Log(c.dispatcher.Logger).Str("server", c.server.Name).Int64("born", c.server.Born).Send()
+		c.dispatcher.Pool.MarkLeaving(c.server)
+	}
+	c.dispatcher.Limits.Observe(c.server.process(), c.permit, limit)
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -113,6 +113,7 @@
 		Rank      int           // Priority; 0 is the most urgent.
 		Left      time.Duration // Time that remains until the deadline.
 		LastEvent string        // ID of the event after which the server is to continue a stream.
+		Permitted bool          // Whether a permit was issued for the attempt, as the server has a rate limit.
 	}
 
 	// Backend sends attempts to backend servers.
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -28,6 +28,7 @@
 		mu         sync.Mutex
 		latest     []Server
 		byName     map[string]*Server
+		byAddress  map[string]*Server
 		departures map[string]departure // By server name.
 		silences   map[string]time.Time // When a stream last left a silent server, by server name.
 	}
@@ -103,10 +104,14 @@
 func (p *Pool) updatePicker() {
 	servers := p.latest
 	byName := make(map[string]*Server, len(servers))
+	byAddress := make(map[string]*Server, len(servers))
 	list := make([]routing.Server, 0, len(servers))
 	for i := range servers {
 		s := &servers[i]
 		byName[s.Name] = s
+		if other := byAddress[s.Address]; other == nil || other.Born < s.Born {
+			byAddress[s.Address] = s // The address of a server that is gone may be that of another one.
+		}
 		list = append(list, routing.Server{
 			BackendServer: inventory.BackendServer{Name: s.Name, Service: s.Service, Place: s.Place, Address: s.Address},
 			Born:          s.Born,
@@ -114,7 +119,7 @@
 			Leaving:       s.Leaving || p.announcedLeaving(s),
 		})
 	}
-	p.byName = byName
+	p.byName, p.byAddress = byName, byAddress
 	p.Picker.Update(list)
 }
 
@@ -135,6 +140,17 @@
 	return server, choice, nil
 }
 
+// at returns the server at an address and whether it is leaving, or nil if there is none.
+func (p *Pool) at(address string) (server *Server, leaving bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	server = p.byAddress[address]
+	if server == nil {
+		return nil, false
+	}
+	return server, server.Leaving || p.announcedLeaving(server)
+}
+
 // Runs reports whether the process of a server is in the set.
 func (p *Pool) Runs(process ratelimit.Process) bool {
 	p.mu.Lock()
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -13,7 +13,6 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
-	"citronslip/internal/dispatch"
 	"citronslip/internal/drain"
 	"citronslip/internal/event"
 	"citronslip/pkg/inventory"
@@ -74,7 +73,6 @@
 // serve serves callers. After the stop signal it accepts connections until the load balancer has noticed the stop, and
 // then waits for the requests in flight.
 func (r *Router) serve(stop, ctx context.Context) error {
-	bodies := &dispatch.BodyReader{Most: int64(bodyMemoryShare * float64(r.Settings.Memory)), Limit: r.maxBodyBytes}
 	socket, err := r.Meter.Listen(ctx, r.Settings.Caller)
 	if err != nil {
 		return err
@@ -82,7 +80,7 @@
 	r.listening.Store(true)
 	listener := &drain.Listener{TCP: socket}
 	c := &callerServer{
-		handler: r.Callers(r.dispatcher, bodies, r.linkMonitor),
+		handler: r.Callers(r.dispatcher, r.bodies, r.linkMonitor),
 		logger:  r.Logger,
 		hook:    func(conn net.Conn, state http.ConnState) { listener.ConnState(unwrapCaller(conn), state) },
 	}
@@ -126,7 +124,8 @@
 	requestsCtx, cancel := context.WithDeadline(ctx, start.Add(grace-finalWriteTimeout))
 	defer cancel()
 	// The servers are closed last, since a closed one drops the requests that it reads.
-	if err := errors.Join(listener.Stop(requestsCtx), listener.Drain(requestsCtx), c.shutdown(requestsCtx)); err != nil {
+	if err := errors.Join(listener.Stop(requestsCtx), listener.Drain(requestsCtx), r.awaitCarried(requestsCtx),
+		c.shutdown(requestsCtx)); err != nil {
 		event.ShutdownTimedOut.Log(r.Logger).Err(err).Send()
 	}
 	ledgerCtx, cancelLedger := context.WithTimeout(ctx, finalWriteTimeout)
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -264,6 +264,7 @@
 		Methods: &peer.Methods{
 			Relay: r.answerRelay, Reserve: r.reserveForPeer, Settle: r.settleForPeer, Known: r.learnBudget,
 			Take: r.limiter.Take, Limit: r.limiter.Report, Keep: r.keepForPeer, Find: r.findForPeer,
+			Reach: r.Paths.Reach,
 		},
 		Timeout: peerTimeout,
 		Logger:  r.Logger,
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"citronslip/internal/dispatch"
 	"citronslip/internal/peer"
 	"citronslip/internal/resume"
 	"citronslip/internal/wire"
@@ -37,7 +36,6 @@
 		Logger:     r.Logger,
 		Metrics:    r.scope.SubScope("resume"),
 	}
-	r.pool.Observe = func(servers []dispatch.Server) { r.streams.Observe(dispatch.Origins(servers)) }
 }
 
 // keepForPeer keeps records of streams for another router.
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -24,6 +24,7 @@
 	"citronslip/internal/metrics"
 	"citronslip/internal/peer"
 	"citronslip/internal/prepaid"
+	"citronslip/internal/proxy"
 	"citronslip/internal/ratelimit"
 	"citronslip/internal/resume"
 	"citronslip/internal/routing"
@@ -66,8 +67,12 @@
 		// Callers returns the HTTP handler for callers, Readiness the one for readiness checks.
 		Callers   func(d *dispatch.Dispatcher, bodies *dispatch.BodyReader, monitor *dispatch.LinkMonitor) http.Handler
 		Readiness func(ready func() bool) http.Handler
-		Meter     *dial.LinkMeter
-		Logger    *zerolog.Logger
+		// Paths holds the ways to the backend servers, which Backend uses. Carrier returns the HTTP handler for requests of
+		// other routers to backend servers.
+		Paths   *proxy.Paths
+		Carrier func(d *dispatch.Dispatcher, bodies *dispatch.BodyReader) *proxy.Handler
+		Meter   *dial.LinkMeter
+		Logger  *zerolog.Logger
 
 		activeSettings board.Cell[Settings] // Settings in force.
 		scope          tally.Scope
@@ -83,6 +88,8 @@
 		limiter        *ratelimit.Limiter
 		limitFollower  *store.Follower
 		streams        *resume.Tracker
+		bodies         *dispatch.BodyReader
+		carrier        *proxy.Handler
 		relayCache     relayCache
 		peers          *peer.Client
 		started        time.Time
@@ -166,6 +173,8 @@
 	}
 	r.buildLimiter()
 	r.buildStreams()
+	r.buildPaths()
+	r.pool.Observe = r.observeServers
 	drain := func() time.Duration { return r.activeSettings.Load().Drain }
 	r.linkMonitor = &dispatch.LinkMonitor{
 		Drain:  drain,
@@ -196,6 +205,8 @@
 		Logger:  r.Logger,
 		Metrics: r.scope,
 	}
+	r.bodies = &dispatch.BodyReader{Most: int64(bodyMemoryShare * float64(r.Settings.Memory)), Limit: r.maxBodyBytes}
+	r.carrier = r.Carrier(r.dispatcher, r.bodies)
 }
 
 // controllers returns the background tasks of the router.
@@ -220,12 +231,16 @@
 		{"peers", r.peers.Run},
 		{"fetch", r.fetchRows},
 		{"serve peers", r.servePeers},
+		{"paths", r.Paths.Run},
 		{"roster", r.serverRegistry.Run},
 		{"settings", r.watchSettings},
 		{"ready", func(ctx context.Context) error {
 			return serveHTTP(ctx, r.Settings.Ready, &http.Server{Handler: r.Readiness(r.ready)})
 		}},
 	}
+	if r.Settings.Proxy != "" {
+		list = append(list, controller{"carry", r.carry})
+	}
 	if r.Usage != nil {
 		list = append(list, controller{"usage", r.Usage.Run})
 	}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -13,6 +13,7 @@
 		Ready     string        // Listen address for readiness checks.
 		Peer      string        // Listen address for other routers.
 		Metrics   string        // Listen address for metrics; none if empty.
+		Proxy     string        // Listen address for requests of other routers to backend servers; none if empty.
 		Seeds     []string      // Peer addresses of other routers, possibly outdated.
 		Store     string        // Address of the store.
 		Memory    int64         // Bytes that the process may use.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -169,6 +169,11 @@
 	return call[wire.ResumeAnswer](ctx, c, address, MethodResumeFind, params)
 }
 
+// Reach asks a router which backend servers it reaches.
+func (c *Client) Reach(ctx context.Context, address string, params wire.ProxyQuery) (wire.ProxyAnswer, error) {
+	return call[wire.ProxyAnswer](ctx, c, address, MethodProxyReach, params)
+}
+
 // call makes one call. Its errors wrap ErrNotSent, ErrOutcomeUnknown or an *RPCError. A connection on which nothing
 // arrived during the timeout is closed, so that the next call opens a new one.
 func call[R any](ctx context.Context, c *Client, address, method string, params any) (R, error) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -53,6 +53,8 @@
 	MethodResumeKeep = "resume.keep"
 	// MethodResumeFind asks which software version began a stream.
 	MethodResumeFind = "resume.find"
+	// MethodProxyReach asks which backend servers a router reaches.
+	MethodProxyReach = "proxy.reach"
 
 	// CodeBusy is returned when the connection has too many running calls. The handler was not called.
 	CodeBusy = -32001
@@ -108,6 +110,7 @@
 		Limit   Handler[wire.RatelimitReport, wire.RatelimitAnswer]   // MethodRatelimitReport.
 		Keep    Handler[wire.ResumeRecords, wire.ResumeAck]           // MethodResumeKeep.
 		Find    Handler[wire.ResumeQuery, wire.ResumeAnswer]          // MethodResumeFind.
+		Reach   Handler[wire.ProxyQuery, wire.ProxyAnswer]            // MethodProxyReach.
 	}
 
 	// Traffic counts the bytes of all connections that share it, including those of TLS.
@@ -187,6 +190,8 @@
 		return invoke(ctx, m.Keep, params)
 	case MethodResumeFind:
 		return invoke(ctx, m.Find, params)
+	case MethodProxyReach:
+		return invoke(ctx, m.Reach, params)
 	default:
 		return nil, &RPCError{Code: jsonrpc2.CodeMethodNotFound, Text: "no such method"}
 	}
--- /dev/null
+++ b/internal/proxy/paths.go
@@ -0,0 +1,294 @@
+package proxy
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"citronslip/internal/event"
+	"citronslip/internal/wire"
+)
+
+const (
+	// contactTTL is how long a response or a connection shows that a server is reached.
+	contactTTL = time.Second
+	// routerTTL is how long a router that failed to send a request is not used again.
+	routerTTL = time.Second
+	// maxTriedRouters is the maximum number of routers through which one request is tried.
+	maxTriedRouters = 3
+)
+
+type (
+	// PeerClient asks other routers.
+	PeerClient interface {
+		// Reach asks the router at an address which backend servers it reaches.
+		Reach(ctx context.Context, address string, query wire.ProxyQuery) (wire.ProxyAnswer, error)
+	}
+
+	// Paths knows which backend servers this router reaches, and which routers reach the others. Set the exported fields
+	// before the first use.
+	Paths struct {
+		Address string // At which this router accepts requests of other routers; none if empty.
+		Place   string // Data centre of this router.
+		Peers   PeerClient
+		Members func() []string // Peer addresses of the other running routers.
+		// Dial opens a connection to a backend server.
+		Dial func(ctx context.Context, network, address string) (net.Conn, error)
+		// Restored is called with the name of a server that is reached again, through another router or directly, after a
+		// failure of the path. Failures of the path say nothing about the server.
+		Restored func(server string)
+		Closed   func() bool // Whether this router sends no requests for others at present; optional.
+		Now      func() time.Time
+		Logger   *zerolog.Logger
+		Metrics  tally.Scope // Optional.
+
+		mu      sync.Mutex
+		servers map[string]*serverPath // By address.
+		routers map[string]*router     // By peer address.
+		wake    chan struct{}
+		search  *search // Search in progress; nil if there is none.
+	}
+
+	// serverPath is what is known about the ways to one server.
+	serverPath struct {
+		server    Server
+		contactAt time.Time // When a response or a connection last showed that the server is reached directly.
+		failedAt  time.Time // When a test for another router last failed.
+		broken    bool      // Whether the server is not reached directly.
+		brokenAt  time.Time
+		confirmed bool     // Whether another router reaches the server since the last failure of the way to it.
+		via       []string // Peer addresses of the routers that reach the server.
+
+		testing  bool
+		testAt   time.Time // Time of the next test of the direct way.
+		tests    int       // Failed tests since it broke.
+		searchAt time.Time // Time of the next search for other routers.
+		searches int       // Searches without a result in a row.
+	}
+
+	// router is what is known about another router.
+	router struct {
+		address  string    // At which it accepts requests of other routers.
+		place    string    // Its data centre.
+		failedAt time.Time // When it last failed to send a request or to answer.
+	}
+
+	// way is how a request reaches its server: direct, through or blocked.
+	way interface{ isWay() }
+
+	// direct is the way without another router.
+	direct struct{}
+
+	// through is the way through another router.
+	through struct {
+		peer    string // Its peer address.
+		address string // At which it accepts requests of other routers.
+	}
+
+	// blocked means that no way is known.
+	blocked struct{}
+)
+
+func (direct) isWay()  {}
+func (through) isWay() {}
+func (blocked) isWay() {}
+
+// Update replaces the set of backend servers. What is known about an address belongs to the server of that name.
+func (p *Paths) Update(servers []Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next := make(map[string]*serverPath, len(servers))
+	for _, server := range servers {
+		path := p.servers[server.Address]
+		if path == nil || path.server != server {
+			path = &serverPath{server: server}
+		}
+		next[server.Address] = path
+	}
+	p.servers = next
+}
+
+// recordContact records a response of a server on a direct connection. It does not show that new connections can be
+// opened, so that a broken way stays broken.
+func (p *Paths) recordContact(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if path := p.servers[address]; path != nil && !path.broken {
+		path.contactAt = p.Now()
+	}
+}
+
+// restore records that a connection to a server was opened. The caller holds the lock.
+func (p *Paths) restore(path *serverPath) {
+	path.contactAt = p.Now()
+	if !path.broken {
+		return
+	}
+	event.PathRestored.Log(p.Logger).Str("server", path.server.Name).Dur("after", path.contactAt.Sub(path.brokenAt)).Send()
+	// If no router reached the server, it has been down, unless all servers of its service were out of reach.
+	if path.confirmed || p.allBroken(path.server.Service) {
+		p.restored(path)
+	}
+	path.broken, path.confirmed, path.via, path.tests, path.searches = false, false, nil, 0, 0
+	p.testBrokenSoon(path.contactAt)
+}
+
+// restored reports that a server is reached again. The caller holds the lock.
+func (p *Paths) restored(path *serverPath) {
+	if p.Restored != nil {
+		name := path.server.Name
+		go p.Restored(name) // Takes locks of other parts.
+	}
+}
+
+// allBroken reports whether no server of a service is reached directly. The caller holds the lock.
+func (p *Paths) allBroken(service string) bool {
+	for _, path := range p.servers {
+		if path.server.Service == service && !path.broken {
+			return false
+		}
+	}
+	return true
+}
+
+// recordFailure records that no connection to a server could be opened.
+func (p *Paths) recordFailure(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if path := p.servers[address]; path != nil {
+		p.fail(path)
+	}
+}
+
+// fail records that the direct way to a server is broken. The caller holds the lock.
+func (p *Paths) fail(path *serverPath) {
+	now := p.Now()
+	path.tests++
+	path.testAt = now.Add(p.testInterval(path))
+	if path.broken {
+		return
+	}
+	path.broken, path.brokenAt = true, now
+	path.confirmed, path.via = false, nil
+	path.searchAt, path.searches = now, 0
+	event.PathBroken.Log(p.Logger).Str("server", path.server.Name).Str("service", path.server.Service).
+		Str("address", path.server.Address).Send()
+	p.counter("broken")
+	p.suspectService(path.server.Service, now)
+	p.wakeUp()
+}
+
+// recordRouterFailure records that a router did not send a request to a server.
+func (p *Paths) recordRouterFailure(peer, address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r := p.routers[peer]; r != nil {
+		r.failedAt = p.Now()
+	}
+	path := p.servers[address]
+	if path == nil {
+		return
+	}
+	path.via = slices.DeleteFunc(path.via, func(via string) bool { return via == peer })
+	path.searchAt = p.Now()
+	if len(path.via) == 0 {
+		path.confirmed = false
+	}
+	p.wakeUp()
+}
+
+// find returns the way of a request to a server that was not tried yet. Without one, it waits for the end of the search
+// for other routers.
+func (p *Paths) find(ctx context.Context, address string, tried []string) way {
+	way, found := p.next(address, tried)
+	if _, ok := way.(blocked); !ok || found == nil {
+		return way
+	}
+	timer := time.NewTimer(findTimeout)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-found:
+	}
+	way, _ = p.next(address, tried)
+	return way
+}
+
+// next returns the way of a request to a server, and without one a channel that is closed at the end of the search for
+// other routers; nil if none is due.
+func (p *Paths) next(address string, tried []string) (way, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	path := p.servers[address]
+	if path == nil || !path.broken {
+		if len(tried) > 0 {
+			return blocked{}, nil
+		}
+		return direct{}, nil
+	}
+	if len(tried) >= maxTriedRouters {
+		return blocked{}, nil
+	}
+	now := p.Now()
+	candidates := slices.DeleteFunc(slices.Clone(path.via), func(peer string) bool {
+		return slices.Contains(tried, peer) || now.Sub(p.routers[peer].failedAt) < routerTTL
+	})
+	if len(candidates) > 0 {
+		peer := p.best(candidates)
+		return through{peer: peer, address: p.routers[peer].address}, nil
+	}
+	if p.search != nil {
+		return blocked{}, p.search.done
+	}
+	if now.Before(path.searchAt) {
+		return blocked{}, nil
+	}
+	p.startSearch()
+	return blocked{}, p.search.done
+}
+
+// best returns one of the routers at random, one in this router's own data centre if there is any: requests then cross
+// between data centres no more often than without another router. The caller holds the lock.
+func (p *Paths) best(peers []string) string {
+	order := rand.Perm(len(peers))
+	return peers[slices.MinFunc(order, func(a, b int) int {
+		return cmp.Compare(p.distance(peers[a]), p.distance(peers[b]))
+	})]
+}
+
+// distance returns 0 for a router in the own data centre and 1 for others. The caller holds the lock.
+func (p *Paths) distance(peer string) int {
+	if r := p.routers[peer]; r != nil && r.place == p.Place {
+		return 0
+	}
+	return 1
+}
+
+// reaches reports whether a server is reached directly, and whether that is known.
+func (p *Paths) reaches(address string) (reached, known bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	path := p.servers[address]
+	now := p.Now()
+	switch {
+	case path == nil || path.broken || now.Sub(path.failedAt) < contactTTL:
+		return false, true
+	case now.Sub(path.contactAt) < contactTTL:
+		return true, true
+	}
+	return false, false
+}
+
+func (p *Paths) counter(name string) {
+	if p.Metrics != nil {
+		p.Metrics.Counter(name).Inc(1)
+	}
+}
--- /dev/null
+++ b/internal/proxy/proxy.go
@@ -0,0 +1,98 @@
+// Package proxy sends requests to backend servers through another router while this router does not reach the servers
+// itself, and sends the requests of other routers. The router that received a request from its caller keeps all decisions
+// about it: budget, permit, choice of the server, deadline, retries and cancellation. The other router only sends it.
+package proxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+const (
+	// headerAddress is the address of the backend server to which a request is to be sent.
+	headerAddress = "Citronslip-Address"
+	// headerRequest is the ID of the request, for the log.
+	headerRequest = "Citronslip-Request"
+	// headerPermit is set if the sender has a permit for the request or knows of no rate limit of the server.
+	headerPermit = "Citronslip-Permit"
+	// headerOutcome is the outcome of a request, see the constants of type outcome.
+	headerOutcome = "Citronslip-Outcome"
+	// headerAfter is the time in milliseconds for which a server wants no requests, with outcomeRefused.
+	headerAfter = "Citronslip-After"
+	// headerUnframed is set if the server's response has neither a length nor chunks and ends with its connection.
+	headerUnframed = "Citronslip-Unframed"
+
+	// outcomeAnswered means that the response is that of the backend server.
+	outcomeAnswered outcome = "answered"
+	// outcomeUnsent means that nothing was sent to the backend server.
+	outcomeUnsent outcome = "unsent"
+	// outcomeRefused means that nothing was sent since the backend server wants no requests from the router.
+	outcomeRefused outcome = "refused"
+	// outcomeLost means that the server may have executed the request and sent no usable response.
+	outcomeLost outcome = "lost"
+	// outcomeReset is outcomeLost with a connection that was reset.
+	outcomeReset outcome = "reset"
+)
+
+var (
+	// ErrNotSent is returned when no part of a request reached a backend server.
+	ErrNotSent = errors.New("proxy: request not sent")
+
+	// ownHeaders are exchanged between routers only.
+	ownHeaders = []string{headerAddress, headerRequest, headerPermit, headerOutcome, headerAfter, headerUnframed}
+)
+
+type (
+	// outcome is the value of headerOutcome.
+	outcome string
+
+	// LostError is returned when a backend server may have executed a request and no usable response arrived through the
+	// other router.
+	LostError struct {
+		Reset bool // Whether the server's connection was reset.
+		Err   error
+	}
+
+	// RefusedError is returned when the other router sent nothing because the backend server wants no requests from it.
+	RefusedError struct {
+		After time.Duration // How long the server wants none; zero if unknown.
+	}
+
+	// Call describes a request to Transport.
+	Call struct {
+		Request string // Request ID, for the log.
+		Permit  bool   // Whether the request has a permit if its server has a rate limit that this router knows.
+	}
+
+	// Server is a backend server.
+	Server struct {
+		Name    string
+		Service string
+		Address string
+	}
+
+	callKey struct{}
+)
+
+// Error implements error.
+func (e *LostError) Error() string { return fmt.Sprintf("proxy: response lost: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *LostError) Unwrap() error { return e.Err }
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("proxy: backend server wants no requests from the other router for %v", e.After)
+}
+
+// WithCall returns a context with the description of a request.
+func WithCall(ctx context.Context, call Call) context.Context {
+	return context.WithValue(ctx, callKey{}, call)
+}
+
+func callOf(ctx context.Context) Call {
+	call, _ := ctx.Value(callKey{}).(Call) // Requests without a description have no permit and no ID.
+	return call
+}
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -95,3 +95,6 @@
 func isLater(a, b wire.RatelimitPermit) bool {
 	return a.Epoch > b.Epoch || a.Epoch == b.Epoch && a.Number > b.Number
 }
+
+// Issued reports whether the permit was issued, so that the process has a rate limit.
+func (p Permit) Issued() bool { return p.id.Number > 0 }
--- a/internal/routing/busy.go
+++ b/internal/routing/busy.go
@@ -37,6 +37,17 @@
 	}
 }
 
+// BusyTime returns for how long the server still wants no new work, or zero if it takes some.
+func (p *Picker) BusyTime(name string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[name]
+	if s == nil {
+		return 0
+	}
+	return max(s.busyUntil.Sub(p.now()), 0)
+}
+
 // setBusy withholds new work from the server for the duration, but at most maxBusyTime, plus jitter. The jitter keeps
 // many routers from returning to the server at the same moment.
 func (p *Picker) setBusy(s *server, duration time.Duration, now time.Time) {
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -60,6 +60,19 @@
 	return false
 }
 
+// ForgetFailures closes the circuit of a server whose failures were those of the way to it, which has changed.
+func (p *Picker) ForgetFailures(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[name]
+	if s == nil || s.circuit.state == stateClosed {
+		return
+	}
+	s.circuit = circuit{}
+	p.counters.closed.Inc(1)
+	event.CircuitClosed.Log(p.Logger).Str("server", s.config.Name).Send()
+}
+
 // addServer adds a server of which nothing is known.
 func (p *Picker) addServer(name string, now time.Time) *server {
 	s := &server{
