Test silent ways to backend servers and take requests off broken ones

What callers saw: in the first two seconds of a silent partition requests hung on open connections until the kernel gave these up, also those that another router could have carried.

Cause: a silent way was noticed only by a new connection or by the kernel.

Change: a request that waits while nothing has arrived from its server for 0.4 s has the way tested. Once another router is known to reach the server, requests of which nothing was sent, or which may be repeated, leave the broken way. Failures of the way no longer count against the server or as evidence of crashes. Known ways are searched for again every 4 s in place of 1 s: routers that are asked open connections to servers without recent traffic.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -279,9 +279,7 @@
 	case NoResponse:
 		c.triedServers = append(c.triedServers, server.Name)
 		c.mayHaveRun = true
-		choice.Done(c.outcomeOrCancelled(ctx, routing.Broken{Reset: o.Reset}))
-		c.recordSuspect(ctx, server)
-		c.logNoResponse(server, o.Reset, o.Err)
+		c.recordNoResponse(ctx, server, choice, o)
 		return c.allowRetry(ctx)
 	case Answered:
 		c.triedServers = append(c.triedServers, server.Name)
@@ -306,6 +304,17 @@
 	return false, IncompleteResponse
 }
 
+// recordNoResponse records an attempt without a usable response. Failures of the way to a server do not count as its own.
+func (c *call) recordNoResponse(ctx context.Context, server *Server, choice *routing.Choice, o NoResponse) {
+	c.logNoResponse(server, o.Reset, o.Err)
+	if o.Path {
+		choice.Done(routing.Cancelled{})
+		return
+	}
+	choice.Done(c.outcomeOrCancelled(ctx, routing.Broken{Reset: o.Reset}))
+	c.recordSuspect(ctx, server)
+}
+
 // markLeaving stops the use of a server that announced that it is about to be removed.
 func (c *call) markLeaving(server *Server, leaving bool) {
 	if leaving {
@@ -317,7 +326,7 @@
 func (c *call) newAttempt(server *Server) Attempt {
 	a := Attempt{
 		Request: c.request, Server: server, Left: time.Until(c.deadline()), Rank: c.route.Priority, LastEvent: c.lastEvent,
-		Permitted: c.permit.Issued(),
+		Permitted: c.permit.Issued(), Repeatable: c.route.Repeat != inventory.AtMostOnce,
 	}
 	if c.account != nil {
 		a.Account = c.account.Name
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -107,13 +107,14 @@
 
 	// Attempt is one transmission of a request to a backend server.
 	Attempt struct {
-		Request   *Request
-		Server    *Server
-		Account   string        // Empty on a public route.
-		Rank      int           // Priority; 0 is the most urgent.
-		Left      time.Duration // Time that remains until the deadline.
-		LastEvent string        // ID of the event after which the server is to continue a stream.
-		Permitted bool          // Whether a permit was issued for the attempt, as the server has a rate limit.
+		Request    *Request
+		Server     *Server
+		Account    string        // Empty on a public route.
+		Rank       int           // Priority; 0 is the most urgent.
+		Left       time.Duration // Time that remains until the deadline.
+		LastEvent  string        // ID of the event after which the server is to continue a stream.
+		Permitted  bool          // Whether a permit was issued for the attempt, as the server has a rate limit.
+		Repeatable bool          // Whether the request may be executed more than once.
 	}
 
 	// Backend sends attempts to backend servers.
@@ -160,6 +161,7 @@
 	// NoResponse means that the request may have been executed and no usable response arrived.
 	NoResponse struct {
 		Reset bool // Whether the connection itself was lost.
+		Path  bool // Whether the way to the server failed, which says nothing about the server.
 		Err   error
 	}
 
--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -63,8 +63,9 @@
 		failedAt  time.Time // When a test for another router last failed.
 		broken    bool      // Whether the server is not reached directly.
 		brokenAt  time.Time
-		confirmed bool     // Whether another router reaches the server since the last failure of the way to it.
-		via       []string // Peer addresses of the routers that reach the server.
+		confirmed bool                  // Whether another router reaches the server since the last failure of the way to it.
+		via       []string              // Peer addresses of the routers that reach the server.
+		attempts  map[*attempt]struct{} // Requests that were sent directly and have no response yet.
 
 		testing  bool
 		testAt   time.Time // Time of the next test of the direct way.
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -37,7 +37,7 @@
 	findTimeout   = 500 * time.Millisecond
 	// searchInterval is the time between two searches for a server that other routers reach, minSearchBackoff and
 	// maxSearchBackoff bound it for one that none of those that were asked reaches.
-	searchInterval   = time.Second
+	searchInterval   = 4 * time.Second
 	minSearchBackoff = 250 * time.Millisecond
 	maxSearchBackoff = 4 * time.Second
 )
@@ -331,6 +331,9 @@
 	event.PathFound.Log(p.Logger).Str("server", path.server.Name).Str("peer", peer).
 		Dur("after", p.Now().Sub(path.brokenAt)).Send()
 	p.restored(path)
+	for a := range path.attempts {
+		a.interrupt()
+	}
 }
 
 // Reach answers another router's question which servers this router reaches. Servers without a recent contact are tested.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -48,10 +48,11 @@
 	// outcome is the value of headerOutcome.
 	outcome string
 
-	// LostError is returned when a backend server may have executed a request and no usable response arrived through the
-	// other router.
+	// LostError is returned when a backend server may have executed a request and no usable response arrived, either through
+	// another router or because the direct way broke.
 	LostError struct {
 		Reset bool // Whether the server's connection was reset.
+		Path  bool // Whether the way to the server failed, which says nothing about the server.
 		Err   error
 	}
 
@@ -64,6 +65,7 @@
 	Call struct {
 		Request string // Request ID, for the log.
 		Permit  bool   // Whether the request has a permit if its server has a rate limit that this router knows.
+		Repeat  bool   // Whether the request may be executed more than once.
 	}
 
 	// Server is a backend server.
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -46,11 +46,13 @@
 		*bytes.Reader
 	}
 
-	// watchedBody is the body of a response whose failure is reported.
+	// watchedBody is the body of a response.
 	watchedBody struct {
 		io.ReadCloser
-		ctx    context.Context
-		failed func()
+		ctx      context.Context // Of the request.
+		received func()          // Called when data arrives.
+		failed   func()          // Called when the response breaks off.
+		closed   func()          // Called when the body is closed.
 	}
 )
 
@@ -103,20 +105,33 @@
 // sendDirect sends a request to its server.
 func (t *Transport) sendDirect(request *http.Request, address string) (*http.Response, error) {
 	ctx := request.Context()
-	response, err := t.Direct.RoundTrip(request)
+	a := newAttempt(ctx)
+	done := t.Paths.watch(a, address)
+	response, err := t.Direct.RoundTrip(request.WithContext(a.trace()))
+	done()
 	switch {
 	case err == nil:
 		t.Paths.recordContact(address)
-		response.Body = &watchedBody{response.Body, ctx, func() { t.Paths.suspect(address) }}
+		response.Body = &watchedBody{
+			ReadCloser: response.Body,
+			ctx:        ctx,
+			received:   func() { t.Paths.recordContact(address) },
+			failed:     func() { t.Paths.suspect(address) },
+			closed:     a.end,
+		}
 		return response, nil
+	case ctx.Err() != nil:
+	case a.interrupted() && !a.connected.Load():
+		err = fmt.Errorf("%w: %w", ErrNotSent, errInterrupted)
+	case a.interrupted():
+		err = &LostError{Path: true, Err: errInterrupted}
 	case isDialError(err):
-		if ctx.Err() == nil {
-			t.Paths.recordFailure(address)
-		}
-		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
-	case ctx.Err() == nil:
+		t.Paths.recordFailure(address)
+		err = fmt.Errorf("%w: %w", ErrNotSent, err)
+	default:
 		t.Paths.suspect(address)
 	}
+	a.end()
 	return nil, err
 }
 
@@ -133,7 +148,13 @@
 	var refused *RefusedError
 	switch {
 	case err == nil:
-		response.Body = &watchedBody{response.Body, ctx, func() { t.Paths.suspectRouter(w.peer, address) }}
+		response.Body = &watchedBody{
+			ReadCloser: response.Body,
+			ctx:        ctx,
+			received:   func() {},
+			failed:     func() { t.Paths.suspectRouter(w.peer, address) },
+			closed:     func() {},
+		}
 		return response, nil
 	case errors.As(err, &lost), errors.As(err, &refused):
 		return nil, err
@@ -146,7 +167,7 @@
 	if ctx.Err() == nil {
 		t.recordFailure(ctx, address, w, err)
 	}
-	return nil, &LostError{Err: err}
+	return nil, &LostError{Path: true, Err: err}
 }
 
 // recordFailure records that a router did not send a request, or lost it.
@@ -229,12 +250,27 @@
 // Read reads from the response, and reports a failure unless the request has ended.
 func (b *watchedBody) Read(data []byte) (int, error) {
 	n, err := b.ReadCloser.Read(data)
-	if err != nil && !errors.Is(err, io.EOF) && b.ctx.Err() == nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrBodyReadAfterClose) {
+	if n > 0 {
+		b.received()
+	}
+	if isBreak(err) && b.ctx.Err() == nil {
 		b.failed()
 	}
 	return n, err
 }
 
+// Close closes the body.
+func (b *watchedBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.closed()
+	return err
+}
+
+// isBreak reports whether a response broke off, other than by the close of its body.
+func isBreak(err error) bool {
+	return err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrBodyReadAfterClose)
+}
+
 // suspectRouter has a router asked again, because a response through it was lost.
 func (p *Paths) suspectRouter(peer, address string) {
 	p.mu.Lock()
