Ask other routers only about servers that requests need

Cause: a router that was cut off asked for all servers at once, again every 4 s, and the routers that were asked opened a connection to each server without recent traffic. With 75 routers, half of them cut off from both services, the servers got 50,406 new connections for 24,224 requests.

Change: other routers are asked when a request needs a server, and again when none of those that reached it does any more. At most eight broken ways are tested within 0.5 s until one of them works. A connection that can be opened again lets a request probe the circuit.

--- a/internal/entry/proxy.go
+++ b/internal/entry/proxy.go
@@ -35,6 +35,7 @@
 	r.Paths.Peers = &peerPaths{r.peers}
 	r.Paths.Members = r.ledger.PeerAddresses
 	r.Paths.Restored = r.pool.Picker.ForgetFailures
+	r.Paths.Reopened = r.pool.Picker.AllowProbe
 	r.Paths.Closed = r.stopping.Load
 	r.Paths.Metrics = r.scope.SubScope("proxy")
 }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"slices"
 	"strconv"
@@ -98,17 +97,15 @@
 // forward sends an admitted request and returns the response.
 func (h *Handler) forward(w http.ResponseWriter, r *http.Request, admission Admission, body []byte) {
 	address := r.Header.Get(headerAddress)
-	var conn io.Closer
-	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }})
-	response, err := h.Direct.RoundTrip(outgoing(ctx, r, address, body))
+	response, conn, err := send(h.Direct, outgoing(r, address, body))
 	if err != nil {
 		h.lose(w, r, address, err)
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
 	h.Paths.recordContact(address)
-	if admission.Observe(r, response) != nil && conn != nil {
-		defer func() { _ = conn.Close() }()
+	if admission.Observe(r, response) != nil {
+		defer conn.Close()
 	}
 	writeHead(w, response)
 	h.log(r, outcomeAnswered, response.StatusCode, nil)
@@ -162,7 +159,7 @@
 
 // outgoing returns the request to the server. It prevents net/http from sending the request again on its own after a lost
 // connection: only the router of the caller may decide that.
-func outgoing(ctx context.Context, r *http.Request, address string, body []byte) *http.Request {
+func outgoing(r *http.Request, address string, body []byte) *http.Request {
 	header := r.Header.Clone()
 	for _, name := range strings.Split(r.Header.Get("Connection"), ",") {
 		header.Del(strings.TrimSpace(name))
@@ -180,7 +177,7 @@
 		Header:        header,
 		Body:          http.NoBody,
 		ContentLength: int64(len(body)),
-	}).WithContext(ctx)
+	}).WithContext(r.Context())
 	PreventRepeat(request, body)
 	return request
 }
--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -19,6 +19,8 @@
 const (
 	// contactTTL is how long a response or a connection shows that a server is reached.
 	contactTTL = time.Second
+	// failureTTL is how long a failed test for another router is relied on.
+	failureTTL = 2 * time.Second
 	// routerTTL is how long a router that failed to send a request is not used again.
 	routerTTL = time.Second
 	// maxTriedRouters is the maximum number of routers through which one request is tried.
@@ -44,6 +46,9 @@
 		// Restored is called with the name of a server that is reached again, through another router or directly, after a
 		// failure of the path. Failures of the path say nothing about the server.
 		Restored func(server string)
+		// Reopened is called with the name of a server to which a connection can be opened again, and which may have been
+		// down before; optional.
+		Reopened func(server string)
 		Closed   func() bool // Whether this router sends no requests for others at present; optional.
 		Now      func() time.Time
 		Logger   *zerolog.Logger
@@ -54,6 +59,9 @@
 		routers map[string]*router     // By peer address.
 		wake    chan struct{}
 		search  *search // Search in progress; nil if there is none.
+
+		brokenTestsAt time.Time // When broken ways were last tested.
+		recoveredAt   time.Time // When a broken way last worked again.
 	}
 
 	// serverPath is what is known about the ways to one server.
@@ -70,6 +78,7 @@
 		testing  bool
 		testAt   time.Time // Time of the next test of the direct way.
 		tests    int       // Failed tests since it broke.
+		wanted   bool      // Whether a request needs another router to the server.
 		searchAt time.Time // Time of the next search for other routers.
 		searches int       // Searches without a result in a row.
 	}
@@ -136,8 +145,10 @@
 	// If no router reached the server, it has been down, unless all servers of its service were out of reach.
 	if path.confirmed || p.allBroken(path.server.Service) {
 		p.restored(path)
+	} else if p.Reopened != nil {
+		go p.Reopened(path.server.Name) // Takes locks of other parts.
 	}
-	path.broken, path.confirmed, path.via, path.tests, path.searches = false, false, nil, 0, 0
+	path.broken, path.wanted, path.confirmed, path.via, path.tests, path.searches = false, false, false, nil, 0, 0
 	p.testBrokenSoon(path.contactAt)
 }
 
@@ -164,6 +175,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if path := p.servers[address]; path != nil {
+		path.wanted = true
 		p.fail(path)
 	}
 }
@@ -198,33 +210,34 @@
 		return
 	}
 	path.via = slices.DeleteFunc(path.via, func(via string) bool { return via == peer })
-	path.searchAt = p.Now()
 	if len(path.via) == 0 {
-		path.confirmed = false
+		path.confirmed, path.wanted, path.searchAt = false, true, p.Now()
 	}
 	p.wakeUp()
 }
 
-// find returns the way of a request to a server that was not tried yet. Without one, it waits for the end of the search
+// find returns the way of a request to a server that was not tried yet. Without one, it waits for the end of a search
 // for other routers.
 func (p *Paths) find(ctx context.Context, address string, tried []string) way {
-	way, found := p.next(address, tried)
-	if _, ok := way.(blocked); !ok || found == nil {
-		return way
-	}
 	timer := time.NewTimer(findTimeout)
 	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-found:
+	for {
+		way, found := p.next(address, tried)
+		if found == nil {
+			return way
+		}
+		select {
+		case <-ctx.Done():
+			return blocked{}
+		case <-timer.C:
+			return blocked{}
+		case <-found:
+		}
 	}
-	way, _ = p.next(address, tried)
-	return way
 }
 
-// next returns the way of a request to a server, and without one a channel that is closed at the end of the search for
-// other routers; nil if none is due.
+// next returns the way of a request to a server. Without one, it also returns a channel that is closed at the end of a
+// search for other routers, or nil if none is due.
 func (p *Paths) next(address string, tried []string) (way, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -240,19 +253,20 @@
 	}
 	now := p.Now()
 	candidates := slices.DeleteFunc(slices.Clone(path.via), func(peer string) bool {
-		return slices.Contains(tried, peer) || now.Sub(p.routers[peer].failedAt) < routerTTL
+		r := p.routers[peer]
+		return r == nil || slices.Contains(tried, peer) || now.Sub(r.failedAt) < routerTTL
 	})
 	if len(candidates) > 0 {
 		peer := p.best(candidates)
 		return through{peer: peer, address: p.routers[peer].address}, nil
 	}
-	if p.search != nil {
-		return blocked{}, p.search.done
-	}
 	if now.Before(path.searchAt) {
 		return blocked{}, nil
 	}
-	p.startSearch()
+	path.wanted = true
+	if p.search == nil {
+		p.startSearch()
+	}
 	return blocked{}, p.search.done
 }
 
@@ -280,7 +294,7 @@
 	path := p.servers[address]
 	now := p.Now()
 	switch {
-	case path == nil || path.broken || now.Sub(path.failedAt) < contactTTL:
+	case path == nil || path.broken || now.Sub(path.failedAt) < failureTTL:
 		return false, true
 	case now.Sub(path.contactAt) < contactTTL:
 		return true, true
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -26,18 +27,21 @@
 	testIntervalPerRouter = 10 * time.Millisecond
 	// maxTests is the maximum number of tests at the same time.
 	maxTests = 32
+	// maxBrokenTests is the number of broken ways that are tested within minTestInterval. The first that works has the others
+	// tested at once, which recoveryTime lasts.
+	maxBrokenTests = 8
+	recoveryTime   = 2 * time.Second
 	// suspicionWindow is the time within which the ways to two servers of a service must break for those to its other servers
 	// to be tested as well. One server that ended is not a sign of a partition.
 	suspicionWindow = 2 * time.Second
 	// searchFanout is the number of routers that are asked at once, maxSearchRounds how often others are asked in one search.
-	searchFanout    = 3
-	maxSearchRounds = 3
+	searchFanout    = 2
+	maxSearchRounds = 4
 	// searchTimeout limits the wait for the answer of one router, findTimeout that of a request for a search.
 	searchTimeout = 400 * time.Millisecond
 	findTimeout   = 500 * time.Millisecond
-	// searchInterval is the time between two searches for a server that other routers reach, minSearchBackoff and
-	// maxSearchBackoff bound it for one that none of those that were asked reaches.
-	searchInterval   = 4 * time.Second
+	// minSearchBackoff and maxSearchBackoff bound the time until the next search for a server that none of the routers that
+	// were asked reaches.
 	minSearchBackoff = 250 * time.Millisecond
 	maxSearchBackoff = 4 * time.Second
 )
@@ -101,20 +105,11 @@
 	defer p.mu.Unlock()
 	now := p.Now()
 	active, searchDue := false, false
-	running := 0
-	var due []*serverPath
 	for _, path := range p.servers {
-		switch {
-		case path.testing:
-			running++
-		case !path.testAt.IsZero() && !now.Before(path.testAt):
-			due = append(due, path)
-		}
 		active = active || path.broken || path.testing || !path.testAt.IsZero()
-		searchDue = searchDue || path.broken && !now.Before(path.searchAt)
+		searchDue = searchDue || path.searchDue(now)
 	}
-	rand.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
-	for _, path := range due[:min(len(due), max(maxTests-running, 0))] {
+	for _, path := range p.dueTests(now) {
 		path.testing = true
 		go p.test(ctx, path)
 	}
@@ -124,6 +119,40 @@
 	return active
 }
 
+// dueTests returns the ways that are tested now: those that may be broken first. The caller holds the lock.
+func (p *Paths) dueTests(now time.Time) []*serverPath {
+	running := 0
+	var suspected, broken []*serverPath
+	for _, path := range p.servers {
+		switch {
+		case path.testing:
+			running++
+		case path.testAt.IsZero() || now.Before(path.testAt):
+		case path.broken:
+			broken = append(broken, path)
+		default:
+			suspected = append(suspected, path)
+		}
+	}
+	rand.Shuffle(len(broken), func(i, j int) { broken[i], broken[j] = broken[j], broken[i] })
+	if now.Sub(p.recoveredAt) > recoveryTime {
+		if now.Sub(p.brokenTestsAt) < minTestInterval {
+			broken = nil
+		}
+		broken = broken[:min(len(broken), maxBrokenTests)]
+	}
+	if len(broken) > 0 {
+		p.brokenTestsAt = now
+	}
+	due := append(suspected, broken...)
+	return due[:min(len(due), max(maxTests-running, 0))]
+}
+
+// searchDue reports whether a request needs another router to the server, and none is known.
+func (s *serverPath) searchDue(now time.Time) bool {
+	return s.broken && s.wanted && len(s.via) == 0 && !now.Before(s.searchAt)
+}
+
 // test tests the direct way to a server.
 func (p *Paths) test(ctx context.Context, path *serverPath) {
 	err := p.open(ctx, path.server.Address, testTimeout)
@@ -182,6 +211,7 @@
 
 // testBrokenSoon has all broken ways tested, because one of them works again. The caller holds the lock.
 func (p *Paths) testBrokenSoon(now time.Time) {
+	p.recoveredAt = now
 	for _, path := range p.servers {
 		if path.broken {
 			path.testAt = now
@@ -207,7 +237,7 @@
 	now := p.Now()
 	var addresses []string
 	for address, path := range p.servers {
-		if path.broken && !now.Before(path.searchAt) {
+		if path.searchDue(now) {
 			addresses = append(addresses, address)
 		}
 	}
@@ -227,6 +257,7 @@
 // have failed recently. The caller holds the lock.
 func (p *Paths) searchOrder(now time.Time) []string {
 	peers := slices.Clone(p.Members())
+	maps.DeleteFunc(p.routers, func(peer string, _ *router) bool { return !slices.Contains(peers, peer) })
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	slices.SortStableFunc(peers, func(a, b string) int { return p.searchRank(a, now) - p.searchRank(b, now) })
 	return peers
@@ -271,8 +302,7 @@
 // scheduleSearch sets the time of the next search for a server. The caller holds the lock.
 func (p *Paths) scheduleSearch(path *serverPath, now time.Time) {
 	if len(path.via) > 0 {
-		path.searches = 0
-		path.searchAt = now.Add(searchInterval)
+		path.wanted, path.searches = false, 0
 		return
 	}
 	path.searchAt = now.Add(min(minSearchBackoff<<min(path.searches, 10), maxSearchBackoff))
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -107,7 +107,7 @@
 	ctx := request.Context()
 	a := newAttempt(ctx)
 	done := t.Paths.watch(a, address)
-	response, err := t.Direct.RoundTrip(request.WithContext(a.trace()))
+	response, _, err := send(t.Direct, request.WithContext(a.trace()))
 	done()
 	switch {
 	case err == nil:
@@ -140,7 +140,7 @@
 	ctx := request.Context()
 	t.Paths.counter("sent")
 	event.RequestProxied.Log(t.Paths.Logger).Str("request", callOf(ctx).Request).Str("peer", w.peer).Str("address", address).Send()
-	response, err := t.Routers.RoundTrip(t.proxied(request, address, w))
+	response, _, err := send(t.Routers, t.proxied(request, address, w))
 	if err == nil {
 		response, err = decode(response)
 	}
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -73,6 +73,16 @@
 	event.CircuitClosed.Log(p.Logger).Str("server", s.config.Name).Send()
 }
 
+// AllowProbe lets one request at a time probe the open circuit of a server to which a connection can be opened again.
+func (p *Picker) AllowProbe(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.servers[name]; s != nil && s.circuit.state == stateOpen {
+		s.circuit.state = stateHalfOpen
+		s.circuit.requestInFlight = false
+	}
+}
+
 // addServer adds a server of which nothing is known.
 func (p *Picker) addServer(name string, now time.Time) *server {
 	s := &server{
