Dial the address of a server that was removed only once

Callers saw requests that ended at their time limit instead of a repetition at another server, and the router dialled the address without a pause.

Cause: a server that is removed from the set while an attempt is on its way to it has no entry any more. The failure of its connection was recorded nowhere, and the next way was the direct one again, until the attempt's time limit.

Evidence: TestUnknownAddressIsDialledOnce failed before with "not true: time.Since(begin) < 100*time.Millisecond"; with a refusal that takes no time it did not end. The direct way is now tried once for each attempt.

--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -94,6 +94,12 @@
 
 	// blocked means that no way is known.
 	blocked struct{}
+
+	// attempted are the ways on which an attempt was not sent.
+	attempted struct {
+		direct  bool
+		routers []string // Peer addresses.
+	}
 )
 
 func (direct) isWay()  {}
@@ -206,7 +212,7 @@
 
 // find returns the way of a request to a server that was not tried yet. Without one, it waits for the end of the search
 // for other routers.
-func (p *Paths) find(ctx context.Context, address string, tried []string) way {
+func (p *Paths) find(ctx context.Context, address string, tried attempted) way {
 	way, found := p.next(address, tried)
 	if _, ok := way.(blocked); !ok || found == nil {
 		return way
@@ -224,22 +230,22 @@
 
 // next returns the way of a request to a server, and without one a channel that is closed at the end of the search for
 // other routers; nil if none is due.
-func (p *Paths) next(address string, tried []string) (way, <-chan struct{}) {
+func (p *Paths) next(address string, tried attempted) (way, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	path := p.servers[address]
 	if path == nil || !path.broken {
-		if len(tried) > 0 {
+		if tried.direct || len(tried.routers) > 0 {
 			return blocked{}, nil
 		}
 		return direct{}, nil
 	}
-	if len(tried) >= maxTriedRouters {
+	if len(tried.routers) >= maxTriedRouters {
 		return blocked{}, nil
 	}
 	now := p.Now()
 	candidates := slices.DeleteFunc(slices.Clone(path.via), func(peer string) bool {
-		return slices.Contains(tried, peer) || now.Sub(p.routers[peer].failedAt) < routerTTL
+		return slices.Contains(tried.routers, peer) || now.Sub(p.routers[peer].failedAt) < routerTTL
 	})
 	if len(candidates) > 0 {
 		peer := p.best(candidates)
--- a/internal/proxy/paths_test.go
+++ b/internal/proxy/paths_test.go
@@ -161,3 +161,17 @@
 		is.True(time.Since(begin) < 1600*time.Millisecond)
 	})
 }
+
+// Guards against an attempt to the address of a server that was removed which is dialled until its time limit.
+func TestUnknownAddressIsDialledOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 2, 1)
+		f.set(cutOff(0, refusing))
+		f.routers[0].paths.Update(nil)
+		begin := time.Now()
+		err := f.routers[0].send(0)
+		is.True(errors.Is(err, proxy.ErrNotSent))
+		is.True(time.Since(begin) < 100*time.Millisecond)
+	})
+}
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -76,16 +76,17 @@
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	ctx := request.Context()
 	address := request.URL.Host
-	var tried []string
+	var tried attempted
 	cause := ErrNotSent
 	for {
 		var response *http.Response
 		var err error
 		switch w := t.Paths.find(ctx, address, tried).(type) {
 		case direct:
+			tried.direct = true
 			response, err = t.sendDirect(request, address)
 		case through:
-			tried = append(tried, w.peer)
+			tried.routers = append(tried.routers, w.peer)
 			response, err = t.sendThrough(request, address, w)
 		case blocked:
 			return nil, fmt.Errorf("%w: %v", ErrNotSent, cause)
