Let attempts wait for the search for their own server

Callers were refused at the begin of a cut although other routers reached the servers: attempts to the servers whose ways broke while a search was in progress counted as not sent.

Cause: an attempt waited for the search in progress, which did not ask for its server, and looked for a way only once after its end. That started the search for its server, but the attempt did not wait for it.

Attempts now wait for searches until one has asked for their server, within the same 0.5 s.

--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -210,22 +210,26 @@
 	p.wakeUp()
 }
 
-// find returns the way of a request to a server that was not tried yet. Without one, it waits for the end of the search
-// for other routers.
+// find returns the way of a request to a server that was not tried yet. Without one, it waits for the ends of searches
+// for other routers, of which the first may have begun before the way to the server broke.
 func (p *Paths) find(ctx context.Context, address string, tried attempted) way {
-	way, found := p.next(address, tried)
-	if _, ok := way.(blocked); !ok || found == nil {
-		return way
+	found, searching := p.next(address, tried)
+	if searching == nil {
+		return found
 	}
 	timer := time.NewTimer(findTimeout)
 	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-found:
+	for searching != nil {
+		select {
+		case <-ctx.Done():
+			return found
+		case <-timer.C:
+			return found
+		case <-searching:
+		}
+		found, searching = p.next(address, tried)
 	}
-	way, _ = p.next(address, tried)
-	return way
+	return found
 }
 
 // next returns the way of a request to a server, and without one a channel that is closed at the end of the search for
