Let only tests decide when a broken way is tested again

After a cut of a second, routers went on sending their requests through others for up to 5 s.

Cause: each attempt in flight at the begin of the cut whose connection failed counted as a failed test of the way. Twenty of them put the first test off by the maximum of 4 s, as did the attempts of other routers that failed later. A way that another router was found for kept the late test.

Evidence: TestShortCutEndsSoonAfterManyAttemptsFailed failed before with "map[2:4] != map[0:4] // Directly again." (both kinds of cuts). A failed attempt on a way that is known to be broken now changes nothing, and the test comes forward when another router is found.

--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -142,7 +142,7 @@
 	if path.confirmed || p.allBroken(path.server.Service) {
 		p.restored(path)
 	}
-	path.broken, path.confirmed, path.via, path.tests, path.searches = false, false, nil, 0, 0
+	path.broken, path.confirmed, path.via = false, false, nil
 	p.testBrokenSoon(path.contactAt)
 }
 
@@ -164,26 +164,24 @@
 	return true
 }
 
-// recordFailure records that no connection to a server could be opened.
+// recordFailure records that no connection for a request to a server could be opened. While the way is broken, that says
+// nothing new: only the tests decide about the next test, or the requests in flight at its break would put it off.
 func (p *Paths) recordFailure(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if path := p.servers[address]; path != nil {
-		p.fail(path)
+	if path := p.servers[address]; path != nil && !path.broken {
+		p.breakPath(path)
 	}
 }
 
-// fail records that the direct way to a server is broken. The caller holds the lock.
-func (p *Paths) fail(path *serverPath) {
+// breakPath records that the direct way to a server is broken. The caller holds the lock.
+func (p *Paths) breakPath(path *serverPath) {
 	now := p.Now()
-	path.tests++
-	path.testAt = now.Add(p.testInterval(path))
-	if path.broken {
-		return
-	}
 	path.broken, path.brokenAt = true, now
 	path.confirmed, path.via = false, nil
 	path.searchAt, path.searches = now, 0
+	path.tests = 0
+	path.testAt = now.Add(p.testInterval(path))
 	event.PathBroken.Log(p.Logger).Str("server", path.server.Name).Str("service", path.server.Service).
 		Str("address", path.server.Address).Send()
 	p.counter("broken")
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -133,8 +133,11 @@
 	path.testAt = time.Time{}
 	switch {
 	case ctx.Err() != nil:
+	case err != nil && path.broken:
+		path.tests++
+		path.testAt = p.Now().Add(p.testInterval(path))
 	case err != nil:
-		p.fail(path)
+		p.breakPath(path)
 	default:
 		p.restore(path)
 	}
@@ -328,6 +331,9 @@
 		return
 	}
 	path.confirmed = true
+	if soon := p.Now().Add(p.testInterval(path)); path.testAt.After(soon) {
+		path.testAt = soon
+	}
 	event.PathFound.Log(p.Logger).Str("server", path.server.Name).Str("peer", peer).
 		Dur("after", p.Now().Sub(path.brokenAt)).Send()
 	p.restored(path)
