Leave a router that refused an attempt for that server only

Callers of a router that was cut off were refused for a second at all servers when the other routers did not send an attempt to one of them, which is what they do with a server that announced its removal to them.

Cause: the answer "not sent" counted as a failure of the other router. Each such answer concerns one server.

Evidence: TestRefusalForOneServerLeavesTheOthers failed before with "err: proxy: request not sent: proxy: request not sent". Such a router is now left for a second for that server only, and a search goes on until it finds a router that has not just refused. Routers that cannot be reached or lose a request are left for all servers, as before.

--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -63,8 +64,9 @@
 		failedAt  time.Time // When a test for another router last failed.
 		broken    bool      // Whether the server is not reached directly.
 		brokenAt  time.Time
-		confirmed bool     // Whether another router reaches the server since the last failure of the way to it.
-		via       []string // Peer addresses of the routers that reach the server.
+		confirmed bool                 // Whether another router reaches the server since the last failure of the way to it.
+		via       []string             // Peer addresses of the routers that reach the server.
+		unsent    map[string]time.Time // When a router, by peer address, last did not send a request to the server.
 
 		testing  bool
 		testAt   time.Time // Time of the next test of the direct way.
@@ -189,17 +191,36 @@
 	p.wakeUp()
 }
 
-// recordRouterFailure records that a router did not send a request to a server.
+// recordUnsent records that a router answered that it did not send a request to a server. That says nothing about its
+// way to others.
+func (p *Paths) recordUnsent(peer, address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if path := p.servers[address]; path != nil {
+		now := p.Now()
+		maps.DeleteFunc(path.unsent, func(_ string, at time.Time) bool { return now.Sub(at) >= routerTTL })
+		if path.unsent == nil {
+			path.unsent = make(map[string]time.Time)
+		}
+		path.unsent[peer] = now
+		p.leave(path, peer)
+	}
+}
+
+// recordRouterFailure records that a router could not be reached with a request to a server, or lost it.
 func (p *Paths) recordRouterFailure(peer, address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if r := p.routers[peer]; r != nil {
 		r.failedAt = p.Now()
 	}
-	path := p.servers[address]
-	if path == nil {
-		return
+	if path := p.servers[address]; path != nil {
+		p.leave(path, peer)
 	}
+}
+
+// leave has another router searched for in place of one. The caller holds the lock.
+func (p *Paths) leave(path *serverPath, peer string) {
 	path.via = slices.DeleteFunc(path.via, func(via string) bool { return via == peer })
 	path.searchAt = p.Now()
 	if len(path.via) == 0 {
@@ -247,7 +268,7 @@
 	}
 	now := p.Now()
 	candidates := slices.DeleteFunc(slices.Clone(path.via), func(peer string) bool {
-		return slices.Contains(tried.routers, peer) || now.Sub(p.routers[peer].failedAt) < routerTTL
+		return slices.Contains(tried.routers, peer) || !p.usable(path, peer, now)
 	})
 	if len(candidates) > 0 {
 		peer := p.best(candidates)
@@ -263,6 +284,11 @@
 	return blocked{}, p.search.done
 }
 
+// usable reports whether a router has not failed recently. The caller holds the lock.
+func (p *Paths) usable(path *serverPath, peer string, now time.Time) bool {
+	return now.Sub(p.routers[peer].failedAt) >= routerTTL && now.Sub(path.unsent[peer]) >= routerTTL
+}
+
 // best returns one of the routers at random, one in this router's own data centre if there is any: requests then cross
 // between data centres no more often than without another router. The caller holds the lock.
 func (p *Paths) best(peers []string) string {
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -257,7 +257,7 @@
 			group.Go(func() { p.ask(peer, addresses) })
 		}
 		group.Wait()
-		if len(asked) == 0 || p.allConfirmed(addresses) {
+		if len(asked) == 0 || p.allFound(addresses) {
 			break
 		}
 	}
@@ -273,7 +273,7 @@
 
 // scheduleSearch sets the time of the next search for a server. The caller holds the lock.
 func (p *Paths) scheduleSearch(path *serverPath, now time.Time) {
-	if len(path.via) > 0 {
+	if p.found(path, now) {
 		path.searches = 0
 		path.searchAt = now.Add(searchInterval)
 		return
@@ -282,15 +282,22 @@
 	path.searches++
 }
 
-func (p *Paths) allConfirmed(addresses []string) bool {
+// allFound reports whether a router that has not failed recently reaches each of the servers.
+func (p *Paths) allFound(addresses []string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := p.Now()
 	return !slices.ContainsFunc(addresses, func(address string) bool {
 		path := p.servers[address]
-		return path != nil && path.broken && len(path.via) == 0
+		return path != nil && path.broken && !p.found(path, now)
 	})
 }
 
+// found reports whether a router that has not failed recently reaches a server. The caller holds the lock.
+func (p *Paths) found(path *serverPath, now time.Time) bool {
+	return slices.ContainsFunc(path.via, func(peer string) bool { return p.usable(path, peer, now) })
+}
+
 // ask asks a router which of the servers it reaches, and records the answer.
 func (p *Paths) ask(peer string, addresses []string) {
 	ctx, cancel := context.WithTimeout(context.Background(), searchTimeout)
--- a/internal/proxy/search_test.go
+++ b/internal/proxy/search_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"errors"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -8,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"citronslip/internal/proxy"
 )
 
 // Guards against attempts that fail because a search for another server is in progress.
@@ -31,3 +34,42 @@
 		is.Equal(f.carriedBy(0), map[int]int{1: 80})
 	})
 }
+
+// Guards against a router whose refusal for one server stops the attempts to all others for a second.
+func TestRefusalForOneServerLeavesTheOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 2, 2)
+		f.set(cutOff(0, refusing))
+		is.NoErr(f.routers[0].send(0))
+		is.NoErr(f.routers[0].send(1))
+		f.routers[1].admit = func(address string) error {
+			if address == f.servers[0].Address {
+				return proxy.ErrNotSent
+			}
+			return nil
+		}
+		is.True(errors.Is(f.routers[0].send(0), proxy.ErrNotSent))
+		is.NoErr(f.routers[0].send(1))
+	})
+}
+
+// Guards against a search that ends with routers that have just refused the attempts to the server, while others send them.
+func TestSearchGoesOnBehindRoutersThatRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 12, 1)
+		f.set(cutOff(0, refusing))
+		for router := 2; router < 12; router += 2 { // All others in the own data centre.
+			f.routers[router].admit = func(string) error { return proxy.ErrNotSent }
+		}
+		served := 0
+		for range 100 {
+			if f.routers[0].send(0) == nil {
+				served++
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		is.True(served >= 90)
+	})
+}
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -138,23 +138,25 @@
 		return response, nil
 	case errors.As(err, &lost), errors.As(err, &refused):
 		return nil, err
-	case isDialError(err), errors.Is(err, ErrNotSent):
-		if ctx.Err() == nil {
-			t.recordFailure(ctx, address, w, err)
-		}
-		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	case errors.Is(err, ErrNotSent):
+		t.logFailure(ctx, address, w, err)
+		t.Paths.recordUnsent(w.peer, address)
+		return nil, err
 	}
 	if ctx.Err() == nil {
-		t.recordFailure(ctx, address, w, err)
+		t.logFailure(ctx, address, w, err)
+		t.Paths.recordRouterFailure(w.peer, address)
+	}
+	if isDialError(err) {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	return nil, &LostError{Err: err}
 }
 
-// recordFailure records that a router did not send a request, or lost it.
-func (t *Transport) recordFailure(ctx context.Context, address string, w through, err error) {
+// logFailure logs that a router did not send a request, or lost it.
+func (t *Transport) logFailure(ctx context.Context, address string, w through, err error) {
 	event.ProxyFailed.Log(t.Paths.Logger).Str("request", callOf(ctx).Request).Str("peer", w.peer).Str("address", address).Err(err).Send()
 	t.Paths.counter("failed")
-	t.Paths.recordRouterFailure(w.peer, address)
 }
 
 // proxied returns the request to another router.
