Send no requests to routers that accept none

Callers got status 502 for requests that may run only once although nothing had been sent, for about a second after a router in the middle began a planned stop or did not answer a question.

Cause: the answer to a question about one server removed the router's address, but the router stayed in use for the other servers. A request to an empty address fails in net/http without a failed connection, which counted as a lost response.

Evidence: TestRouterThatAcceptsNoMoreAttemptsIsNotUsed failed before with "not true: errors.Is(err, proxy.ErrNotSent)". A router without an address is not used for any server, and one that does not answer keeps its address for the time after it is left.

--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -77,7 +77,7 @@
 
 	// router is what is known about another router.
 	router struct {
-		address  string    // At which it accepts requests of other routers.
+		address  string    // At which it accepts requests of other routers; empty if it accepts none.
 		place    string    // Its data centre.
 		failedAt time.Time // When it last failed to send a request or to answer.
 	}
@@ -284,9 +284,10 @@
 	return blocked{}, p.search.done
 }
 
-// usable reports whether a router has not failed recently. The caller holds the lock.
+// usable reports whether a router accepts requests of others and has not failed recently. The caller holds the lock.
 func (p *Paths) usable(path *serverPath, peer string, now time.Time) bool {
-	return now.Sub(p.routers[peer].failedAt) >= routerTTL && now.Sub(path.unsent[peer]) >= routerTTL
+	r := p.routers[peer]
+	return r.address != "" && now.Sub(r.failedAt) >= routerTTL && now.Sub(path.unsent[peer]) >= routerTTL
 }
 
 // best returns one of the routers at random, one in this router's own data centre if there is any: requests then cross
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -316,16 +316,16 @@
 	if err != nil {
 		event.ReachQueryFailed.Log(p.Logger).Str("peer", peer).Err(err).Send()
 		r.failedAt = p.Now()
-		answer = wire.ProxyAnswer{}
+	} else {
+		r.address, r.place = answer.Address, answer.Place
 	}
-	r.address, r.place = answer.Address, answer.Place
 	for _, address := range addresses {
 		path := p.servers[address]
 		if path == nil || !path.broken {
 			continue
 		}
 		path.via = slices.DeleteFunc(path.via, func(via string) bool { return via == peer })
-		if answer.Address != "" && slices.Contains(answer.Reached, address) {
+		if err == nil && answer.Address != "" && slices.Contains(answer.Reached, address) {
 			path.via = append(path.via, peer)
 			p.confirm(path, peer)
 		}
--- a/internal/proxy/search_test.go
+++ b/internal/proxy/search_test.go
@@ -73,3 +73,23 @@
 		is.True(served >= 90)
 	})
 }
+
+// Guards against an attempt that counts as lost because the address of the other router is no longer known.
+func TestRouterThatAcceptsNoMoreAttemptsIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 2, 2)
+		var stopping atomic.Bool
+		f.routers[1].paths.Closed = stopping.Load
+		f.set(cutOff(0, refusing))
+		is.NoErr(f.routers[0].send(0))
+		is.NoErr(f.routers[0].send(1))
+		stopping.Store(true)
+		for range 30 {
+			for server := range 2 {
+				is.True(errors.Is(f.routers[0].send(server), proxy.ErrNotSent))
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
