Spread the first tests of a broken way over the routers of a large fleet

A server that had ended got bursts of far more than the 100 tests a second that docs/PROXY.md promises: 264 in one second from 267 of 400 routers.

Cause: the ways of all routers break at nearly the same time, and each waited for the same time plus at most a quarter until its first test, so that all tests fell into one second of four.

The first test now comes at a random time within the time in which each router may test once.

--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -340,3 +341,24 @@
 	}
 	return result
 }
+
+// busiestSecond returns the largest number of times within one second, of those from begin on.
+func busiestSecond(times []time.Time, begin time.Time) int {
+	times = slices.DeleteFunc(slices.Clone(times), begin.After)
+	slices.SortFunc(times, time.Time.Compare)
+	most, first := 0, 0
+	for i, at := range times {
+		for at.Sub(times[first]) >= time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// restoredCount returns how often Restored was called.
+func (r *fleetRouter) restoredCount() int {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	return len(r.restored)
+}
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -154,13 +154,18 @@
 	return conn.Close()
 }
 
-// testInterval returns the time until the next test of a broken way. The caller holds the lock.
+// testInterval returns the time until the next test of a broken way. The first tests of a large fleet, whose ways break at
+// the same time, are spread over the time in which each of its routers may test once. The caller holds the lock.
 func (p *Paths) testInterval(path *serverPath) time.Duration {
 	interval := minTestInterval
 	if !path.confirmed {
 		interval = min(minTestInterval<<min(path.tests, 10), maxTestInterval)
 	}
-	interval = max(interval, time.Duration(len(p.Members()))*testIntervalPerRouter)
+	fleet := time.Duration(len(p.Members())) * testIntervalPerRouter
+	if path.tests == 0 && fleet > interval {
+		return interval + rand.N(fleet)
+	}
+	interval = max(interval, fleet)
 	return interval + rand.N(interval/4)
 }
 
@@ -338,7 +343,7 @@
 		return
 	}
 	path.confirmed = true
-	if soon := p.Now().Add(p.testInterval(path)); path.testAt.After(soon) {
+	if soon := p.Now().Add(p.testInterval(path)); path.tests > 0 && path.testAt.After(soon) {
 		path.testAt = soon
 	}
 	event.PathFound.Log(p.Logger).Str("server", path.server.Name).Str("peer", peer).
