Trust only contacts with a server since the way to it was lost

A server that ended was reported as out of reach of single routers (event 421, "check the network between this host and the server"), its circuit was closed, and requests for it went through other routers in vain.

Cause: a router that was asked answered from its traffic of the last second, most of which was from before the end of the server.

The question names the age of contacts that count.

--- a/internal/proxy/crash_test.go
+++ b/internal/proxy/crash_test.go
@@ -34,15 +34,16 @@
 	}
 }
 
-// Guards against a fleet that floods the address of a server that ended, and its own routers, with tests and questions.
-func TestCrashedServerGetsFewTests(t *testing.T) {
+// Guards against a server that ended being taken for one that is out of reach, and against a fleet that floods its address
+// and the other routers with tests and questions.
+func TestCrashedServerIsNotTakenForAPartition(t *testing.T) {
 	for _, mode := range []linkMode{refusing, silent} {
 		for _, routers := range []int{6, 75, 400} {
 			t.Run(fmt.Sprintf("mode %d, %d routers", mode, routers), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					is := is.New(t)
-					f := newFleet(t, routers, 4)
-					f.traffic(t, 150*time.Millisecond, func(router int) bool { return router%3 > 0 })
+					f := newFleet(t, routers, 2)
+					f.traffic(t, 150*time.Millisecond+time.Duration(routers)*time.Millisecond, func(router int) bool { return router%3 > 0 })
 					time.Sleep(3 * time.Second)
 					f.set(func(_, server int) linkMode {
 						if server == 0 {
@@ -68,6 +69,7 @@
 					is.True(total <= 2*routers)           // Those that have not noticed test for others.
 					is.True(settled <= 130+(routers+2)/2) // Those without requests to the server: once a second each.
 					is.True(queries <= int64(routers)*9*10/4+int64(9*routers))
+					is.Equal(restored, 0) // No router reaches the server.
 					f.set(cutOff(-1, open))
 					time.Sleep(8 * time.Second)
 					before := f.arrivalCount()
--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -64,10 +64,13 @@
 		failedAt  time.Time // When a test for another router last failed.
 		broken    bool      // Whether the server is not reached directly.
 		brokenAt  time.Time
+		doubtAt   time.Time            // When the last way to the server was lost. Contacts of other routers before that show nothing.
 		confirmed bool                 // Whether another router reaches the server since the last failure of the way to it.
 		via       []string             // Peer addresses of the routers that reach the server.
 		unsent    map[string]time.Time // When a router, by peer address, last did not send a request to the server.
 
+		answerTest *answerTest // In progress; nil if there is none.
+
 		testing  bool
 		testAt   time.Time // Time of the next test of the direct way.
 		tests    int       // Failed tests since it broke.
@@ -179,7 +182,7 @@
 // breakPath records that the direct way to a server is broken. The caller holds the lock.
 func (p *Paths) breakPath(path *serverPath) {
 	now := p.Now()
-	path.broken, path.brokenAt = true, now
+	path.broken, path.brokenAt, path.doubtAt = true, now, now
 	path.confirmed, path.via = false, nil
 	path.searchAt, path.searches = now, 0
 	path.tests = 0
@@ -224,7 +227,7 @@
 	path.via = slices.DeleteFunc(path.via, func(via string) bool { return via == peer })
 	path.searchAt = p.Now()
 	if len(path.via) == 0 {
-		path.confirmed = false
+		path.confirmed, path.doubtAt = false, path.searchAt
 	}
 	p.wakeUp()
 }
@@ -307,8 +310,8 @@
 	return 1
 }
 
-// reaches reports whether a server is reached directly, and whether that is known.
-func (p *Paths) reaches(address string) (reached, known bool) {
+// reaches reports whether a server is reached directly, and whether that is known from contacts up to an age.
+func (p *Paths) reaches(address string, maxAge time.Duration) (reached, known bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	path := p.servers[address]
@@ -316,7 +319,7 @@
 	switch {
 	case path == nil || path.broken || now.Sub(path.failedAt) < contactTTL:
 		return false, true
-	case now.Sub(path.contactAt) < contactTTL:
+	case now.Sub(path.contactAt) < maxAge:
 		return true, true
 	}
 	return false, false
--- /dev/null
+++ b/internal/proxy/search.go
@@ -0,0 +1,190 @@
+package proxy
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"citronslip/internal/event"
+	"citronslip/internal/wire"
+)
+
+const (
+	// searchFanout is the number of routers that are asked at once, maxSearchRounds how often others are asked in one search.
+	searchFanout    = 3
+	maxSearchRounds = 3
+	// searchTimeout limits the wait for the answer of one router, findTimeout that of a request for a search.
+	searchTimeout = 400 * time.Millisecond
+	findTimeout   = 500 * time.Millisecond
+	// searchInterval is the time between two searches for a server that other routers reach, minSearchBackoff and
+	// maxSearchBackoff bound it for one that none of those that were asked reaches.
+	searchInterval   = time.Second
+	minSearchBackoff = 250 * time.Millisecond
+	maxSearchBackoff = 4 * time.Second
+)
+
+type (
+	// search is a search for routers that reach servers.
+	search struct {
+		done chan struct{} // Closed at its end.
+	}
+)
+
+// startSearch starts a search for routers that reach the servers to which the way is broken. The caller holds the lock.
+func (p *Paths) startSearch() {
+	now := p.Now()
+	var addresses []string
+	for address, path := range p.servers {
+		if path.broken && !now.Before(path.searchAt) {
+			addresses = append(addresses, address)
+		}
+	}
+	current := &search{done: make(chan struct{})}
+	p.search = current
+	peers := p.searchOrder(now)
+	go func() {
+		p.runSearch(addresses, peers)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.search = nil
+		close(current.done)
+	}()
+}
+
+// searchOrder returns the routers to ask, in order: those that have carried requests, others at random, and those that
+// have failed recently. The caller holds the lock.
+func (p *Paths) searchOrder(now time.Time) []string {
+	peers := slices.Clone(p.Members())
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	slices.SortStableFunc(peers, func(a, b string) int { return p.searchRank(a, now) - p.searchRank(b, now) })
+	return peers
+}
+
+// searchRank returns the rank of a router in the order of a search. The caller holds the lock.
+func (p *Paths) searchRank(peer string, now time.Time) int {
+	r := p.routers[peer]
+	switch {
+	case r == nil:
+		return 1
+	case now.Sub(r.failedAt) < routerTTL:
+		return 2
+	}
+	return p.distance(peer)
+}
+
+// runSearch asks routers, a few at a time, until each of the servers is reached by one of them or enough were asked.
+func (p *Paths) runSearch(addresses, peers []string) {
+	for range maxSearchRounds {
+		asked := peers[:min(len(peers), searchFanout)]
+		peers = peers[len(asked):]
+		var group sync.WaitGroup
+		for _, peer := range asked {
+			group.Go(func() { p.ask(peer, addresses) })
+		}
+		group.Wait()
+		if len(asked) == 0 || p.allFound(addresses) {
+			break
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Now()
+	for _, address := range addresses {
+		if path := p.servers[address]; path != nil && path.broken {
+			p.scheduleSearch(path, now)
+		}
+	}
+}
+
+// scheduleSearch sets the time of the next search for a server. The caller holds the lock.
+func (p *Paths) scheduleSearch(path *serverPath, now time.Time) {
+	if p.found(path, now) {
+		path.searches = 0
+		path.searchAt = now.Add(searchInterval)
+		return
+	}
+	path.searchAt = now.Add(min(minSearchBackoff<<min(path.searches, 10), maxSearchBackoff))
+	path.searches++
+}
+
+// allFound reports whether a router that has not failed recently reaches each of the servers.
+func (p *Paths) allFound(addresses []string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Now()
+	return !slices.ContainsFunc(addresses, func(address string) bool {
+		path := p.servers[address]
+		return path != nil && path.broken && !p.found(path, now)
+	})
+}
+
+// found reports whether a router that has not failed recently reaches a server. The caller holds the lock.
+func (p *Paths) found(path *serverPath, now time.Time) bool {
+	return slices.ContainsFunc(path.via, func(peer string) bool { return p.usable(path, peer, now) })
+}
+
+// ask asks a router which of the servers it reaches, and records the answer.
+func (p *Paths) ask(peer string, addresses []string) {
+	ctx, cancel := context.WithTimeout(context.Background(), searchTimeout)
+	defer cancel()
+	maxAge := p.maxContactAge(addresses)
+	answer, err := p.Peers.Reach(ctx, peer, wire.ProxyQuery{Servers: addresses, MaxAge: &maxAge})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.routers == nil {
+		p.routers = make(map[string]*router)
+	}
+	r := p.routers[peer]
+	if r == nil {
+		r = &router{}
+		p.routers[peer] = r
+	}
+	if err != nil {
+		event.ReachQueryFailed.Log(p.Logger).Str("peer", peer).Err(err).Send()
+		r.failedAt = p.Now()
+	} else {
+		r.address, r.place = answer.Address, answer.Place
+	}
+	for _, address := range addresses {
+		path := p.servers[address]
+		if path == nil || !path.broken {
+			continue
+		}
+		path.via = slices.DeleteFunc(path.via, func(via string) bool { return via == peer })
+		if err == nil && answer.Address != "" && slices.Contains(answer.Reached, address) {
+			path.via = append(path.via, peer)
+			p.confirm(path, peer)
+		}
+	}
+}
+
+// maxContactAge returns the age in milliseconds of contacts that show that the servers are reached. A server may have
+// ended when the way to it was lost.
+func (p *Paths) maxContactAge(addresses []string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Now()
+	age := contactTTL
+	for _, address := range addresses {
+		if path := p.servers[address]; path != nil && !path.confirmed {
+			age = min(age, now.Sub(path.doubtAt))
+		}
+	}
+	return int(age.Milliseconds())
+}
+
+// confirm records that another router reaches a server. The caller holds the lock.
+func (p *Paths) confirm(path *serverPath, peer string) {
+	if path.confirmed {
+		return
+	}
+	path.confirmed = true
+	if soon := p.Now().Add(p.testInterval(path)); path.tests > 0 && path.testAt.After(soon) {
+		path.testAt = soon
+	}
+	event.PathFound.Log(p.Logger).Str("server", path.server.Name).Str("peer", peer).
+		Dur("after", p.Now().Sub(path.brokenAt)).Send()
+	p.restored(path)
+}
--- a/internal/wire/proxy.go
+++ b/internal/wire/proxy.go
@@ -20,6 +20,11 @@
 // ProxyQuery asks a router which backend servers it reaches, since the sender does
 // not reach them itself.
 type ProxyQuery struct {
+	// Age in milliseconds of the oldest contact with a server that counts: those
+	// before the sender lost its way may be with a server that has ended since.
+	// Without it, the router that answers decides.
+	MaxAge *int `json:"maxAge,omitempty,omitzero"`
+
 	// Addresses of the backend servers.
 	Servers []string `json:"servers"`
 }
