--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -65,7 +65,9 @@
 		path.attempts = make(map[*attempt]struct{})
 	}
 	path.attempts[a] = struct{}{}
-	timer := time.AfterFunc(silenceTimeout, func() { p.suspectSilent(address) })
+	// The tests of a large fleet are spread, since a server that ended is silent for all routers at the same moment.
+	wait := silenceTimeout + p.spread()
+	timer := time.AfterFunc(wait, func() { p.suspectSilent(address) })
 	return func() {
 		timer.Stop()
 		p.mu.Lock()
--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -71,9 +72,13 @@
 		failedAt  time.Time // When a test for another router last failed.
 		broken    bool      // Whether the server is not reached directly.
 		brokenAt  time.Time
-		confirmed bool                  // Whether another router reaches the server since the last failure of the way to it.
-		via       []string              // Peer addresses of the routers that reach the server.
-		attempts  map[*attempt]struct{} // Requests that were sent directly and have no response yet.
+		doubtAt   time.Time            // When the last way to the server was lost. Contacts of other routers before that show nothing.
+		confirmed bool                 // Whether another router reaches the server since the last failure of the way to it.
+		via       []string             // Peer addresses of the routers that reach the server.
+		unsent    map[string]time.Time // When a router, by peer address, last did not send a request to the server.
+
+		attempts   map[*attempt]struct{} // Requests that were sent directly and have no response yet.
+		answerTest *answerTest           // In progress; nil if there is none.
 
 		testing  bool
 		testAt   time.Time // Time of the next test of the direct way.
@@ -85,7 +90,7 @@
 
 	// router is what is known about another router.
 	router struct {
-		address  string    // At which it accepts requests of other routers.
+		address  string    // At which it accepts requests of other routers; empty if it accepts none.
 		place    string    // Its data centre.
 		failedAt time.Time // When it last failed to send a request or to answer.
 	}
@@ -104,6 +109,12 @@
 
 	// blocked means that no way is known.
 	blocked struct{}
+
+	// attempted are the ways on which an attempt was not sent.
+	attempted struct {
+		direct  bool
+		routers []string // Peer addresses.
+	}
 )
 
 func (direct) isWay()  {}
@@ -139,6 +150,7 @@
 func (p *Paths) restore(path *serverPath) {
 	path.contactAt = p.Now()
 	if !path.broken {
+		path.wanted = false
 		return
 	}
 	event.PathRestored.Log(p.Logger).Str("server", path.server.Name).Dur("after", path.contactAt.Sub(path.brokenAt)).Send()
@@ -148,7 +160,7 @@
 	} else if p.Reopened != nil {
 		go p.Reopened(path.server.Name) // Takes locks of other parts.
 	}
-	path.broken, path.wanted, path.confirmed, path.via, path.tests, path.searches = false, false, false, nil, 0, 0
+	path.broken, path.wanted, path.confirmed, path.via = false, false, false, nil
 	p.testBrokenSoon(path.contactAt)
 }
 
@@ -170,27 +182,29 @@
 	return true
 }
 
-// recordFailure records that no connection to a server could be opened.
+// recordFailure records that no connection for a request to a server could be opened. While the way is broken, that says
+// nothing new: only the tests decide about the next test, or the requests in flight at its break would put it off.
 func (p *Paths) recordFailure(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if path := p.servers[address]; path != nil {
-		path.wanted = true
-		p.fail(path)
+	path := p.servers[address]
+	if path == nil {
+		return
+	}
+	path.wanted = true
+	if !path.broken {
+		p.breakPath(path)
 	}
 }
 
-// fail records that the direct way to a server is broken. The caller holds the lock.
-func (p *Paths) fail(path *serverPath) {
+// breakPath records that the direct way to a server is broken. The caller holds the lock.
+func (p *Paths) breakPath(path *serverPath) {
 	now := p.Now()
-	path.tests++
-	path.testAt = now.Add(p.testInterval(path))
-	if path.broken {
-		return
-	}
-	path.broken, path.brokenAt = true, now
+	path.broken, path.brokenAt, path.doubtAt = true, now, now
 	path.confirmed, path.via = false, nil
 	path.searchAt, path.searches = now, 0
+	path.tests = 0
+	path.testAt = now.Add(p.testInterval(path))
 	event.PathBroken.Log(p.Logger).Str("server", path.server.Name).Str("service", path.server.Service).
 		Str("address", path.server.Address).Send()
 	p.counter("broken")
@@ -198,78 +212,106 @@
 	p.wakeUp()
 }
 
-// recordRouterFailure records that a router did not send a request to a server.
+// recordUnsent records that a router answered that it did not send a request to a server. That says nothing about its
+// way to others.
+func (p *Paths) recordUnsent(peer, address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if path := p.servers[address]; path != nil {
+		now := p.Now()
+		maps.DeleteFunc(path.unsent, func(_ string, at time.Time) bool { return now.Sub(at) >= routerTTL })
+		if path.unsent == nil {
+			path.unsent = make(map[string]time.Time)
+		}
+		path.unsent[peer] = now
+		p.leave(path, peer)
+	}
+}
+
+// recordRouterFailure records that a router could not be reached with a request to a server, or lost it.
 func (p *Paths) recordRouterFailure(peer, address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if r := p.routers[peer]; r != nil {
 		r.failedAt = p.Now()
 	}
-	path := p.servers[address]
-	if path == nil {
-		return
+	if path := p.servers[address]; path != nil {
+		p.leave(path, peer)
 	}
+}
+
+// leave has another router searched for in place of one. The caller holds the lock.
+func (p *Paths) leave(path *serverPath, peer string) {
 	path.via = slices.DeleteFunc(path.via, func(via string) bool { return via == peer })
+	path.wanted, path.searchAt = true, p.Now()
 	if len(path.via) == 0 {
-		path.confirmed, path.wanted, path.searchAt = false, true, p.Now()
+		path.confirmed, path.doubtAt = false, path.searchAt
 	}
 	p.wakeUp()
 }
 
-// find returns the way of a request to a server that was not tried yet. Without one, it waits for the end of a search
-// for other routers.
-func (p *Paths) find(ctx context.Context, address string, tried []string) way {
+// find returns the way of a request to a server that was not tried yet. Without one, it waits for the ends of searches
+// for other routers, of which the first may have begun before the way to the server broke.
+func (p *Paths) find(ctx context.Context, address string, tried attempted) way {
+	found, searching := p.next(address, tried)
+	if searching == nil {
+		return found
+	}
 	timer := time.NewTimer(findTimeout)
 	defer timer.Stop()
-	for {
-		way, found := p.next(address, tried)
-		if found == nil {
-			return way
-		}
+	for searching != nil {
 		select {
 		case <-ctx.Done():
-			return blocked{}
+			return found
 		case <-timer.C:
-			return blocked{}
-		case <-found:
+			return found
+		case <-searching:
 		}
+		found, searching = p.next(address, tried)
 	}
+	return found
 }
 
-// next returns the way of a request to a server. Without one, it also returns a channel that is closed at the end of a
-// search for other routers, or nil if none is due.
-func (p *Paths) next(address string, tried []string) (way, <-chan struct{}) {
+// next returns the way of a request to a server, and without one a channel that is closed at the end of the search for
+// other routers; nil if none is due.
+func (p *Paths) next(address string, tried attempted) (way, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	path := p.servers[address]
 	if path == nil || !path.broken {
-		if len(tried) > 0 {
+		if tried.direct || len(tried.routers) > 0 {
 			return blocked{}, nil
 		}
 		return direct{}, nil
 	}
-	if len(tried) >= maxTriedRouters {
+	if len(tried.routers) >= maxTriedRouters {
 		return blocked{}, nil
 	}
 	now := p.Now()
 	candidates := slices.DeleteFunc(slices.Clone(path.via), func(peer string) bool {
-		r := p.routers[peer]
-		return r == nil || slices.Contains(tried, peer) || now.Sub(r.failedAt) < routerTTL
+		return slices.Contains(tried.routers, peer) || !p.usable(path, peer, now)
 	})
+	path.wanted = true
 	if len(candidates) > 0 {
 		peer := p.best(candidates)
 		return through{peer: peer, address: p.routers[peer].address}, nil
 	}
+	if p.search != nil {
+		return blocked{}, p.search.done
+	}
 	if now.Before(path.searchAt) {
 		return blocked{}, nil
 	}
-	path.wanted = true
-	if p.search == nil {
-		p.startSearch()
-	}
+	p.startSearch()
 	return blocked{}, p.search.done
 }
 
+// usable reports whether a router accepts requests of others and has not failed recently. The caller holds the lock.
+func (p *Paths) usable(path *serverPath, peer string, now time.Time) bool {
+	r := p.routers[peer]
+	return r != nil && r.address != "" && now.Sub(r.failedAt) >= routerTTL && now.Sub(path.unsent[peer]) >= routerTTL
+}
+
 // best returns one of the routers at random, one in this router's own data centre if there is any: requests then cross
 // between data centres no more often than without another router. The caller holds the lock.
 func (p *Paths) best(peers []string) string {
@@ -287,8 +329,8 @@
 	return 1
 }
 
-// reaches reports whether a server is reached directly, and whether that is known.
-func (p *Paths) reaches(address string) (reached, known bool) {
+// reaches reports whether a server is reached directly, and whether that is known from contacts up to an age.
+func (p *Paths) reaches(address string, maxAge time.Duration) (reached, known bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	path := p.servers[address]
@@ -296,7 +338,7 @@
 	switch {
 	case path == nil || path.broken || now.Sub(path.failedAt) < failureTTL:
 		return false, true
-	case now.Sub(path.contactAt) < contactTTL:
+	case now.Sub(path.contactAt) < maxAge:
 		return true, true
 	}
 	return false, false
--- /dev/null
+++ b/internal/proxy/search_test.go
@@ -0,0 +1,95 @@
+package proxy_test
+
+import (
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"citronslip/internal/proxy"
+)
+
+// Guards against attempts that fail because a search for another server is in progress.
+func TestAttemptWaitsForTheSearchForItsServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 2, 4)
+		f.set(cutOff(0, refusing))
+		var failed atomic.Int64
+		var group sync.WaitGroup
+		for i := range 80 {
+			group.Go(func() {
+				time.Sleep(time.Duration(i) * 100 * time.Microsecond)
+				if f.routers[0].send(i%4) != nil {
+					failed.Add(1)
+				}
+			})
+		}
+		group.Wait()
+		is.Equal(failed.Load(), int64(0))
+		is.Equal(f.carriedBy(0), map[int]int{1: 80})
+	})
+}
+
+// Guards against a router whose refusal for one server stops the attempts to all others for a second.
+func TestRefusalForOneServerLeavesTheOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 2, 2)
+		f.set(cutOff(0, refusing))
+		is.NoErr(f.routers[0].send(0))
+		is.NoErr(f.routers[0].send(1))
+		f.routers[1].admit = func(address string) error {
+			if address == f.servers[0].Address {
+				return proxy.ErrNotSent
+			}
+			return nil
+		}
+		is.True(errors.Is(f.routers[0].send(0), proxy.ErrNotSent))
+		is.NoErr(f.routers[0].send(1))
+	})
+}
+
+// Guards against a search that ends with routers that have just refused the attempts to the server, while others send them.
+func TestSearchGoesOnBehindRoutersThatRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 12, 1)
+		f.set(cutOff(0, refusing))
+		for router := 2; router < 12; router += 2 { // All others in the own data centre.
+			f.routers[router].admit = func(string) error { return proxy.ErrNotSent }
+		}
+		served := 0
+		for range 100 {
+			if f.routers[0].send(0) == nil {
+				served++
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		is.True(served >= 90)
+	})
+}
+
+// Guards against an attempt that counts as lost because the address of the other router is no longer known.
+func TestRouterThatAcceptsNoMoreAttemptsIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 2, 2)
+		var stopping atomic.Bool
+		f.routers[1].paths.Closed = stopping.Load
+		f.set(cutOff(0, refusing))
+		is.NoErr(f.routers[0].send(0))
+		is.NoErr(f.routers[0].send(1))
+		stopping.Store(true)
+		for range 30 {
+			for server := range 2 {
+				is.True(errors.Is(f.routers[0].send(server), proxy.ErrNotSent))
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
