--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -60,6 +60,29 @@
 	return false
 }
 
+// ForgetFailures closes the circuit of a server whose failures were those of the way to it, which has changed.
+func (p *Picker) ForgetFailures(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[name]
+	if s == nil || s.circuit.state == stateClosed {
+		return
+	}
+	s.circuit = circuit{}
+	p.counters.closed.Inc(1)
+	event.CircuitClosed.Log(p.Logger).Str("server", s.config.Name).Send()
+}
+
+// AllowProbe lets one request at a time probe the open circuit of a server to which a connection can be opened again.
+func (p *Picker) AllowProbe(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.servers[name]; s != nil && s.circuit.state == stateOpen {
+		s.circuit.state = stateHalfOpen
+		s.circuit.requestInFlight = false
+	}
+}
+
 // addServer adds a server of which nothing is known.
 func (p *Picker) addServer(name string, now time.Time) *server {
 	s := &server{
