Send no empty success to a caller that ends its side of the connection

A caller that ends only its side of the connection behind its request, and still reads, got status 200 with an empty body that no backend server had given, framed as whole, while its request was cancelled.

Cause: net/http cancels the context of a request when the caller ends its side. The dispatcher took the caller for gone and made no call of its Response, and net/http completes a handler that has written nothing with an empty success. The class is an end without a result: found by listing the paths on which a request that was read ends without a call of its Response. A stream whose event could not be written ended without a call, too.

Such a request now ends with Abort, which closes the connection without an answer. That the request is cancelled is unchanged: a router cannot tell this caller from one that has closed the connection until it writes.

--- a/internal/dispatch/closing_test.go
+++ b/internal/dispatch/closing_test.go
@@ -73,3 +73,21 @@
 		is.True(response.ended)
 	})
 }
+
+// Guards against a request that ends without a call of its Response, which net/http answers with an empty success.
+func TestEachRequestEndsItsResponse(t *testing.T) {
+	for _, path := range []string{"/once/1", "/safe/1", "/stream/1"} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			d := newTestDispatcher(func(ctx context.Context, _ int, _ dispatch.Attempt) dispatch.Outcome {
+				cancel()
+				return dispatch.NoResponse{Err: ctx.Err()}
+			})
+			response := &callerResponse{}
+			d.Serve(ctx, request(path), response)
+			is.Equal(response.refusal, nil)
+			is.True(response.aborted && response.head == nil)
+		})
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -84,15 +84,15 @@
 		After  time.Duration // Time after which the caller may retry; zero if unknown.
 	}
 
-	// Response receives the response to a request. The first call is either Refuse or Begin, at most once. After Begin
-	// come calls of Write and then one of End and Abort.
+	// Response receives the response to a request. The first call is Refuse, Begin or Abort. After Begin come calls of Write
+	// and then one of End and Abort.
 	Response interface {
 		Refuse(r Refusal)
 		// Begin starts the response with the head of Answered. The length is -1 if it is unknown.
 		Begin(head any, length int64) error
 		Write(data []byte) error
 		End() error
-		// Abort ends the response so that the caller cannot mistake it for a complete one.
+		// Abort ends the response so that the caller cannot mistake it for a complete one. Without Begin there is none.
 		Abort()
 	}
 
--- a/internal/dispatch/failure.go
+++ b/internal/dispatch/failure.go
@@ -20,9 +20,7 @@
 func (c *call) fail(ctx context.Context, reason Reason) {
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
-		if c.responseStarted {
-			c.response.Abort()
-		}
+		c.response.Abort() // The caller may have ended only its side of the connection.
 		c.setResult("caller left", "")
 	case c.responseStarted:
 		c.response.Abort()
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -57,6 +57,7 @@
 		}
 		if !c.forwardEvent(choice, o, data) {
 			choice.Done(routing.Cancelled{})
+			c.response.Abort()
 			c.setResult("caller left", "")
 			return false, ""
 		}
