Abort the response of a caller that ends its side on the product's own front

Cause: when the caller counts as gone, the handler returned, and net/http completes its response. The handler now aborts the response.

Evidence: the test failed before, for a stream as well as without one:

halfclose_test.go:40: not true: err != nil --- FAIL: TestCallerThatEndsItsSideGetsNoCompleteAnswer

internal/caller passes with the race detector, and of internal/router the tests of callers that disconnect.

--- a/internal/caller/retry.go
+++ b/internal/caller/retry.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"citronslip/internal/delay"
 )
 
-// attemptUntilDone makes attempts until one is answered, no further one may follow, or the caller has disconnected.
-// Only a request whose body was kept can be attempted again.
+// attemptUntilDone makes attempts until one is answered or no further one may follow. It aborts the response if the caller has
+// disconnected. Only a request whose body was kept can be attempted again.
 func (c *call) attemptUntilDone(
 	ctx context.Context, bodyKept bool, attempt func(context.Context) attemptResult, finish func(context.Context, answered),
 ) *Refusal {
@@ -22,7 +23,8 @@
 		case callerGone:
 			c.record.Result = "cancelled"
 			c.recordOutcomeUnknown(ctx)
-			return nil
+			// A caller that has ended only its side of the connection must not take the response for complete.
+			panic(http.ErrAbortHandler)
 		case failed:
 			backoff, retry := c.retryDelay(result, bodyKept)
 			if !retry || !delay.Sleep(ctx, backoff) {
