Test ways often while no server of a service is reached

After a cut of all routers, requests were refused for up to 5 s more.

Cause: a way is tested less and less often, down to every 4 s, if no other router reaches the server either, since the server has then probably ended. In a cut of all routers that holds for all servers.

While no server of a service is reached, the ways to them are tested every 0.5 s; the bound for large fleets stays.

--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -65,6 +65,7 @@
 		broken    bool      // Whether the server is not reached directly.
 		brokenAt  time.Time
 		doubtAt   time.Time            // When the last way to the server was lost. Contacts of other routers before that show nothing.
+		cut       bool                 // Whether no server of its service was reached directly at some time since.
 		confirmed bool                 // Whether another router reaches the server since the last failure of the way to it.
 		via       []string             // Peer addresses of the routers that reach the server.
 		unsent    map[string]time.Time // When a router, by peer address, last did not send a request to the server.
@@ -143,11 +144,11 @@
 		return
 	}
 	event.PathRestored.Log(p.Logger).Str("server", path.server.Name).Dur("after", path.contactAt.Sub(path.brokenAt)).Send()
-	// If no router reached the server, it has been down, unless all servers of its service were out of reach.
-	if path.confirmed || p.allBroken(path.server.Service) {
+	// If no router reached the server, it has been down, unless all servers of its service were out of reach at once.
+	if path.confirmed || path.cut {
 		p.restored(path)
 	}
-	path.broken, path.confirmed, path.via = false, false, nil
+	path.broken, path.cut, path.confirmed, path.via = false, false, false, nil
 	p.testBrokenSoon(path.contactAt)
 }
 
@@ -159,14 +160,21 @@
 	}
 }
 
-// allBroken reports whether no server of a service is reached directly. The caller holds the lock.
-func (p *Paths) allBroken(service string) bool {
+// markCut records that all servers of a service are out of reach if no server of it is reached directly. The caller holds
+// the lock.
+func (p *Paths) markCut(service string) {
+	var paths []*serverPath
 	for _, path := range p.servers {
-		if path.server.Service == service && !path.broken {
-			return false
+		if path.server.Service == service {
+			if !path.broken {
+				return
+			}
+			paths = append(paths, path)
 		}
 	}
-	return true
+	for _, path := range paths {
+		path.cut = true
+	}
 }
 
 // recordFailure records that no connection for a request to a server could be opened. While the way is broken, that says
@@ -185,6 +193,7 @@
 	path.broken, path.brokenAt, path.doubtAt = true, now, now
 	path.confirmed, path.via = false, nil
 	path.searchAt, path.searches = now, 0
+	p.markCut(path.server.Service)
 	path.tests = 0
 	path.testAt = now.Add(p.testInterval(path))
 	event.PathBroken.Log(p.Logger).Str("server", path.server.Name).Str("service", path.server.Service).
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -12,7 +12,7 @@
 	// testTimeout limits the opening of a connection that tests the direct way.
 	testTimeout = 700 * time.Millisecond
 	// minTestInterval and maxTestInterval bound the time between two tests of a broken way, which doubles as long as no
-	// other router reaches the server either. testIntervalPerRouter bounds it in a large fleet, so that the connections that a
+	// other router reaches the server either, but others of its service are reached: it has ended then. testIntervalPerRouter bounds it in a large fleet, so that the connections that a
 	// server gets from the tests of all routers together do not grow with the fleet.
 	minTestInterval       = 500 * time.Millisecond
 	maxTestInterval       = 4 * time.Second
@@ -133,7 +133,7 @@
 // the same time, are spread over the time in which each of its routers may test once. The caller holds the lock.
 func (p *Paths) testInterval(path *serverPath) time.Duration {
 	interval := minTestInterval
-	if !path.confirmed {
+	if !path.confirmed && !path.cut {
 		interval = min(minTestInterval<<min(path.tests, 10), maxTestInterval)
 	}
 	fleet := time.Duration(len(p.Members())) * testIntervalPerRouter
