Ask other routers than those that reached nothing

A router of a data centre that was cut off as a whole found no way for as long as the cut lasted, although routers elsewhere reached the servers.

Cause: a search asked known routers in the own data centre first. Those were the nine that had just answered that they reach no server, and a search asks nine.

Routers that reached nothing when they were last asked now come after those that are not known.

--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -84,6 +84,8 @@
 		address  string    // At which it accepts requests of other routers; empty if it accepts none.
 		place    string    // Its data centre.
 		failedAt time.Time // When it last failed to send a request or to answer.
+
+		reachedNone bool // Whether it reached none of the servers when it was last asked.
 	}
 
 	// way is how a request reaches its server: direct, through or blocked.
--- a/internal/proxy/search.go
+++ b/internal/proxy/search.go
@@ -53,8 +53,8 @@
 	}()
 }
 
-// searchOrder returns the routers to ask, in order: those that have carried requests, others at random, and those that
-// have failed recently. The caller holds the lock.
+// searchOrder returns the routers to ask, in order: those in the own data centre that reach servers, others at random, those
+// that reached none of the servers when they were last asked, and those that have failed recently. The caller holds the lock.
 func (p *Paths) searchOrder(now time.Time) []string {
 	peers := slices.Clone(p.Members())
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
@@ -69,6 +69,8 @@
 	case r == nil:
 		return 1
 	case now.Sub(r.failedAt) < routerTTL:
+		return 3
+	case r.reachedNone:
 		return 2
 	}
 	return p.distance(peer)
@@ -145,7 +147,7 @@
 		event.ReachQueryFailed.Log(p.Logger).Str("peer", peer).Err(err).Send()
 		r.failedAt = p.Now()
 	} else {
-		r.address, r.place = answer.Address, answer.Place
+		r.address, r.place, r.reachedNone = answer.Address, answer.Place, len(answer.Reached) == 0
 	}
 	for _, address := range addresses {
 		path := p.servers[address]
--- a/internal/proxy/search_test.go
+++ b/internal/proxy/search_test.go
@@ -93,3 +93,22 @@
 		}
 	})
 }
+
+// Guards against searches that ask the same routers again, which reach no server either, and never the others.
+func TestSearchAsksOthersThanThoseThatReachedNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 40, 1)
+		f.set(func(router, _ int) linkMode {
+			if router == 39 {
+				return open
+			}
+			return refusing
+		})
+		for range 10 {
+			_ = f.routers[0].send(0) // Another router may not be found yet.
+			time.Sleep(time.Second)
+		}
+		is.NoErr(f.routers[0].send(0))
+	})
+}
