Keep the framing of responses to HEAD through another router

A response to HEAD of a server that uses chunks looked like one that ends with its connection when it came through another router.

Cause: net/http's server names no transfer coding in responses to HEAD, and a response with neither a length nor a coding counted as one without framing.

The router in the middle names unframed responses, so all others of unknown length have chunks.

--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -196,8 +196,11 @@
 	}
 	switch result {
 	case outcomeAnswered:
-		if unframed {
+		switch {
+		case unframed:
 			response.TransferEncoding = nil
+		case response.ContentLength < 0:
+			response.TransferEncoding = []string{"chunked"} // A response to HEAD does not say so between routers.
 		}
 		return response, nil
 	case outcomeUnsent:
