Pass the head of a response that breaks off early

While a router was cut off, one response that its server broke off within the first kilobytes had all requests of the router refused for a second.

Cause: the router in the middle ended the connection without having sent what it had of the response. The other router took that for a failure of the router in the middle, and left it for a second for all servers.

Evidence: TestResponsePassesUnchanged failed before with "through true: proxy: response lost: EOF" for the broken response, and all requests after it failed with "proxy: request not sent". The head and the beginning of the body are now sent before the connection ends; the response is broken off there, as directly.

--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -116,6 +116,8 @@
 		if r.Context().Err() == nil {
 			h.Paths.suspect(address)
 		}
+		// Without the head, the other router would take the failure of the server for one of this router.
+		_ = http.NewResponseController(w).Flush() // A router that is gone does not matter.
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/proxy/message_test.go
+++ b/internal/proxy/message_test.go
@@ -83,6 +83,9 @@
 		"error":          "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 2\r\nContent-Length: 2\r\n\r\nno",
 		"own headers":    "HTTP/1.1 200 OK\r\nCitronslip-Outcome: unsent\r\nCitronslip-Unframed: 1\r\nContent-Length: 2\r\n\r\nok",
 		"unknown status": "HTTP/1.1 299 Odd\r\nContent-Length: 1\r\n\r\nx",
+		"broken length":  "HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\nabc",
+		"broken chunk":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nabc",
+		"no last chunk":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
 	} {
 		for _, method := range []string{"POST", "HEAD"} {
 			t.Run(name+" "+method, func(t *testing.T) {
