Read the body of a request for each way with a reader of its own

A request with a large body could arrive changed, or fail, when a router in the middle refused it before it had read the body and it was sent through the next.

Cause: both transmissions read from the same reader. net/http goes on reading the body for the first connection for some time after the refusal has arrived.

Evidence: TestBodyIsWholeAfterARefusalBeforeItsEnd failed before with "WARNING: DATA RACE ... bytes.(*Reader).Read ... bytes.(*Reader).Seek", and without the race detector with "not true: err == nil || !errors.Is(err, proxy.ErrNotSent)".

TestRequestIsSentAtMostOnce, which passes, counts arrivals at the server while both hops lose connections at random and callers leave.

--- a/internal/proxy/http_test.go
+++ b/internal/proxy/http_test.go
@@ -34,6 +34,7 @@
 
 		admit   func(ctx context.Context, address string, permit bool) (proxy.Admission, error)
 		observe func(request *http.Request, response *http.Response) error
+		before  func(w http.ResponseWriter, n int64) bool // Whether the router in the middle serves its n-th request.
 		queries atomic.Int64
 	}
 
@@ -75,8 +76,9 @@
 			return chainAdmission{c}, nil
 		}}
 	c.middle = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c.carried.Add(1)
-		c.handler.ServeHTTP(w, r)
+		if n := c.carried.Add(1); c.before == nil || c.before(w, n) {
+			c.handler.ServeHTTP(w, r)
+		}
 	}))
 	t.Cleanup(c.middle.Close)
 	middlePaths.Address = c.middle.Listener.Addr().String()
@@ -122,6 +124,15 @@
 	return request
 }
 
+// arrived returns how often a request arrived at the server.
+func (c *chain) arrived(id string) int64 {
+	n, ok := c.arrivals.Load(id)
+	if !ok {
+		return 0
+	}
+	return n.(*atomic.Int64).Load()
+}
+
 // fetch sends a request and returns the response with its whole body.
 func (c *chain) fetch(request *http.Request) (*http.Response, []byte, error) {
 	response, err := c.transport.RoundTrip(request)
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -44,6 +44,7 @@
 	// own, which it does with bodies that it knows.
 	Body struct {
 		*bytes.Reader
+		data []byte
 	}
 
 	// watchedBody is the body of a response whose failure is reported.
@@ -67,7 +68,7 @@
 }
 
 // NewBody returns a body with the given contents.
-func NewBody(data []byte) *Body { return &Body{bytes.NewReader(data)} }
+func NewBody(data []byte) *Body { return &Body{bytes.NewReader(data), data} }
 
 // Close does nothing.
 func (*Body) Close() error { return nil }
@@ -211,15 +212,16 @@
 	return nil, &LostError{Reset: result == outcomeReset, Err: errors.New("proxy: the other router got no response")}
 }
 
-// again returns the request for another way.
+// again returns the request for another way. It has a reader of its own: net/http may still read the body for the previous
+// way if the other router refused the request before its end.
 func again(request *http.Request) (*http.Request, error) {
 	result := request.Clone(request.Context())
 	switch body := request.Body.(type) {
 	case nil:
 		return result, nil
 	case *Body:
-		_, err := body.Seek(0, io.SeekStart)
-		return result, err
+		result.Body = NewBody(body.data)
+		return result, nil
 	}
 	if request.Body == http.NoBody {
 		return result, nil
