Ask a router once about many responses that were lost at once

When a router in the middle ended, the other router sent it one question for each stream that broke off, hundreds at the same time, and each of them blocked a goroutine until its time limit.

Cause: each lost response had the router asked again, about one server.

--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -85,7 +85,8 @@
 		place    string    // Its data centre.
 		failedAt time.Time // When it last failed to send a request or to answer.
 
-		reachedNone bool // Whether it reached none of the servers when it was last asked.
+		recheckedAt time.Time // When it was last asked again after a lost response.
+		reachedNone bool      // Whether it reached none of the servers when it was last asked.
 	}
 
 	// way is how a request reaches its server: direct, through or blocked.
--- a/internal/proxy/search.go
+++ b/internal/proxy/search.go
@@ -190,3 +190,39 @@
 		Dur("after", p.Now().Sub(path.brokenAt)).Send()
 	p.restored(path)
 }
+
+// suspectRouter has a router asked again, because a response through it was lost: the router may have ended, or the
+// server. Only the former says nothing about the server. Many responses that are lost at once lead to one question.
+func (p *Paths) suspectRouter(peer, address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	path, r := p.servers[address], p.routers[peer]
+	if path == nil || !path.broken || r == nil || p.Now().Sub(r.recheckedAt) < searchTimeout || p.Now().Sub(r.failedAt) < routerTTL {
+		return
+	}
+	r.recheckedAt = p.Now()
+	var addresses []string
+	for address, path := range p.servers {
+		if path.broken && slices.Contains(path.via, peer) {
+			addresses = append(addresses, address)
+		}
+	}
+	go p.recheck(peer, addresses)
+}
+
+// recheck asks a router which servers it still reaches. If it does not answer, other routers are searched for.
+func (p *Paths) recheck(peer string, addresses []string) {
+	begin := p.Now()
+	p.ask(peer, addresses)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.routers[peer].failedAt.Before(begin) {
+		return
+	}
+	for _, address := range addresses {
+		if path := p.servers[address]; path != nil && path.broken {
+			p.leave(path, peer)
+		}
+	}
+	p.wakeUp()
+}
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -243,37 +243,6 @@
 	return n, err
 }
 
-// suspectRouter has a router asked again, because a response through it was lost.
-func (p *Paths) suspectRouter(peer, address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	path := p.servers[address]
-	if path == nil || !path.broken {
-		return
-	}
-	// The router may have ended, or the server may have. Only the former says nothing about the server.
-	go p.recheck(peer, address)
-}
-
-// recheck asks a router whether it still reaches a server. If it does not answer, another router is searched for.
-func (p *Paths) recheck(peer, address string) {
-	before := p.failureOf(peer)
-	p.ask(peer, []string{address})
-	if after := p.failureOf(peer); after.After(before) {
-		p.recordRouterFailure(peer, address)
-	}
-}
-
-// failureOf returns when a router last failed.
-func (p *Paths) failureOf(peer string) time.Time {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if r := p.routers[peer]; r != nil {
-		return r.failedAt
-	}
-	return time.Time{}
-}
-
 // removeHeaders removes the headers that are exchanged between routers only.
 func removeHeaders(header http.Header) {
 	for _, name := range ownHeaders {
