--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -73,6 +73,7 @@
 		broken    bool      // Whether the server is not reached directly.
 		brokenAt  time.Time
 		doubtAt   time.Time            // When the last way to the server was lost. Contacts of other routers before that show nothing.
+		cut       bool                 // Whether no server of its service was reached directly at some time since.
 		confirmed bool                 // Whether another router reaches the server since the last failure of the way to it.
 		via       []string             // Peer addresses of the routers that reach the server.
 		unsent    map[string]time.Time // When a router, by peer address, last did not send a request to the server.
@@ -93,6 +94,9 @@
 		address  string    // At which it accepts requests of other routers; empty if it accepts none.
 		place    string    // Its data centre.
 		failedAt time.Time // When it last failed to send a request or to answer.
+
+		recheckedAt time.Time // When it was last asked again after a lost response.
+		reachedNone bool      // Whether it reached none of the servers when it was last asked.
 	}
 
 	// way is how a request reaches its server: direct, through or blocked.
@@ -154,13 +158,13 @@
 		return
 	}
 	event.PathRestored.Log(p.Logger).Str("server", path.server.Name).Dur("after", path.contactAt.Sub(path.brokenAt)).Send()
-	// If no router reached the server, it has been down, unless all servers of its service were out of reach.
-	if path.confirmed || p.allBroken(path.server.Service) {
+	// If no router reached the server, it has been down, unless all servers of its service were out of reach at once.
+	if path.confirmed || path.cut {
 		p.restored(path)
 	} else if p.Reopened != nil {
 		go p.Reopened(path.server.Name) // Takes locks of other parts.
 	}
-	path.broken, path.wanted, path.confirmed, path.via = false, false, false, nil
+	path.broken, path.cut, path.wanted, path.confirmed, path.via = false, false, false, false, nil
 	p.testBrokenSoon(path.contactAt)
 }
 
@@ -172,14 +176,21 @@
 	}
 }
 
-// allBroken reports whether no server of a service is reached directly. The caller holds the lock.
-func (p *Paths) allBroken(service string) bool {
+// markCut records that all servers of a service are out of reach if no server of it is reached directly. The caller holds
+// the lock.
+func (p *Paths) markCut(service string) {
+	var paths []*serverPath
 	for _, path := range p.servers {
-		if path.server.Service == service && !path.broken {
-			return false
+		if path.server.Service == service {
+			if !path.broken {
+				return
+			}
+			paths = append(paths, path)
 		}
 	}
-	return true
+	for _, path := range paths {
+		path.cut = true
+	}
 }
 
 // recordFailure records that no connection for a request to a server could be opened. While the way is broken, that says
@@ -203,6 +214,7 @@
 	path.broken, path.brokenAt, path.doubtAt = true, now, now
 	path.confirmed, path.via = false, nil
 	path.searchAt, path.searches = now, 0
+	p.markCut(path.server.Service)
 	path.tests = 0
 	path.testAt = now.Add(p.testInterval(path))
 	event.PathBroken.Log(p.Logger).Str("server", path.server.Name).Str("service", path.server.Service).
--- a/internal/proxy/search.go
+++ b/internal/proxy/search.go
@@ -62,8 +62,8 @@
 	}()
 }
 
-// searchOrder returns the routers to ask, in order: those that have carried requests, others at random, and those that
-// have failed recently. The caller holds the lock.
+// searchOrder returns the routers to ask, in order: those in the own data centre that reach servers, others at random, those
+// that reached none of the servers when they were last asked, and those that have failed recently. The caller holds the lock.
 func (p *Paths) searchOrder(now time.Time) []string {
 	peers := slices.Clone(p.Members())
 	maps.DeleteFunc(p.routers, func(peer string, _ *router) bool { return !slices.Contains(peers, peer) })
@@ -79,6 +79,8 @@
 	case r == nil:
 		return 1
 	case now.Sub(r.failedAt) < routerTTL:
+		return 3
+	case r.reachedNone:
 		return 2
 	}
 	return p.distance(peer)
@@ -158,7 +160,7 @@
 		event.ReachQueryFailed.Log(p.Logger).Str("peer", peer).Err(err).Send()
 		r.failedAt = p.Now()
 	} else {
-		r.address, r.place = answer.Address, answer.Place
+		r.address, r.place, r.reachedNone = answer.Address, answer.Place, len(answer.Reached) == 0
 	}
 	for _, address := range addresses {
 		path := p.servers[address]
@@ -204,3 +206,39 @@
 		a.interrupt()
 	}
 }
+
+// suspectRouter has a router asked again, because a response through it was lost: the router may have ended, or the
+// server. Only the former says nothing about the server. Many responses that are lost at once lead to one question.
+func (p *Paths) suspectRouter(peer, address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	path, r := p.servers[address], p.routers[peer]
+	if path == nil || !path.broken || r == nil || p.Now().Sub(r.recheckedAt) < searchTimeout || p.Now().Sub(r.failedAt) < routerTTL {
+		return
+	}
+	r.recheckedAt = p.Now()
+	var addresses []string
+	for address, path := range p.servers {
+		if path.broken && slices.Contains(path.via, peer) {
+			addresses = append(addresses, address)
+		}
+	}
+	go p.recheck(peer, addresses)
+}
+
+// recheck asks a router which servers it still reaches. If it does not answer, other routers are searched for.
+func (p *Paths) recheck(peer string, addresses []string) {
+	begin := p.Now()
+	p.ask(peer, addresses)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.routers[peer].failedAt.Before(begin) {
+		return
+	}
+	for _, address := range addresses {
+		if path := p.servers[address]; path != nil && path.broken {
+			p.leave(path, peer)
+		}
+	}
+	p.wakeUp()
+}
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -44,6 +44,7 @@
 	// own, which it does with bodies that it knows.
 	Body struct {
 		*bytes.Reader
+		data []byte
 	}
 
 	// watchedBody is the body of a response.
@@ -69,7 +70,7 @@
 }
 
 // NewBody returns a body with the given contents.
-func NewBody(data []byte) *Body { return &Body{bytes.NewReader(data)} }
+func NewBody(data []byte) *Body { return &Body{bytes.NewReader(data), data} }
 
 // Close does nothing.
 func (*Body) Close() error { return nil }
@@ -217,8 +218,11 @@
 	}
 	switch result {
 	case outcomeAnswered:
-		if unframed {
+		switch {
+		case unframed:
 			response.TransferEncoding = nil
+		case response.ContentLength < 0:
+			response.TransferEncoding = []string{"chunked"} // A response to HEAD does not say so between routers.
 		}
 		return response, nil
 	case outcomeUnsent:
@@ -229,15 +233,16 @@
 	return nil, &LostError{Reset: result == outcomeReset, Err: errors.New("proxy: the other router got no response")}
 }
 
-// again returns the request for another way.
+// again returns the request for another way. It has a reader of its own: net/http may still read the body for the previous
+// way if the other router refused the request before its end.
 func again(request *http.Request) (*http.Request, error) {
 	result := request.Clone(request.Context())
 	switch body := request.Body.(type) {
 	case nil:
 		return result, nil
 	case *Body:
-		_, err := body.Seek(0, io.SeekStart)
-		return result, err
+		result.Body = NewBody(body.data)
+		return result, nil
 	}
 	if request.Body == http.NoBody {
 		return result, nil
@@ -274,37 +279,6 @@
 	return err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrBodyReadAfterClose)
 }
 
-// suspectRouter has a router asked again, because a response through it was lost.
-func (p *Paths) suspectRouter(peer, address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	path := p.servers[address]
-	if path == nil || !path.broken {
-		return
-	}
-	// The router may have ended, or the server may have. Only the former says nothing about the server.
-	go p.recheck(peer, address)
-}
-
-// recheck asks a router whether it still reaches a server. If it does not answer, another router is searched for.
-func (p *Paths) recheck(peer, address string) {
-	before := p.failureOf(peer)
-	p.ask(peer, []string{address})
-	if after := p.failureOf(peer); after.After(before) {
-		p.recordRouterFailure(peer, address)
-	}
-}
-
-// failureOf returns when a router last failed.
-func (p *Paths) failureOf(peer string) time.Time {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if r := p.routers[peer]; r != nil {
-		return r.failedAt
-	}
-	return time.Time{}
-}
-
 // removeHeaders removes the headers that are exchanged between routers only.
 func removeHeaders(header http.Header) {
 	for _, name := range ownHeaders {
