Let one grant not hold back what the heartbeat proves of the others

Cause, first part: a killed router's grants are charged by the latest store clock until which the router had used no more than the opened part of every grant. After an outage the rows of one account could not be written, so that the clock of all stood still, and quick restarts looked like long silences.

The heartbeat row now has the clock of the latest answer and lists the grants of which more than the opened part is used, with the tokens used. That bounds each grant by itself: the holder may spend more only after a new silence. The field clock keeps its meaning, for processes of an earlier release.

--- a/internal/prepaid/heartbeat.go
+++ b/internal/prepaid/heartbeat.go
@@ -35,7 +35,7 @@
 		heartbeatLatency time.Duration     // How long the last heartbeat took, answered or not.
 		reachedAt        time.Time         // When the store last answered a heartbeat or rejected it at once.
 		startClock       time.Duration     // Upper bound of the store clock at the start of this process.
-		provenClock      time.Duration     // Store clock until which spending stayed within the opened parts of grants.
+		provenClock      time.Duration     // Store clock until which spending stayed within the opened parts of all grants.
 		predecessor      wire.PrepaidAlive // Heartbeat row of the previous process of this router.
 		predecessorRead  bool              // Whether that row was read.
 		era              int64             // Era of the latest answer.
@@ -77,19 +77,6 @@
 	return !s.answeredAt.IsZero() && now.Sub(s.answeredAt) >= AutonomyDelay
 }
 
-// maxSilence returns the longest time for which the holder of a grant, an earlier process of this router, can have run
-// without an answer of the store. It is derived from the store clocks that the holder received and wrote to its rows.
-func (s *storeStatus) maxSilence(g grantState) time.Duration {
-	clock := g.Clock
-	if s.predecessor.Holder == g.Holder {
-		clock = max(clock, s.predecessor.Clock)
-	}
-	if clock == 0 {
-		return AutonomyDelay + AutonomyRampTime
-	}
-	return s.startClock - time.Duration(clock)*time.Millisecond
-}
-
 // Run keeps the grants, this router's heartbeat and the membership view up to date until the context ends. It reserves
 // no tokens before it has read the heartbeat row of the previous process.
 func (l *Ledger) Run(ctx context.Context) error {
@@ -167,6 +154,7 @@
 	}
 	row := wire.PrepaidAlive{
 		Holder: l.Instance, Address: l.Address, Clock: int(l.storeStatus.provenClock.Milliseconds()), Accounts: l.heldAccounts(),
+		Proof: l.proof(),
 	}
 	l.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
@@ -206,17 +194,6 @@
 	return result
 }
 
-// withinOpenedParts reports whether spending is within the opened part of every grant. It may exceed it while the store
-// is unreachable.
-func (l *Ledger) withinOpenedParts() bool {
-	for _, a := range l.accounts {
-		if a.grant.Holder == l.Instance && a.used() > int64(a.grant.Opened) {
-			return false
-		}
-	}
-	return true
-}
-
 // logAutonomyChange logs when this router becomes autonomous and when it no longer is. answered tells whether the store
 // answered the last heartbeat.
 func (l *Ledger) logAutonomyChange(answered bool) {
--- a/internal/prepaid/plan.go
+++ b/internal/prepaid/plan.go
@@ -210,17 +210,12 @@
 	next.budget.applyTotal(a.totalVersion, a.total)
 	closed, granted := 0, 0
 	if a.grant.version != 0 && !l.isRestored(a.grant) {
-		closed, granted = l.chargedTokens(a.grant), -a.grant.Amount
+		closed, _ = l.storeStatus.maxSpent(a.name, a.grant)
+		granted = -a.grant.Amount
 	}
 	return l.planGrantAndBudgetWrite(a, next, closed, granted)
 }
 
-// chargedTokens returns the number of tokens that count as spent of a grant whose holder, an earlier process of this
-// router, is dead.
-func (l *Ledger) chargedTokens(g grantState) int {
-	return int(Spendable(int64(g.Opened), int64(g.Amount), l.storeStatus.maxSilence(g)))
-}
-
 // countWrite counts a write of a budget row that changes the tokens of ended grants and the sum of open ones.
 func (l *Ledger) countWrite(budget *budgetState, closed, granted int) {
 	budget.Era = int(l.storeStatus.era)
--- a/internal/prepaid/prepaid_test.go
+++ b/internal/prepaid/prepaid_test.go
@@ -52,6 +52,8 @@
 		calls            atomic.Int64  // Number of all calls to the store.
 		logs             syncBuffer    // Log lines of all routers.
 		writeSlot        chan struct{} // Limits concurrent writes of grants to its capacity; nil for no limit.
+		// unavailable reports whether the store resets the connections of calls for a row; nil if it does for none.
+		unavailable atomic.Pointer[func(store.Key) bool]
 	}
 
 	// syncBuffer is a buffer for concurrent use.
@@ -128,6 +130,16 @@
 		return store.Result{}, store.ErrUnknown
 	}
 	c.router.fleet.calls.Add(1)
+	for _, e := range w.Expect {
+		if c.router.fleet.isUnavailable(e.Key) {
+			return store.Result{}, store.ErrUnknown
+		}
+	}
+	for _, p := range w.Puts {
+		if c.router.fleet.isUnavailable(p.Key) {
+			return store.Result{}, store.ErrUnknown
+		}
+	}
 	if len(w.Expect) > 0 {
 		c.router.fleet.writes.Add(1)
 	}
@@ -142,7 +154,7 @@
 }
 
 func (c routerStore) List(ctx context.Context, table, part string) (store.Result, error) {
-	if c.router.storeUnreachable.Load() {
+	if c.router.storeUnreachable.Load() || c.router.fleet.isUnavailable(store.Key{Table: table, Part: part}) {
 		return store.Result{}, store.ErrUnavailable
 	}
 	if table == "alive" {
@@ -152,7 +164,7 @@
 }
 
 func (c routerStore) Row(ctx context.Context, key store.Key) (store.Result, error) {
-	if c.router.storeUnreachable.Load() {
+	if c.router.storeUnreachable.Load() || c.router.fleet.isUnavailable(key) {
 		return store.Result{}, store.ErrUnavailable
 	}
 	return c.countRead(c.Store.Row(ctx, key))
@@ -179,6 +191,12 @@
 	return c.countRead(result, err)
 }
 
+// isUnavailable reports whether the store resets the connections of calls for a row.
+func (f *fleet) isUnavailable(key store.Key) bool {
+	unavailable := f.unavailable.Load()
+	return unavailable != nil && (*unavailable)(key)
+}
+
 func (p peers) Reserve(ctx context.Context, address, name, account string, tokens int64) (bool, error) {
 	time.Sleep(p.fleet.roundTrip)
 	if p.fleet.peersUnreachable.Load() {
@@ -306,7 +324,13 @@
 // budgetRow returns the account's budget row.
 func (f *fleet) budgetRow(t *testing.T) wire.PrepaidSum {
 	t.Helper()
-	result, err := f.store.List(t.Context(), "budget", account)
+	return f.budgetRowOf(t, account)
+}
+
+// budgetRowOf returns the budget row of the named account.
+func (f *fleet) budgetRowOf(t *testing.T, name string) wire.PrepaidSum {
+	t.Helper()
+	result, err := f.store.List(t.Context(), "budget", name)
 	if err != nil || len(result.Rows) != 1 {
 		t.Fatalf("the account has %d rows, error %v", len(result.Rows), err)
 	}
--- a/internal/prepaid/write.go
+++ b/internal/prepaid/write.go
@@ -192,9 +192,9 @@
 	}
 	a.era, a.restored, a.loaded = next.era, nil, true
 	if a.grant.Holder == l.Instance && previous.Holder != l.Instance {
+		charged, silence := l.storeStatus.maxSpent(a.name, previous)
 		event.PrepaidGrantOpened.Log(l.Logger).Str("account", a.name).Str("before", previous.Holder).Int("amount", previous.Amount).
-			Int("opened", previous.Opened).Dur("silence", l.storeStatus.maxSilence(previous)).
-			Int("charged", l.chargedTokens(previous)).Send()
+			Int("opened", previous.Opened).Dur("silence", silence).Int("charged", charged).Send()
 	}
 	if a.used() > int64(a.grant.Amount) {
 		event.PrepaidSpentUnknown.Log(l.Logger).Str("account", a.name).Int64("used", a.used()).Int("amount", a.grant.Amount).Send()
--- a/internal/wire/prepaid.go
+++ b/internal/wire/prepaid.go
@@ -16,6 +16,19 @@
 
 	// Instance of the router.
 	Holder string `json:"holder"`
+
+	// What the router had used when it wrote the row. Missing in rows of earlier
+	// releases.
+	Proof *PrepaidProof `json:"proof,omitempty,omitzero"`
+}
+
+// PrepaidBeyond is a grant of which a router had used more than the opened part.
+type PrepaidBeyond struct {
+	// Client account of the grant.
+	Account string `json:"account"`
+
+	// Tokens used, those reserved by requests included.
+	Used int `json:"used"`
 }
 
 // PrepaidEra is what the writes of one era of the store changed in a budget row,
@@ -66,6 +79,18 @@
 	Sum PrepaidSum `json:"sum"`
 }
 
+// PrepaidProof bounds what a router can have used of its grants if it ends: at the
+// time of the clock the opened part of each, or more of those listed.
+type PrepaidProof struct {
+	// Grants of which the router had used more than the opened part, by client
+	// account.
+	Beyond []PrepaidBeyond `json:"beyond,omitempty,omitzero"`
+
+	// Time of the store's clock in milliseconds, from the latest response that the
+	// router had received.
+	Clock int `json:"clock"`
+}
+
 // PrepaidRouter is one running router in a PrepaidView.
 type PrepaidRouter struct {
 	// Address at which other routers reach it.
