Take the proof of what a killed router spent from any of its rows

Only the heartbeat's row bounded the grants whose own rows were old, so that silences of 2 s counted as 5 to 12 s although the same routers wrote the rows of other accounts until the kill.

Grant rows now have the proof of the heartbeat row, for all grants of the router. A starting router reads up to 16 grant rows of the process before it if the heartbeat row is older than AutonomyDelay, and takes the smallest bound. A row that cannot be read within 250 ms only makes the charge larger. While the heartbeat row cannot be written, and no grant row has been for 500 ms, the grant row that was written last is written again.

Evidence: six routers, half of them cut off for 8 s, the heartbeats' rows and those of one account unavailable for 3 s, all killed.

--- a/internal/prepaid/evidence.go
+++ b/internal/prepaid/evidence.go
@@ -2,12 +2,23 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"citronslip/internal/wire"
 )
 
+const (
+	// maxProofReads is the maximum number of grant rows that are read for their proofs. When a part of the store is
+	// unavailable, some of so many rows were most likely written.
+	maxProofReads = 16
+	// proofReadTimeout is the time that a starting router waits for these rows before it charges the grants without them.
+	proofReadTimeout = 250 * time.Millisecond
+)
+
 // proof returns what this router can have used of its grants if it ends now. Each row that it writes carries the proof, as
 // the row of a single grant cannot always be written.
 func (l *Ledger) proof() *wire.PrepaidProof {
@@ -47,7 +58,7 @@
 		silence = s.silenceSince(max(g.Clock, s.predecessor.Clock))
 	}
 	spendable := Spendable(opened, amount, silence)
-	for _, p := range s.proofs(g.Holder) {
+	for _, p := range s.proofs[g.Holder] {
 		proofSilence := s.silenceSince(p.Clock)
 		if bound := max(Spendable(opened, amount, proofSilence), usedBeyond(p, account)); bound < spendable {
 			spendable, silence = bound, proofSilence
@@ -65,12 +76,77 @@
 	return s.startClock - time.Duration(clock)*time.Millisecond
 }
 
-// proofs returns the proofs in the rows of an earlier process of this router.
-func (s *storeStatus) proofs(holder string) []*wire.PrepaidProof {
-	if s.predecessor.Holder != holder || s.predecessor.Proof == nil {
-		return nil
+// readProofs reads what the grant rows of the previous process prove, if its heartbeat row is so old that more than the
+// opened parts may be spent. A row that cannot be read in time only makes the charge larger.
+func (l *Ledger) readProofs(ctx context.Context) {
+	l.mu.Lock()
+	s := &l.storeStatus
+	accounts, clock := s.predecessor.Accounts, s.predecessor.Clock
+	if p := s.predecessor.Proof; p != nil {
+		s.addProof(s.predecessor.Holder, p)
+		clock = p.Clock
+	}
+	isRecent := s.silenceSince(clock) <= AutonomyDelay
+	l.mu.Unlock()
+	if isRecent {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, proofReadTimeout)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	for _, name := range accounts[:min(len(accounts), maxProofReads)] {
+		group.Go(func() error {
+			l.readProof(ctx, name)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+// readProof reads the proof in the grant row of an account.
+func (l *Ledger) readProof(ctx context.Context, account string) {
+	result, err := l.Store.Row(ctx, grantKey(account, l.Node))
+	if err != nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, row := range result.Rows {
+		var grant wire.PrepaidGrant
+		if decode(row, &grant) == nil { // The writer of the account logs an unreadable row.
+			l.storeStatus.addProof(grant.Holder, grant.Proof)
+		}
+	}
+}
+
+// addProof remembers the proof in a row of an earlier process of this router.
+func (s *storeStatus) addProof(holder string, proof *wire.PrepaidProof) {
+	if proof == nil {
+		return // A row of an earlier release.
+	}
+	if s.proofs == nil {
+		s.proofs = make(map[string][]*wire.PrepaidProof)
+	}
+	s.proofs[holder] = append(s.proofs[holder], proof)
+}
+
+// renewProof starts a write of a grant row for its proof, because the heartbeat row cannot be written though the store
+// answers other calls. It chooses the account whose grant row was written last. The caller holds the lock.
+func (l *Ledger) renewProof() {
+	now := l.Now()
+	if l.storeStatus.age(now) > AutonomyDelay || now.Sub(l.storeStatus.provedAt) < heartbeatInterval {
+		return
+	}
+	var latest *account
+	for _, a := range l.accounts {
+		if a.loaded && a.grant.Holder == l.Instance && (latest == nil || a.provedAt.After(latest.provedAt)) {
+			latest = a
+		}
+	}
+	if latest != nil {
+		latest.proofDue = true
+		l.startWriter(latest)
 	}
-	return []*wire.PrepaidProof{s.predecessor.Proof}
 }
 
 // usedBeyond returns the used tokens of a grant if they exceeded its opened part at the time of a proof, or else 0.
--- a/internal/prepaid/evidence_test.go
+++ b/internal/prepaid/evidence_test.go
@@ -22,8 +22,10 @@
 // calls for some rows: at most 3 % of a budget may be charged beyond what was spent, whichever of the rows are lost.
 func TestKilledRoutersStrandFewTokens(t *testing.T) {
 	unavailable := map[string]func(store.Key) bool{
-		"no-row":         func(store.Key) bool { return false },
-		"row-of-account": func(k store.Key) bool { return k.Part == account },
+		"no-row":                     func(store.Key) bool { return false },
+		"row-of-account":             func(k store.Key) bool { return k.Part == account },
+		"heartbeats":                 func(k store.Key) bool { return k.Table == "alive" },
+		"heartbeats-and-one-account": func(k store.Key) bool { return k.Table == "alive" || k.Part == account },
 	}
 	for name, isUnavailable := range unavailable {
 		for seed := range uint64(5) {
@@ -57,27 +59,35 @@
 }
 
 // Guards against tokens that are spent twice, because a router that spent them during an outage is killed before it can write
-// that, while another row of it shows that the store has answered since.
+// that, while other rows of it show that the store has answered since.
 func TestUnrecordedSpendingIsCharged(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newFleetOfAccounts(1)
-		f.start(t.Context())
-		defer f.stop()
-		r := f.routers[0]
-		spent := r.spend(t, total, 100, 40*time.Millisecond)
-		r.storeUnreachable.Store(true)
-		spent += r.spend(t, total, 100, 60*time.Millisecond)
-		is.True(spent > f.grantRow(t, r.name).Opened) // Spent without an answer of the store.
-		isUnavailable := func(k store.Key) bool { return k.Part == account }
-		f.unavailable.Store(&isUnavailable)
-		r.storeUnreachable.Store(false)
-		time.Sleep(2 * time.Second)
-		r.kill()
-		f.unavailable.Store(nil)
-		time.Sleep(700 * time.Millisecond)
-		is.True(r.startAndReadClosed(t) >= spent)
-	})
+	for _, heartbeats := range []bool{true, false} {
+		t.Run(fmt.Sprintf("heartbeats-%t", heartbeats), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleetOfAccounts(1)
+				f.start(t.Context())
+				defer f.stop()
+				r := f.routers[0]
+				f.spendFromAll(t, rand.New(rand.NewPCG(1, 5)), 100*time.Millisecond, 1, make(map[string]int))
+				spent := r.spend(t, total, 100, 40*time.Millisecond)
+				r.storeUnreachable.Store(true)
+				spent += r.spend(t, total, 100, 60*time.Millisecond)
+				grant := f.grantRow(t, r.name)
+				is.True(spent > grant.Opened) // Spent without an answer of the store.
+				isUnavailable := func(k store.Key) bool { return k.Part == account || k.Table == "alive" && !heartbeats }
+				f.unavailable.Store(&isUnavailable)
+				r.storeUnreachable.Store(false)
+				time.Sleep(4 * time.Second)
+				r.kill()
+				f.unavailable.Store(nil)
+				time.Sleep(700 * time.Millisecond)
+				closed := r.startAndReadClosed(t)
+				is.True(closed >= spent)
+				is.True(closed < grant.Amount) // The silence was short.
+			})
+		})
+	}
 }
 
 // newFleetOfAccounts returns a fleet with a budget for each of several accounts.
--- a/internal/prepaid/heartbeat.go
+++ b/internal/prepaid/heartbeat.go
@@ -30,17 +30,19 @@
 type (
 	// storeStatus is the state of the connection to the store. Clock values are those of the store's monotonic clock.
 	storeStatus struct {
-		answeredAt       time.Time         // When the newest answer arrived.
-		storeClock       time.Duration     // Latest store clock in an answer.
-		heartbeatLatency time.Duration     // How long the last heartbeat took, answered or not.
-		reachedAt        time.Time         // When the store last answered a heartbeat or rejected it at once.
-		startClock       time.Duration     // Upper bound of the store clock at the start of this process.
-		provenClock      time.Duration     // Store clock until which spending stayed within the opened parts of all grants.
-		predecessor      wire.PrepaidAlive // Heartbeat row of the previous process of this router.
-		predecessorRead  bool              // Whether that row was read.
-		era              int64             // Era of the latest answer.
-		failedAt         time.Time         // When a call last failed; zero once a later call was answered.
-		restoredAt       time.Time         // When this process noticed that the store had come back from an older copy; zero if it has not.
+		answeredAt       time.Time                       // When the newest answer arrived.
+		storeClock       time.Duration                   // Latest store clock in an answer.
+		heartbeatLatency time.Duration                   // How long the last heartbeat took, answered or not.
+		reachedAt        time.Time                       // When the store last answered a heartbeat or rejected it at once.
+		startClock       time.Duration                   // Upper bound of the store clock at the start of this process.
+		provenClock      time.Duration                   // Store clock until which spending stayed within the opened parts of all grants.
+		predecessor      wire.PrepaidAlive               // Heartbeat row of the previous process of this router.
+		predecessorRead  bool                            // Whether the rows of the previous process were read.
+		provedAt         time.Time                       // When a row with a proof was last written.
+		proofs           map[string][]*wire.PrepaidProof // Proofs in rows of earlier processes of this router, by holder.
+		era              int64                           // Era of the latest answer.
+		failedAt         time.Time                       // When a call last failed; zero once a later call was answered.
+		restoredAt       time.Time                       // When this process noticed that the store had come back from an older copy; zero if it has not.
 	}
 )
 
@@ -99,14 +101,15 @@
 func (l *Ledger) readStartupRows(ctx context.Context) {
 	for ctx.Err() == nil {
 		if l.readView(ctx) == nil && l.readPredecessor(ctx) == nil {
+			l.readProofs(ctx)
+			l.inheritGrants()
 			return
 		}
 		delay.Sleep(ctx, startupRetryInterval)
 	}
 }
 
-// readPredecessor reads the heartbeat row of the previous process. It marks the grants that the previous process may
-// have left and starts the writers of the accounts for which requests wait.
+// readPredecessor reads the heartbeat row of the previous process.
 func (l *Ledger) readPredecessor(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
@@ -123,6 +126,14 @@
 			event.PrepaidRowInvalid.Log(l.Logger).Err(err).Send()
 		}
 	}
+	return nil
+}
+
+// inheritGrants marks the grants that the previous process may have left and starts the writers of the accounts for which
+// requests wait.
+func (l *Ledger) inheritGrants() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.storeStatus.predecessorRead = true
 	for _, name := range l.storeStatus.predecessor.Accounts {
 		l.markInherited(l.accountByName(name))
@@ -132,7 +143,6 @@
 			l.startWriter(a)
 		}
 	}
-	return nil
 }
 
 // markInherited records that the previous process may have left a grant. Where a few routers hold the grants of an
@@ -171,9 +181,11 @@
 	if err != nil {
 		l.storeStatus.failedAt = l.Now()
 		l.logAutonomyChange(false)
+		l.renewProof()
 		return
 	}
 	l.recordAnswer(sent, result)
+	l.storeStatus.provedAt = l.Now()
 	l.logAutonomyChange(true)
 	if wasUnreachable {
 		l.backoff.reset()
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -86,6 +86,8 @@
 		resizedAt     time.Time // When mayResize last returned true.
 		shortAt       time.Time // When a request last found no tokens available.
 		idleRetryAt   time.Time // Earliest time of a write that no request waits for.
+		provedAt      time.Time // When the grant row, with its proof, was last written; zero if a write has failed since.
+		proofDue      bool      // Whether the grant row is to be written for its proof, at once.
 	}
 
 	// waiter is a request that waits for a write of the grant.
--- a/internal/prepaid/plan.go
+++ b/internal/prepaid/plan.go
@@ -98,6 +98,8 @@
 		next.grant.Opened = int(min(opened, amount))
 		return l.planGrantWrite(a, next)
 	case next.budget.Total != a.budget.Total && l.mayResize(a):
+	case a.proofDue:
+		return l.planGrantWrite(a, next)
 	default:
 		return store.Write{}, plannedRows{}, false
 	}
@@ -235,6 +237,7 @@
 func (l *Ledger) planGrantWrite(a *account, next plannedRows) (store.Write, plannedRows, bool) {
 	grantRow := grantKey(a.name, l.Node)
 	next.grant.Clock, next.grant.Era = int(l.storeStatus.storeClock.Milliseconds()), int(l.storeStatus.era)
+	next.grant.Proof = l.proof()
 	return store.Write{
 		Expect: []store.Condition{{Key: grantRow, Version: a.grant.version}},
 		Puts:   []store.Put{{Key: grantRow, Value: encode(next.grant.PrepaidGrant)}},
@@ -247,6 +250,7 @@
 	grantRow, budgetRow := grantKey(a.name, l.Node), budgetKey(a.name)
 	l.countWrite(&next.budget, closed, granted)
 	next.grant.Clock, next.grant.Era = int(l.storeStatus.storeClock.Milliseconds()), int(l.storeStatus.era)
+	next.grant.Proof = l.proof()
 	return store.Write{
 		Expect: []store.Condition{{Key: grantRow, Version: a.grant.version}, {Key: budgetRow, Version: a.budget.version}},
 		Puts: []store.Put{
--- a/internal/prepaid/restore.go
+++ b/internal/prepaid/restore.go
@@ -240,6 +240,7 @@
 func (l *Ledger) knownGrant(a *account) wire.PrepaidGrant {
 	grant := a.grant.PrepaidGrant
 	grant.Clock, grant.Era = int(l.storeStatus.storeClock.Milliseconds()), int(l.storeStatus.era)
+	grant.Proof = l.proof()
 	return grant
 }
 
--- a/internal/prepaid/write.go
+++ b/internal/prepaid/write.go
@@ -58,6 +58,9 @@
 		l.mu.Lock()
 		l.admitWaiters(a)
 		wait := l.backoff.remaining(l.Now())
+		if a.proofDue {
+			wait = 0
+		}
 		noWaiters := len(a.waiters) == 0
 		if wait > 0 && noWaiters {
 			a.writerRunning = false // The next grant check starts the writer again.
@@ -165,6 +168,7 @@
 			a.spendCap, a.unanswered = next.capBefore, next.unansweredBefore // Nothing was written.
 		}
 		l.storeStatus.failedAt = l.Now()
+		a.provedAt, a.proofDue = time.Time{}, false
 		l.backoff.recordFailure(l.Now())
 		a.idleRetryAt = l.Now().Add(time.Duration(rand.Int64N(int64(maxIdleRetryDelay))))
 		event.PrepaidWriteFailed.Log(l.Logger).Str("account", a.name).Err(err).Send()
@@ -182,6 +186,7 @@
 		switch p.Table {
 		case grantTable:
 			a.grant.version = version
+			a.provedAt, a.proofDue, l.storeStatus.provedAt = l.Now(), false, l.Now()
 		case budgetTable:
 			a.budget.version = version
 			a.budgetReadAt = l.Now()
--- a/internal/wire/prepaid.go
+++ b/internal/wire/prepaid.go
@@ -66,6 +66,10 @@
 	// Maximum that the holder may spend while the store responds to it. The rest of
 	// the amount becomes available when the store has not responded for some time.
 	Opened int `json:"opened"`
+
+	// What the holder had used of all its grants when it wrote the row. Missing in
+	// rows of earlier releases.
+	Proof *PrepaidProof `json:"proof,omitempty,omitzero"`
 }
 
 type PrepaidJson map[string]interface{}
