Notice by grant rows that the store answers again

Cause: after an outage a router learns from its heartbeat or from the membership view that the store answers; the part of the store with both rows was unavailable. Grants were not written either, as the store counted as away.

A failed heartbeat now starts the write of a grant row in any case, of the one that was written last or, once writes fail, of the one that was tried longest ago. While the store may have been restored this is a read of the rows.

Evidence: without the change, after an outage of 5 s with the rows without a part and those of one account unavailable:

--- FAIL: TestStoreIsNoticedByGrantRows (0.01s) not true: r.ledger.Load().StoreAge() < prepaid.AutonomyDelay

--- a/internal/prepaid/evidence.go
+++ b/internal/prepaid/evidence.go
@@ -130,25 +130,34 @@
 	s.proofs[holder] = append(s.proofs[holder], proof)
 }
 
-// renewProof starts a write of a grant row for its proof, because the heartbeat row cannot be written though the store
-// answers other calls. It chooses the account whose grant row was written last. The caller holds the lock.
+// renewProof starts a write of a grant row for its proof, because the heartbeat row cannot be written. The store may answer for
+// other rows, also when this router takes it to be away. The caller holds the lock.
 func (l *Ledger) renewProof() {
 	now := l.Now()
-	if l.storeStatus.age(now) > AutonomyDelay || now.Sub(l.storeStatus.provedAt) < heartbeatInterval {
+	if now.Sub(l.storeStatus.provedAt) < heartbeatInterval {
 		return
 	}
-	var latest *account
+	var chosen *account
 	for _, a := range l.accounts {
-		if a.loaded && a.grant.Holder == l.Instance && (latest == nil || a.provedAt.After(latest.provedAt)) {
-			latest = a
+		if a.loaded && a.grant.Holder == l.Instance && (chosen == nil || a.suitsProofBetter(chosen)) {
+			chosen = a
 		}
 	}
-	if latest != nil {
-		latest.proofDue = true
-		l.startWriter(latest)
+	if chosen != nil {
+		chosen.proofDue, chosen.proofTriedAt = true, now
+		l.startWriter(chosen)
 	}
 }
 
+// suitsProofBetter reports whether the grant row is more likely to be available than another one: it was written later, or
+// both have failed and it was tried longer ago.
+func (a *account) suitsProofBetter(other *account) bool {
+	if c := a.provedAt.Compare(other.provedAt); c != 0 {
+		return c > 0
+	}
+	return a.proofTriedAt.Before(other.proofTriedAt)
+}
+
 // usedBeyond returns the used tokens of a grant if they exceeded its opened part at the time of a proof, or else 0.
 func usedBeyond(p *wire.PrepaidProof, account string) int64 {
 	for _, b := range p.Beyond {
--- a/internal/prepaid/evidence_test.go
+++ b/internal/prepaid/evidence_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"citronslip/internal/dispatch"
+	"citronslip/internal/prepaid"
 	"citronslip/internal/store"
 	"citronslip/pkg/inventory"
 )
@@ -90,6 +91,30 @@
 	}
 }
 
+// Guards against a router that takes the store to be away for as long as the rows are unavailable that it reads and writes
+// at regular times, although the store answers for its grants again.
+func TestStoreIsNoticedByGrantRows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetOfAccounts(1)
+		f.start(t.Context())
+		defer f.stop()
+		r := f.routers[0]
+		f.spendFromAll(t, rand.New(rand.NewPCG(1, 6)), time.Second, 1000, make(map[string]int))
+		isUnavailable := func(k store.Key) bool { return k.Part == account || k.Part == "" }
+		f.unavailable.Store(&isUnavailable)
+		r.storeUnreachable.Store(true)
+		time.Sleep(5 * time.Second)
+		r.storeUnreachable.Store(false)
+		time.Sleep(2500 * time.Millisecond) // The row of the unavailable account may be tried first.
+		for range 100 {
+			if age := r.ledger.Load().StoreAge(); age >= prepaid.AutonomyDelay {
+				t.Fatalf("the store counts as away for %v\n%s", age, f.logs.String())
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
+
 // newFleetOfAccounts returns a fleet with a budget for each of several accounts.
 func newFleetOfAccounts(routers int) *fleet {
 	f := newFleet(routers, total)
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -87,6 +87,7 @@
 		shortAt       time.Time // When a request last found no tokens available.
 		idleRetryAt   time.Time // Earliest time of a write that no request waits for.
 		provedAt      time.Time // When the grant row, with its proof, was last written; zero if a write has failed since.
+		proofTriedAt  time.Time // When the grant row was last chosen to be written for its proof.
 		proofDue      bool      // Whether the grant row is to be written for its proof, at once.
 	}
 
