--- a/internal/prepaid/heartbeat.go
+++ b/internal/prepaid/heartbeat.go
@@ -30,17 +30,19 @@
 type (
 	// storeStatus is the state of the connection to the store. Clock values are those of the store's monotonic clock.
 	storeStatus struct {
-		answeredAt       time.Time         // When the newest answer arrived.
-		storeClock       time.Duration     // Latest store clock in an answer.
-		heartbeatLatency time.Duration     // How long the last heartbeat took, answered or not.
-		reachedAt        time.Time         // When the store last answered a heartbeat or rejected it at once.
-		startClock       time.Duration     // Upper bound of the store clock at the start of this process.
-		provenClock      time.Duration     // Store clock until which spending stayed within the opened parts of grants.
-		predecessor      wire.PrepaidAlive // Heartbeat row of the previous process of this router.
-		predecessorRead  bool              // Whether that row was read.
-		era              int64             // Era of the latest answer.
-		failedAt         time.Time         // When a call last failed; zero once a later call was answered.
-		restoredAt       time.Time         // When this process noticed that the store had come back from an older copy; zero if it has not.
+		answeredAt       time.Time                       // When the newest answer arrived.
+		storeClock       time.Duration                   // Latest store clock in an answer.
+		heartbeatLatency time.Duration                   // How long the last heartbeat took, answered or not.
+		reachedAt        time.Time                       // When the store last answered a heartbeat or rejected it at once.
+		startClock       time.Duration                   // Upper bound of the store clock at the start of this process.
+		provenClock      time.Duration                   // Store clock until which spending stayed within the opened parts of all grants.
+		predecessor      wire.PrepaidAlive               // Heartbeat row of the previous process of this router.
+		predecessorRead  bool                            // Whether the rows of the previous process were read.
+		provedAt         time.Time                       // When a row with a proof was last written.
+		proofs           map[string][]*wire.PrepaidProof // Proofs in rows of earlier processes of this router, by holder.
+		era              int64                           // Era of the latest answer.
+		failedAt         time.Time                       // When a call last failed; zero once a later call was answered.
+		restoredAt       time.Time                       // When this process noticed that the store had come back from an older copy; zero if it has not.
 	}
 )
 
@@ -77,19 +79,6 @@
 	return !s.answeredAt.IsZero() && now.Sub(s.answeredAt) >= AutonomyDelay
 }
 
-// maxSilence returns the longest time for which the holder of a grant, an earlier process of this router, can have run
-// without an answer of the store. It is derived from the store clocks that the holder received and wrote to its rows.
-func (s *storeStatus) maxSilence(g grantState) time.Duration {
-	clock := g.Clock
-	if s.predecessor.Holder == g.Holder {
-		clock = max(clock, s.predecessor.Clock)
-	}
-	if clock == 0 {
-		return AutonomyDelay + AutonomyRampTime
-	}
-	return s.startClock - time.Duration(clock)*time.Millisecond
-}
-
 // Run keeps the grants, this router's heartbeat and the membership view up to date until the context ends. It reserves
 // no tokens before it has read the heartbeat row of the previous process.
 func (l *Ledger) Run(ctx context.Context) error {
@@ -112,14 +101,15 @@
 func (l *Ledger) readStartupRows(ctx context.Context) {
 	for ctx.Err() == nil {
 		if l.readView(ctx) == nil && l.readPredecessor(ctx) == nil {
+			l.readProofs(ctx)
+			l.inheritGrants()
 			return
 		}
 		delay.Sleep(ctx, startupRetryInterval)
 	}
 }
 
-// readPredecessor reads the heartbeat row of the previous process. It marks the grants that the previous process may
-// have left and starts the writers of the accounts for which requests wait.
+// readPredecessor reads the heartbeat row of the previous process.
 func (l *Ledger) readPredecessor(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
@@ -136,6 +126,14 @@
 			event.PrepaidRowInvalid.Log(l.Logger).Err(err).Send()
 		}
 	}
+	return nil
+}
+
+// inheritGrants marks the grants that the previous process may have left and starts the writers of the accounts for which
+// requests wait.
+func (l *Ledger) inheritGrants() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.storeStatus.predecessorRead = true
 	for _, name := range l.storeStatus.predecessor.Accounts {
 		l.markInherited(l.accountByName(name))
@@ -145,7 +143,6 @@
 			l.startWriter(a)
 		}
 	}
-	return nil
 }
 
 // markInherited records that the previous process may have left a grant. Where a few routers hold the grants of an
@@ -167,6 +164,7 @@
 	}
 	row := wire.PrepaidAlive{
 		Holder: l.Instance, Address: l.Address, Clock: int(l.storeStatus.provenClock.Milliseconds()), Accounts: l.heldAccounts(),
+		Proof: l.proof(),
 	}
 	l.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
@@ -183,9 +181,11 @@
 	if err != nil {
 		l.storeStatus.failedAt = l.Now()
 		l.logAutonomyChange(false)
+		l.renewProof()
 		return
 	}
 	l.recordAnswer(sent, result)
+	l.storeStatus.provedAt = l.Now()
 	l.logAutonomyChange(true)
 	if wasUnreachable {
 		l.backoff.reset()
@@ -206,17 +206,6 @@
 	return result
 }
 
-// withinOpenedParts reports whether spending is within the opened part of every grant. It may exceed it while the store
-// is unreachable.
-func (l *Ledger) withinOpenedParts() bool {
-	for _, a := range l.accounts {
-		if a.grant.Holder == l.Instance && a.used() > int64(a.grant.Opened) {
-			return false
-		}
-	}
-	return true
-}
-
 // logAutonomyChange logs when this router becomes autonomous and when it no longer is. answered tells whether the store
 // answered the last heartbeat.
 func (l *Ledger) logAutonomyChange(answered bool) {
--- a/internal/prepaid/plan.go
+++ b/internal/prepaid/plan.go
@@ -98,6 +98,8 @@
 		next.grant.Opened = int(min(opened, amount))
 		return l.planGrantWrite(a, next)
 	case next.budget.Total != a.budget.Total && l.mayResize(a):
+	case a.proofDue:
+		return l.planGrantWrite(a, next)
 	default:
 		return store.Write{}, plannedRows{}, false
 	}
@@ -210,17 +212,12 @@
 	next.budget.applyTotal(a.totalVersion, a.total)
 	closed, granted := 0, 0
 	if a.grant.version != 0 && !l.isRestored(a.grant) {
-		closed, granted = l.chargedTokens(a.grant), -a.grant.Amount
+		closed, _ = l.storeStatus.maxSpent(a.name, a.grant)
+		granted = -a.grant.Amount
 	}
 	return l.planGrantAndBudgetWrite(a, next, closed, granted)
 }
 
-// chargedTokens returns the number of tokens that count as spent of a grant whose holder, an earlier process of this
-// router, is dead.
-func (l *Ledger) chargedTokens(g grantState) int {
-	return int(Spendable(int64(g.Opened), int64(g.Amount), l.storeStatus.maxSilence(g)))
-}
-
 // countWrite counts a write of a budget row that changes the tokens of ended grants and the sum of open ones.
 func (l *Ledger) countWrite(budget *budgetState, closed, granted int) {
 	budget.Era = int(l.storeStatus.era)
@@ -240,6 +237,7 @@
 func (l *Ledger) planGrantWrite(a *account, next plannedRows) (store.Write, plannedRows, bool) {
 	grantRow := grantKey(a.name, l.Node)
 	next.grant.Clock, next.grant.Era = int(l.storeStatus.storeClock.Milliseconds()), int(l.storeStatus.era)
+	next.grant.Proof = l.proof()
 	return store.Write{
 		Expect: []store.Condition{{Key: grantRow, Version: a.grant.version}},
 		Puts:   []store.Put{{Key: grantRow, Value: encode(next.grant.PrepaidGrant)}},
@@ -252,6 +250,7 @@
 	grantRow, budgetRow := grantKey(a.name, l.Node), budgetKey(a.name)
 	l.countWrite(&next.budget, closed, granted)
 	next.grant.Clock, next.grant.Era = int(l.storeStatus.storeClock.Milliseconds()), int(l.storeStatus.era)
+	next.grant.Proof = l.proof()
 	return store.Write{
 		Expect: []store.Condition{{Key: grantRow, Version: a.grant.version}, {Key: budgetRow, Version: a.budget.version}},
 		Puts: []store.Put{
--- a/internal/prepaid/write.go
+++ b/internal/prepaid/write.go
@@ -58,6 +58,9 @@
 		l.mu.Lock()
 		l.admitWaiters(a)
 		wait := l.backoff.remaining(l.Now())
+		if a.proofDue {
+			wait = 0
+		}
 		noWaiters := len(a.waiters) == 0
 		if wait > 0 && noWaiters {
 			a.writerRunning = false // The next grant check starts the writer again.
@@ -165,6 +168,7 @@
 			a.spendCap, a.unanswered = next.capBefore, next.unansweredBefore // Nothing was written.
 		}
 		l.storeStatus.failedAt = l.Now()
+		a.provedAt, a.proofDue = time.Time{}, false
 		l.backoff.recordFailure(l.Now())
 		a.idleRetryAt = l.Now().Add(time.Duration(rand.Int64N(int64(maxIdleRetryDelay))))
 		event.PrepaidWriteFailed.Log(l.Logger).Str("account", a.name).Err(err).Send()
@@ -182,6 +186,7 @@
 		switch p.Table {
 		case grantTable:
 			a.grant.version = version
+			a.provedAt, a.proofDue, l.storeStatus.provedAt = l.Now(), false, l.Now()
 		case budgetTable:
 			a.budget.version = version
 			a.budgetReadAt = l.Now()
@@ -192,9 +197,9 @@
 	}
 	a.era, a.restored, a.loaded = next.era, nil, true
 	if a.grant.Holder == l.Instance && previous.Holder != l.Instance {
+		charged, silence := l.storeStatus.maxSpent(a.name, previous)
 		event.PrepaidGrantOpened.Log(l.Logger).Str("account", a.name).Str("before", previous.Holder).Int("amount", previous.Amount).
-			Int("opened", previous.Opened).Dur("silence", l.storeStatus.maxSilence(previous)).
-			Int("charged", l.chargedTokens(previous)).Send()
+			Int("opened", previous.Opened).Dur("silence", silence).Int("charged", charged).Send()
 	}
 	if a.used() > int64(a.grant.Amount) {
 		event.PrepaidSpentUnknown.Log(l.Logger).Str("account", a.name).Int64("used", a.used()).Int("amount", a.grant.Amount).Send()
