Bound what brittle backend servers reject over all routers

Callers lost their requests in waves: a backend server that says in all responses that it is brittle (Server-Brittle: N) falls over when it has to reject more than N requests in a second for lack of room, and is away for some seconds.

Cause: no router read the header, and the routers did not know of each other's rejections. Each went on sending to a full server.

The permits of rate limits now also bound the rejections. The issuer of a server process counts the rejections of the last 1.2 s and the requests that may still be rejected, and gives a permit only while both together are below two thirds of N. After a rejection it paces the permits by what the process accepts. A process of which nothing is known inherits the number from others of its service.

--- a/internal/dispatch/failure.go
+++ b/internal/dispatch/failure.go
@@ -54,10 +54,15 @@
 
 // pickFailureReason returns why no server was selected.
 func pickFailureReason(err error) Reason {
-	if isExhausted(err) {
+	var exhausted *ratelimit.ExhaustedError
+	switch {
+	case !errors.As(err, &exhausted):
+		return NoServerAvailable
+	case exhausted.Full:
+		return ServersFull
+	default:
 		return RateLimited
 	}
-	return NoServerAvailable
 }
 
 func (c *call) refuse(reason Reason, retryAfter time.Duration) {
--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -47,7 +47,7 @@
 		request.Exclude = nil
 		server, choice, err := c.pickWithin(ctx, request, max(maxWait, 0))
 		var exhausted *ratelimit.ExhaustedError
-		if !errors.As(err, &exhausted) || exhausted.After >= maxWait || !delay.Sleep(ctx, exhausted.After) {
+		if !errors.As(err, &exhausted) || exhausted.Full || exhausted.After >= maxWait || !delay.Sleep(ctx, exhausted.After) {
 			return server, choice, err
 		}
 		maxWait -= exhausted.After
@@ -88,9 +88,3 @@
 	}
 	return shortest
 }
-
-// isExhausted reports whether servers were passed over for lack of a permit.
-func isExhausted(err error) bool {
-	var exhausted *ratelimit.ExhaustedError
-	return errors.As(err, &exhausted)
-}
--- a/internal/dispatch/permit_test.go
+++ b/internal/dispatch/permit_test.go
@@ -83,3 +83,36 @@
 		is.True(refused < served+5) // Nobody who comes back in time is refused again.
 	})
 }
+
+// Guards against callers that wait, or are told that the request may have run, while no server has room, against servers
+// that must reject many requests meanwhile, and against a time to come back at which there is no permit yet.
+func TestRequestsWithoutRoomAreRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const rejections = 3
+		b := newLimitedDispatcher(nil)
+		begin := time.Now().Add(5 * time.Second)
+		rejected := make(map[string][]time.Time)
+		b.respond = func(_ context.Context, _ int, a dispatch.Attempt) dispatch.Outcome {
+			if now := time.Now(); now.After(begin) {
+				rejected[a.Server.Name] = append(rejected[a.Server.Name], now)
+			}
+			return dispatch.Refused{Limit: ratelimit.Announcement{Named: true, Rate: ratelimit.Unlimited, Brittle: rejections, Rejected: true}}
+		}
+		for range 4000 {
+			response := &callerResponse{}
+			sent := time.Now()
+			b.Serve(t.Context(), request("/safe/1"), response)
+			is.True(response.refusal.Reason == dispatch.ServersFull || response.refusal.Reason == dispatch.NoServerAvailable)
+			is.True(response.refusal.After > 0)
+			is.True(time.Since(sent) < 10*time.Millisecond)
+			time.Sleep(5 * time.Millisecond)
+		}
+		for _, times := range rejected {
+			for i := rejections; i < len(times); i++ {
+				is.True(times[i].Sub(times[i-rejections]) >= time.Second)
+			}
+		}
+		is.Equal(len(rejected), 3) // Each server is tried now and then.
+	})
+}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -143,6 +143,16 @@
 	return server != nil && server.Born == process.Born
 }
 
+// ServiceOf returns the service of a server, or an empty string if it is not in the set.
+func (p *Pool) ServiceOf(name string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if server := p.byName[name]; server != nil {
+		return server.Service
+	}
+	return ""
+}
+
 // changedSoftware reports whether a process with another software version has taken the place of the server's.
 func (p *Pool) changedSoftware(server *Server) bool {
 	p.mu.Lock()
--- a/internal/entry/ratelimit.go
+++ b/internal/entry/ratelimit.go
@@ -33,6 +33,7 @@
 		Peers:    &peerLimits{r.peers},
 		Members:  r.ledger.PeerAddresses,
 		Running:  func(p ratelimit.Process) bool { return !r.serverRegistry.Synced() || r.pool.Runs(p) },
+		Service:  r.pool.ServiceOf,
 		NewsAge:  r.limitFollower.Age,
 		Now:      time.Now,
 		Logger:   r.Logger,
--- a/internal/event/routing.go
+++ b/internal/event/routing.go
@@ -15,6 +15,7 @@
 	RatePermitFailed      = register(408, zerolog.InfoLevel, "call about a rate limit to another router failed", "Check the named router if it repeats. The server gets no requests from this router until another one issues permits.")
 	RateRowWriteFailed    = register(409, zerolog.InfoLevel, "write of the row of a rate limit failed", "Check the store if it repeats. The router tries again.")
 	RateRowInvalid        = register(412, zerolog.WarnLevel, "invalid row of a rate limit, which is ignored", "Find the writer of the row.")
+	ServerBrittle         = register(413, zerolog.WarnLevel, "backend server said how many rejections in a second it can stand", "Add capacity to its service, or reduce the load. Routers hold requests back that the server has no room for.")
 	LimitLowered          = register(410, zerolog.WarnLevel, "concurrency limit lowered, backend servers exceed the latency target", "Check for lost or slow backend servers. Add capacity if it persists.")
 	QueuedRequestsRefused = register(411, zerolog.WarnLevel, "queued requests refused because they would miss their deadlines", "Add capacity, or reduce the load of the accounts with the longest queues.")
 )
--- a/internal/ratelimit/fleet_test.go
+++ b/internal/ratelimit/fleet_test.go
@@ -66,6 +66,7 @@
 		mu       sync.Mutex
 		limit    ratelimit.Announcement
 		named    time.Time // When it first named a limit.
+		room     *room     // Nil unless it is brittle.
 		arrivals []time.Time
 		informed []time.Time // Arrivals from routers that had received the limit in a response.
 	}
@@ -320,6 +321,18 @@
 	if r.limiter.Load() != l {
 		return // The process has ended.
 	}
+	f := r.fleet
+	f.server.mu.Lock()
+	room := f.server.room
+	f.server.mu.Unlock()
+	if room != nil {
+		said, ok := room.serve(f.ctx)
+		r.pause()
+		if ok {
+			l.Observe(process, permit, said)
+		}
+		return
+	}
 	notified := r.notifiedAt.Load()
 	said := r.fleet.server.respond(notified != 0 && time.Since(time.Unix(0, notified)) >= informTime)
 	r.pause()
@@ -338,6 +351,9 @@
 	return sum
 }
 
+// faults is the number of kinds of faults that inject knows.
+const faults = 6
+
 // inject injects a fault, most of them into the issuer, which passes after some seconds.
 func (f *fleet) inject(fault int) {
 	r := f.issuer()
--- a/internal/ratelimit/issuer.go
+++ b/internal/ratelimit/issuer.go
@@ -27,6 +27,10 @@
 func (l *Limiter) Take(ctx context.Context, ask wire.RatelimitTake) (wire.RatelimitAnswer, error) {
 	p := Process{Server: ask.Server, Born: int64(ask.Born)}
 	l.mu.Lock()
+	if l.limits[p] == nil && l.sound[p] && ask.Brittle > 0 && ask.Named.Number == 0 {
+		l.mu.Unlock()
+		return wire.RatelimitAnswer{Ended: true}, ctx.Err()
+	}
 	known := l.learnAsked(p, ask)
 	if !ask.Relayed && l.hasOtherIssuer(known) {
 		address := known.row.Address
@@ -53,7 +57,7 @@
 	if known != nil && isLater(known.named, ask.Named) {
 		return known
 	}
-	return l.learn(p, ask.Named, Rate(ask.Rate), "router")
+	return l.learn(p, ask.Named, terms{Rate(ask.Rate), Rate(ask.Brittle)}, "router")
 }
 
 // issue issues a permit if this router is the issuer or has to stand in for it. Otherwise it starts to become the
@@ -72,12 +76,25 @@
 		}
 	}
 	now := l.Now()
+	rejections := brittleShare * l.share(p, known, now) * known.brittle
+	if known.brittle > 0 {
+		if wait, full := known.exposure.take(now, rejections); wait > 0 {
+			l.Metrics.Counter("withheld").Inc(1)
+			return fullRefusal(wait, known.exposure.spread(rejections), full)
+		}
+		if _, isPaced := known.exposure.rate(now, known.brittle); isPaced {
+			maxWait = 0
+		}
+	}
 	interval := l.interval(p, known, now)
 	wait, ok := known.schedule.take(now, maxWait, interval)
 	if !ok {
-		return refusal(wait, known.schedule.spread(interval))
+		return fullRefusal(wait, known.schedule.spread(interval), known.brittle > 0)
 	}
 	known.issued = known.nextPermit(known.row.Issuer == l.Instance)
+	if known.brittle > 0 {
+		known.exposure.add(known.issued, now.Add(wait))
+	}
 	return wire.RatelimitAnswer{Granted: true, Permit: known.issued, Wait: int(wait.Microseconds())}
 }
 
@@ -99,15 +116,40 @@
 	return wire.RatelimitAnswer{Wait: int(wait.Microseconds()), Spread: int(spread.Microseconds())}
 }
 
+// fullRefusal returns the answer that no permit is free for the given time, and whether the process has no room.
+func fullRefusal(wait, spread time.Duration, isFull bool) wire.RatelimitAnswer {
+	if isFull {
+		wait = max(wait, minFullWait)
+	}
+	answer := refusal(wait, spread)
+	answer.Full = isFull
+	return answer
+}
+
 // interval returns the time between two permits of this router. The caller holds the lock.
 func (l *Limiter) interval(p Process, known *limit, now time.Time) time.Duration {
-	share := Rate(1)
-	if known.row.Issuer != l.Instance {
-		share = l.standInShare(p)
-	} else if now.Before(known.fullRateAt) || l.NewsAge() > Lease {
-		share = unconfirmedShare
+	rate := known.rate
+	if known.brittle > 0 {
+		pace, _ := known.exposure.rate(now, known.brittle)
+		rate = min(rate, pace)
+	}
+	share := l.share(p, known, now)
+	if known.brittle > 0 && share < unconfirmedShare {
+		rate = min(rate, known.brittle) // The isolated routers do not know of each other's rejections.
+	}
+	return (share * rate).Interval()
+}
+
+// share returns the share of the limit that this router has. The caller holds the lock.
+func (l *Limiter) share(p Process, known *limit, now time.Time) Rate {
+	switch {
+	case known.row.Issuer != l.Instance:
+		return l.standInShare(p)
+	case now.Before(known.fullRateAt) || l.NewsAge() > Lease:
+		return unconfirmedShare
+	default:
+		return 1
 	}
-	return (share * known.rate).Interval()
 }
 
 // standInShare returns the share of the limit that this router has while it is not the issuer and reaches none. The
@@ -127,6 +169,12 @@
 	defer l.mu.Unlock()
 	known := l.limits[p]
 	isNew := report.Named && report.Permit.Number == 0
+	if known != nil && known.brittle > 0 {
+		if report.Rejected {
+			l.Metrics.Counter("rejected").Inc(1)
+		}
+		known.exposure.settle(report.Permit, report.Rejected, l.Now(), known.brittle)
+	}
 	switch {
 	case known == nil && !isNew:
 		return wire.RatelimitAnswer{Ended: true}, ctx.Err()
@@ -150,7 +198,7 @@
 	if known := l.limits[p]; known != nil && isLater(known.named, report.Permit) && !known.ended {
 		return
 	}
-	known := l.learn(p, report.Permit, Rate(report.Rate), "router")
+	known := l.learn(p, report.Permit, terms{Rate(report.Rate), Rate(report.Brittle)}, "router")
 	known.ended = known.ended && !isNew
 	if known.row.version == 0 && l.isHome(p, append(l.Members(), l.Address)) {
 		l.claim(p, known)
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -51,20 +51,24 @@
 		Peers    PeerClient           // The other routers.
 		Members  func() []string      // Addresses of the running routers.
 		Running  func(p Process) bool // Whether the process is a registered server.
-		NewsAge  func() time.Duration // Time since the last answer of the store to the follower of Table.
-		Now      func() time.Time
-		Logger   *zerolog.Logger
-		Metrics  tally.Scope
+		// Service returns the service of a registered server, of which all processes are brittle together. It is optional.
+		Service func(server string) string
+		NewsAge func() time.Duration // Time since the last answer of the store to the follower of Table.
+		Now     func() time.Time
+		Logger  *zerolog.Logger
+		Metrics tally.Scope
 
 		mu          sync.Mutex
 		limits      map[Process]*limit
 		era         int64                // Era of the store to which the versions of the rows belong.
 		unreachable map[string]time.Time // When routers last failed to answer, by address.
+		sound       map[Process]bool     // Processes that no longer say that they are brittle, or never have.
 	}
 
 	// limit is the state of one server process that has named a limit.
 	limit struct {
-		rate         Rate
+		terms
+		service      string               // Service of a brittle process.
 		named        wire.RatelimitPermit // Latest permit whose response named the rate.
 		row          issuerRow
 		rowLost      bool      // Whether the store has forgotten the row, so that another router may still issue permits.
@@ -72,6 +76,7 @@
 
 		// The following fields are those of the issuer.
 		schedule   schedule
+		exposure   exposure
 		issued     wire.RatelimitPermit // Latest permit that this router issued.
 		fullRateAt time.Time            // When the previous issuer has certainly noticed that it was replaced.
 		writing    bool                 // Whether a write of the row is in progress.
@@ -81,6 +86,7 @@
 
 		// The following fields are those of a router that asks for permits.
 		freeAt    time.Time // Time before which no permit is free, as the issuer said.
+		full      bool      // Whether that is because the process has no room.
 		recheckAt time.Time // Time until which that is relied on.
 		retryAt   time.Time // Time before which this router asks only for requests that can wait.
 	}
@@ -97,18 +103,23 @@
 func (l *Limiter) Acquire(ctx context.Context, p Process, maxWait time.Duration) (Permit, error) {
 	l.mu.Lock()
 	known := l.limits[p]
+	if known == nil {
+		known = l.inherit(p)
+	}
 	if known == nil || known.ended {
 		l.mu.Unlock()
 		return Permit{}, nil
 	}
 	now := l.Now()
 	if wait := known.knownWait(now, maxWait); wait > maxWait {
+		full := known.full
 		l.mu.Unlock()
 		l.Metrics.Counter("refused").Inc(1)
-		return Permit{}, &ExhaustedError{After: wait}
+		return Permit{}, &ExhaustedError{After: wait, Full: full}
 	}
 	ask := wire.RatelimitTake{
-		Server: p.Server, Born: int(p.Born), Rate: float64(known.rate), Named: known.named, Patience: int(maxWait.Microseconds()),
+		Server: p.Server, Born: int(p.Born), Rate: float64(known.rate), Brittle: float64(known.brittle), Named: known.named,
+		Patience: int(maxWait.Microseconds()),
 	}
 	address := l.issuerAddress(p, known)
 	l.mu.Unlock()
@@ -139,13 +150,18 @@
 		return Permit{id: answer.Permit, Wait: wait}, nil
 	}
 	l.Metrics.Counter("refused").Inc(1)
-	known.recordRefusal(l.Now(), wait, time.Duration(answer.Spread)*time.Microsecond)
-	return Permit{}, &ExhaustedError{After: wait}
+	now := l.Now()
+	known.recordRefusal(now, wait, time.Duration(answer.Spread)*time.Microsecond)
+	if answer.Full {
+		known.full, known.freeAt, known.recheckAt = true, known.retryAt, known.retryAt
+		wait = known.retryAt.Sub(now)
+	}
+	return Permit{}, &ExhaustedError{After: wait, Full: answer.Full}
 }
 
 // recordRefusal records that no permit is free for the given time, and when to ask again.
 func (e *limit) recordRefusal(now time.Time, wait, spread time.Duration) {
-	e.freeAt = now.Add(wait)
+	e.freeAt, e.full = now.Add(wait), false
 	e.recheckAt = now.Add(min(wait, recheckInterval))
 	e.retryAt = e.recheckAt
 	if spread > 0 {
@@ -205,62 +221,96 @@
 	return names
 }
 
-// Observe records what a response says about the rate limit of the process. The permit is that of the request.
+// inherit returns the limit of a process of which nothing is known, if another process of its service is brittle. A
+// process that starts while the others are brittle would else get the requests of all routers before its first response.
+// The caller holds the lock.
+func (l *Limiter) inherit(p Process) *limit {
+	if l.Service == nil || len(l.limits) == 0 || l.sound[p] {
+		return nil
+	}
+	service := l.Service(p.Server)
+	for _, other := range l.limits {
+		if other.brittle > 0 && !other.ended && other.service == service && service != "" {
+			return l.learn(p, wire.RatelimitPermit{}, terms{Unlimited, other.brittle}, "service")
+		}
+	}
+	return nil
+}
+
+// Observe records what a response says about the limits of the process. The permit is that of the request.
 func (l *Limiter) Observe(p Process, permit Permit, a Announcement) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := l.limits[p]
-	switch {
-	case a.Err != nil:
+	if a.Err != nil {
 		l.Metrics.Counter("invalid").Inc(1)
 		event.RateLimitInvalid.Log(l.Logger).Str("process", p.String()).Err(a.Err).Send()
-	case a.Named:
+	}
+	report := wire.RatelimitReport{
+		Server: p.Server, Born: int(p.Born), Named: a.Named, Rate: float64(a.Rate), Brittle: float64(a.Brittle), Permit: permit.id,
+		Rejected: a.Rejected,
+	}
+	isNews := false
+	if a.Named {
 		l.Metrics.Counter("named").Inc(1)
-		l.observeNamed(p, permit.id, a.Rate)
-	case known != nil && permit.id.Number > 0 && isLater(permit.id, known.named):
+		isNews = l.observeNamed(p, permit.id, terms{a.Rate, a.Brittle})
+	}
+	known := l.limits[p]
+	switch {
+	case known == nil || !a.Named && a.Err != nil:
+	case isNews, known.brittle > 0 && !known.ended:
+		l.report(p, report)
+	case !a.Named && permit.id.Number > 0 && isLater(permit.id, known.named):
 		// The permit was issued after the latest response that named the limit, so this response is newer. Without a
 		// permit it may be older.
-		l.report(p, wire.RatelimitReport{Server: p.Server, Born: int(p.Born), Permit: permit.id})
+		l.report(p, report)
 	}
 }
 
-// observeNamed records that a response named a limit, and reports a new or a considerably changed one. The caller holds
-// the lock.
-func (l *Limiter) observeNamed(p Process, permit wire.RatelimitPermit, rate Rate) {
+// observeNamed records that a response named a limit, and reports whether it is new or has changed considerably. The
+// caller holds the lock.
+func (l *Limiter) observeNamed(p Process, permit wire.RatelimitPermit, named terms) bool {
 	known := l.limits[p]
 	if known == nil && permit.Number > 0 {
-		return // The limit has ended since the permit was issued.
+		return false // The limit has ended since the permit was issued.
 	}
 	if known != nil && isLater(known.named, permit) && !known.ended {
-		return // A later response has named a rate already.
+		return false // A later response has named a limit already.
 	}
-	before := Rate(0)
+	var before terms
 	if known != nil {
-		before = known.rate
+		before = known.terms
 	}
-	known = l.learn(p, permit, rate, "response")
+	known = l.learn(p, permit, named, "response")
 	known.ended = known.ended && permit.Number > 0
-	change := float64(rate - before)
-	if known.row.version == 0 && before == 0 || max(change, -change) > reportThreshold*float64(before) {
-		l.report(p, wire.RatelimitReport{Server: p.Server, Born: int(p.Born), Named: true, Rate: float64(rate), Permit: permit})
-	}
+	return known.row.version == 0 && before.rate == 0 || named.differ(before)
 }
 
-// learn sets the rate of a process, whose limit may be new, and returns its state. The caller holds the lock.
-func (l *Limiter) learn(p Process, permit wire.RatelimitPermit, rate Rate, source string) *limit {
+// learn sets the limit of a process, which may be new, and returns its state. The caller holds the lock.
+func (l *Limiter) learn(p Process, permit wire.RatelimitPermit, named terms, source string) *limit {
 	known := l.limits[p]
 	if known == nil {
 		if l.limits == nil {
 			l.limits = make(map[Process]*limit)
 		}
-		known = &limit{}
+		known = &limit{terms: terms{rate: Unlimited}}
 		l.limits[p] = known
-		event.RateLimitNamed.Log(l.Logger).Str("process", p.String()).Float64("rate", float64(rate)).Str("source", source).Send()
-	} else if known.rate != rate {
-		event.RateLimitNamed.Log(l.Logger).Str("process", p.String()).Float64("rate", float64(rate)).
-			Float64("before", float64(known.rate)).Str("source", source).Send()
+		delete(l.sound, p)
+	}
+	if known.rate != named.rate {
+		e := event.RateLimitNamed.Log(l.Logger).Str("process", p.String()).Float64("rate", float64(named.rate)).Str("source", source)
+		if known.rate != Unlimited {
+			e = e.Float64("before", float64(known.rate))
+		}
+		e.Send()
 	}
-	known.rate = rate
+	if known.brittle != named.brittle {
+		event.ServerBrittle.Log(l.Logger).Str("process", p.String()).Float64("rejections", float64(named.brittle)).
+			Float64("before", float64(known.brittle)).Str("source", source).Send()
+	}
+	if named.brittle > 0 && known.service == "" && l.Service != nil {
+		known.service = l.Service(p.Server)
+	}
+	known.terms = named
 	if isLater(permit, known.named) {
 		known.named = permit
 	}
@@ -270,9 +320,21 @@
 // forget removes a limit. The caller holds the lock.
 func (l *Limiter) forget(p Process, source string) {
 	if known := l.limits[p]; known != nil {
-		event.RateLimitEnded.Log(l.Logger).Str("process", p.String()).Float64("before", float64(known.rate)).Str("source", source).Send()
+		event.RateLimitEnded.Log(l.Logger).Str("process", p.String()).Float64("before", float64(known.rate)).
+			Float64("rejections", float64(known.brittle)).Str("source", source).Send()
 		delete(l.limits, p)
+		if known.brittle > 0 {
+			l.markSound(p)
+		}
+	}
+}
+
+// markSound records that a process is not brittle, until it says so. The caller holds the lock.
+func (l *Limiter) markSound(p Process) {
+	if l.sound == nil {
+		l.sound = make(map[Process]bool)
 	}
+	l.sound[p] = true
 }
 
 // report tells the issuer what a response said, in the background. The caller holds the lock.
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -1,5 +1,6 @@
 // Package ratelimit keeps the requests that all routers together send to a backend server within the rate limit that
-// the server names in its responses. One router, the issuer, hands out a permit for each request to the server. A row of
+// the server names in its responses, and the requests that a brittle server has to reject below the number that it
+// stands. One router, the issuer, hands out a permit for each request to the server. A row of
 // the store tells all routers that the limit exists and who issues its permits.
 package ratelimit
 
@@ -29,12 +30,14 @@
 	// Rate is a number of requests per second.
 	Rate float64
 
-	// Announcement is what a response of a server says about the server's rate limit. The zero value says that there is
+	// Announcement is what a response of a server says about the server's limits. The zero value says that there are
 	// none.
 	Announcement struct {
-		Named bool  // Whether the response named a limit.
-		Rate  Rate  // The limit, if the response named a valid one.
-		Err   error // Why the named limit is invalid; wraps ErrInvalidRate.
+		Named    bool  // Whether the response named a valid limit, of requests or of rejections.
+		Rate     Rate  // The limit of requests; Unlimited if the response named only one of rejections.
+		Brittle  Rate  // Rejections that the process can stand in a second; zero if it named no such number.
+		Rejected bool  // Whether the response rejected the request.
+		Err      error // Why a named limit is invalid; wraps ErrInvalidRate.
 	}
 
 	// Process identifies a process of a backend server.
@@ -52,6 +55,7 @@
 	// ExhaustedError is returned when no permit is free in time.
 	ExhaustedError struct {
 		After time.Duration // Time until one is free.
+		Full  bool          // Whether the process has no room, so that it is of no use to wait.
 	}
 )
 
--- a/internal/ratelimit/row.go
+++ b/internal/ratelimit/row.go
@@ -43,7 +43,7 @@
 		return
 	}
 	known.writing = true
-	row := wire.RatelimitRow{Issuer: l.Instance, Address: l.Address, Rate: float64(known.rate)}
+	row := wire.RatelimitRow{Issuer: l.Instance, Address: l.Address, Rate: float64(known.rate), Brittle: float64(known.brittle)}
 	before := known.row
 	go func() {
 		result, err := l.write(p, before.version, &row)
@@ -67,7 +67,7 @@
 
 // notifyMembers tells the other routers of a limit whose row cannot be written. The caller holds the lock.
 func (l *Limiter) notifyMembers(p Process, known *limit) {
-	report := wire.RatelimitReport{Server: p.Server, Born: int(p.Born), Named: true, Rate: float64(known.rate)}
+	report := wire.RatelimitReport{Server: p.Server, Born: int(p.Born), Named: true, Rate: float64(known.rate), Brittle: float64(known.brittle)}
 	addresses := slices.DeleteFunc(l.Members(), func(address string) bool { return address == l.Address })
 	go func() {
 		var group errgroup.Group
@@ -213,6 +213,8 @@
 		case row.Deleted:
 			if known != nil && known.row.version != 0 {
 				l.forget(p, "store")
+			} else if known == nil {
+				l.markSound(p)
 			}
 		default:
 			l.applyRow(p, row)
@@ -229,7 +231,7 @@
 	}
 	known := l.limits[p]
 	if known == nil {
-		known = l.learn(p, wire.RatelimitPermit{}, Rate(next.Rate), "store")
+		known = l.learn(p, wire.RatelimitPermit{}, terms{Rate(next.Rate), Rate(next.Brittle)}, "store")
 	}
 	if next.Issuer == l.Instance {
 		l.becomeIssuer(p, known, next)
@@ -272,6 +274,7 @@
 	defer l.mu.Unlock()
 	now := l.Now()
 	maps.DeleteFunc(l.unreachable, func(address string, _ time.Time) bool { return !l.isUnreachable(address) })
+	maps.DeleteFunc(l.sound, func(p Process, _ bool) bool { return !l.Running(p) })
 	members := append(l.Members(), l.Address)
 	for p, known := range l.limits {
 		switch {
--- a/internal/wire/ratelimit.go
+++ b/internal/wire/ratelimit.go
@@ -7,6 +7,10 @@
 	// Whether the process no longer names a limit, so that no permit is needed.
 	Ended bool `json:"ended"`
 
+	// Whether no permit is free because the process has no room, so that no request
+	// should wait for one.
+	Full bool `json:"full"`
+
 	// Whether a permit was issued.
 	Granted bool `json:"granted"`
 
@@ -41,6 +45,10 @@
 	// Start of its process in Unix milliseconds.
 	Born int `json:"born"`
 
+	// Requests that the process can reject in a second, as named with the rate; 0 if
+	// it named no such number.
+	Brittle float64 `json:"brittle"`
+
 	// Whether the response named a limit.
 	Named bool `json:"named"`
 
@@ -50,6 +58,9 @@
 	// The named limit in requests per second.
 	Rate float64 `json:"rate"`
 
+	// Whether the response rejected the request.
+	Rejected bool `json:"rejected"`
+
 	// Name of the backend server.
 	Server string `json:"server"`
 }
@@ -60,6 +71,10 @@
 	// Address at which other routers reach it.
 	Address string `json:"address"`
 
+	// Requests that the process can reject in a second, as named with the rate; 0 if
+	// it named no such number.
+	Brittle float64 `json:"brittle"`
+
 	// Instance of the router that issues the permits.
 	Issuer string `json:"issuer"`
 
@@ -72,6 +87,10 @@
 	// Start of its process in Unix milliseconds.
 	Born int `json:"born"`
 
+	// Requests that the process can reject in a second, as named with the rate; 0 if
+	// it named no such number.
+	Brittle float64 `json:"brittle"`
+
 	// Latest permit whose response named that rate.
 	Named RatelimitPermit `json:"named"`
 
