--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -26,6 +26,7 @@
 		dispatcher *Dispatcher
 		server     *Server
 		permit     ratelimit.Permit
+		permitted  bool // Whether the other router has a permit, and reports the outcome to its issuer.
 	}
 )
 
@@ -48,7 +49,7 @@
 	if wait := d.Pool.Picker.BusyTime(server.Name); wait > 0 {
 		return nil, &PauseError{After: wait}
 	}
-	carried := &Carried{dispatcher: d, server: server}
+	carried := &Carried{dispatcher: d, server: server, permitted: permit}
 	if permit {
 		return carried, nil
 	}
@@ -88,5 +89,7 @@
 		event.ServerLeaving.Log(c.dispatcher.Logger).Str("server", c.server.Name).Int64("born", c.server.Born).Send()
 		c.dispatcher.Pool.MarkLeaving(c.server)
 	}
-	c.dispatcher.Limits.Observe(c.server.process(), c.permit, limit)
+	if !c.permitted {
+		c.dispatcher.Limits.Observe(c.server.process(), c.permit, limit)
+	}
 }
