Refuse requests of other routers while the own way is broken

An attempt through a router that had just lost its way as well took the time limit of a connection, 0.7 s, before it was tried elsewhere.

Cause: the router in the middle dialled for others although it knew that it does not reach the server.

Evidence: TestRouterWithABrokenWayRefusesAtOnce failed before with "not true: time.Since(begin) < 100*time.Millisecond". It answers at once now that nothing was sent; its tests find the end of the cut as before.

--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -77,7 +77,7 @@
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
 	address := r.Header.Get(headerAddress)
-	if h.Paths.Closed != nil && h.Paths.Closed() {
+	if h.Paths.Closed != nil && h.Paths.Closed() || h.Paths.isBroken(address) {
 		h.refuse(w, r, ErrNotSent)
 		return
 	}
--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -337,6 +337,14 @@
 	return false, false
 }
 
+// isBroken reports whether the direct way to a server is known to be broken.
+func (p *Paths) isBroken(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	path := p.servers[address]
+	return path != nil && path.broken
+}
+
 func (p *Paths) counter(name string) {
 	if p.Metrics != nil {
 		p.Metrics.Counter(name).Inc(1)
--- a/internal/proxy/search_test.go
+++ b/internal/proxy/search_test.go
@@ -112,3 +112,18 @@
 		is.NoErr(f.routers[0].send(0))
 	})
 }
+
+// Guards against a router that dials for others, for the time limit of a connection, although it knows that its way is broken.
+func TestRouterWithABrokenWayRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 2, 1)
+		f.set(cutOff(0, refusing))
+		is.NoErr(f.routers[0].send(0))
+		f.set(func(int, int) linkMode { return silent })
+		is.True(f.routers[1].send(0) != nil) // It finds its way broken.
+		begin := time.Now()
+		is.True(errors.Is(f.routers[0].send(0), proxy.ErrNotSent))
+		is.True(time.Since(begin) < 100*time.Millisecond)
+	})
+}
