Let attempts go on when the first router has answered a search

At the begin of a cut, attempts waited up to 0.4 s for a router that was frozen, although others had answered that they reach the servers.

Cause: attempts waited for the end of a search, which waits for all routers asked.

Evidence: TestAttemptDoesNotWaitForASilentRouter failed before with "not true: time.Since(begin) < 100*time.Millisecond". They now wait until a router was found for each server that is searched for, or for the end.

--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -289,14 +289,14 @@
 		peer := p.best(candidates)
 		return through{peer: peer, address: p.routers[peer].address}, nil
 	}
-	if p.search != nil {
-		return blocked{}, p.search.done
+	if p.search != nil && !p.search.isFound {
+		return blocked{}, p.search.found
 	}
 	if now.Before(path.searchAt) {
 		return blocked{}, nil
 	}
 	p.startSearch()
-	return blocked{}, p.search.done
+	return blocked{}, p.search.found
 }
 
 // usable reports whether a router accepts requests of others and has not failed recently. The caller holds the lock.
--- a/internal/proxy/search.go
+++ b/internal/proxy/search.go
@@ -28,7 +28,9 @@
 type (
 	// search is a search for routers that reach servers.
 	search struct {
-		done chan struct{} // Closed at its end.
+		addresses []string      // Of the servers.
+		found     chan struct{} // Closed when a router was found for each server, and at its end.
+		isFound   bool          // Whether found is closed.
 	}
 )
 
@@ -41,18 +43,28 @@
 			addresses = append(addresses, address)
 		}
 	}
-	current := &search{done: make(chan struct{})}
+	current := &search{addresses: addresses, found: make(chan struct{})}
 	p.search = current
 	peers := p.searchOrder(now)
 	go func() {
 		p.runSearch(addresses, peers)
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.search = nil
-		close(current.done)
+		if p.search == current { // Another one may have begun after all routers were found.
+			p.search = nil
+		}
+		current.end()
 	}()
 }
 
+// end lets the requests go on that wait for a search. The caller holds the lock of the Paths.
+func (s *search) end() {
+	if !s.isFound {
+		s.isFound = true
+		close(s.found)
+	}
+}
+
 // searchOrder returns the routers to ask, in order: those in the own data centre that reach servers, others at random, those
 // that reached none of the servers when they were last asked, and those that have failed recently. The caller holds the lock.
 func (p *Paths) searchOrder(now time.Time) []string {
@@ -86,7 +98,10 @@
 			group.Go(func() { p.ask(peer, addresses) })
 		}
 		group.Wait()
-		if len(asked) == 0 || p.allFound(addresses) {
+		p.mu.Lock()
+		found := p.allFound(addresses)
+		p.mu.Unlock()
+		if len(asked) == 0 || found {
 			break
 		}
 	}
@@ -111,10 +126,8 @@
 	path.searches++
 }
 
-// allFound reports whether a router that has not failed recently reaches each of the servers.
+// allFound reports whether a router that has not failed recently reaches each of the servers. The caller holds the lock.
 func (p *Paths) allFound(addresses []string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	now := p.Now()
 	return !slices.ContainsFunc(addresses, func(address string) bool {
 		path := p.servers[address]
@@ -160,6 +173,9 @@
 			p.confirm(path, peer)
 		}
 	}
+	if p.search != nil && p.allFound(p.search.addresses) {
+		p.search.end()
+	}
 }
 
 // maxContactAge returns the age in milliseconds of contacts that show that the servers are reached. A server may have
--- a/internal/proxy/search_test.go
+++ b/internal/proxy/search_test.go
@@ -127,3 +127,21 @@
 		is.True(time.Since(begin) < 100*time.Millisecond)
 	})
 }
+
+// Guards against attempts that wait for a router that does not answer, although another one has.
+func TestAttemptDoesNotWaitForASilentRouter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 4, 1)
+		f.setPeers(func(router int) linkMode {
+			if router == 2 {
+				return silent
+			}
+			return open
+		})
+		f.set(cutOff(0, refusing))
+		begin := time.Now()
+		is.NoErr(f.routers[0].send(0))
+		is.True(time.Since(begin) < 100*time.Millisecond)
+	})
+}
