--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -308,14 +308,14 @@
 		peer := p.best(candidates)
 		return through{peer: peer, address: p.routers[peer].address}, nil
 	}
-	if p.search != nil {
-		return blocked{}, p.search.done
+	if p.search != nil && !p.search.isFound {
+		return blocked{}, p.search.found
 	}
 	if now.Before(path.searchAt) {
 		return blocked{}, nil
 	}
 	p.startSearch()
-	return blocked{}, p.search.done
+	return blocked{}, p.search.found
 }
 
 // usable reports whether a router accepts requests of others and has not failed recently. The caller holds the lock.
@@ -356,6 +356,14 @@
 	return false, false
 }
 
+// isBroken reports whether the direct way to a server is known to be broken.
+func (p *Paths) isBroken(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	path := p.servers[address]
+	return path != nil && path.broken
+}
+
 func (p *Paths) counter(name string) {
 	if p.Metrics != nil {
 		p.Metrics.Counter(name).Inc(1)
