Open less ahead in proportion to what is left of a scarce budget

Cause: below 35 in 100 of a budget 1.4 s of the demand were opened until 3 in 100 were left, up to 6 in 100 of the rest for each router, so that the share of the remaining tokens that a kill takes grows as the budget shrinks.

The time now falls in proportion to the remaining tokens, so that the share stays the same. In an outage more requests of a nearly used account may be refused in its first 1.5 s; their tokens are used by others later.

--- a/internal/prepaid/evidence_test.go
+++ b/internal/prepaid/evidence_test.go
@@ -42,6 +42,34 @@
 	}
 }
 
+// Guards against tokens that nobody can use after all routers were killed several times near the end of the budgets, each time
+// with tokens opened ahead of demand: at most 3 % of a budget in all.
+func TestRepeatedKillsStrandFewTokens(t *testing.T) {
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleetOfAccounts(6)
+				f.start(t.Context())
+				defer f.stop()
+				random, spent := rand.New(rand.NewPCG(seed, 7)), make(map[string]int)
+				f.spendFromAll(t, random, 31*time.Second, 5000, spent)
+				for range 4 {
+					for _, r := range f.routers {
+						r.kill()
+					}
+					time.Sleep(500 * time.Millisecond)
+					for _, r := range f.routers {
+						r.start(t.Context())
+					}
+					f.spendFromAll(t, random, 4*time.Second, 3000, spent)
+				}
+				time.Sleep(4 * time.Second)
+				f.closeAll(t, spent, int(total)*3/100)
+			})
+		})
+	}
+}
+
 // Guards against a budget that is exceeded because the rows that bound a killed router's spending are not the latest ones:
 // the store loses the calls for some rows while routers are killed and cut off from it.
 func TestNeverOverspentWithUnavailableRows(t *testing.T) {
--- a/internal/prepaid/size.go
+++ b/internal/prepaid/size.go
@@ -11,9 +11,9 @@
 	// normalOpenWindow is how long the opened part covers the demand while a budget is not low. More than AutonomyDelay of
 	// it is left when more is opened.
 	normalOpenWindow = 5 * time.Second
-	// lowOpenWindow is how long the opened part covers the demand when a budget is low, so that the
-	// opened tokens of a killed router would be missed. It covers nearly AutonomyDelay, so that few requests are
-	// refused at the start of an outage.
+	// lowOpenWindow is how long the opened part covers the demand when a budget has just become low. It covers nearly
+	// AutonomyDelay, so that few requests are refused at the start of an outage. Below that it falls in proportion to the
+	// remaining tokens, so that the opened tokens of killed routers stay a small part of them.
 	lowOpenWindow = 1400 * time.Millisecond
 	// maxOpenShare and maxReserveShare are the maximum fractions of the remaining tokens that one router opens and
 	// reserves. They do not divide the tokens equally, as the balancer may send most of an account's requests to one
@@ -69,11 +69,11 @@
 		return GrantSize{}
 	}
 	remaining := float64(n.Rest)
-	openWindow := lowOpenWindow
-	if remaining > lowShare*float64(n.Total) {
-		openWindow = normalOpenWindow
+	openWindow := normalOpenWindow.Seconds()
+	if low := lowShare * float64(n.Total); remaining <= low {
+		openWindow = lowOpenWindow.Seconds() * remaining / low
 	}
-	open := min(n.Demand*openWindow.Seconds(), maxOpenShare*remaining)
+	open := min(n.Demand*openWindow, maxOpenShare*remaining)
 	spareOpen := maxOpenShare * (remaining - lowShare*float64(n.Total)) / float64(max(n.Routers, 1))
 	open = max(open, spareOpen)
 	if open < minOpened {
