Add a failing test of the own front cut off from the backend servers

What callers see: a router of the own front that reaches no backend server keeps their requests in its queue until they give up, although the other routers reach the servers.

Router.Dial lets tests replace the dialer for backend servers, and harness.Network is a network between a router and the servers that can be cut in three ways: silent, reset, and refused with open connections living on.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -113,6 +113,9 @@
 		Ready  bool          `json:"ready"`
 	}
 
+	// Dial opens a connection to a backend server. An error that wraps a *net.OpError of a dial means that none was opened.
+	Dial = func(ctx context.Context, network, address string) (net.Conn, error)
+
 	// Client calls model engines and other backend servers. The parameter base of its methods is the URL of the server,
 	// without a path.
 	Client struct {
@@ -122,19 +125,26 @@
 
 // NewHTTPClient returns an HTTP client for backend servers, which follows no redirects. Without reuse each call opens a
 // new connection, on which the transport never repeats a request by itself.
-func NewHTTPClient(reuse bool) *http.Client { return newClient(newTransport(reuse)) }
+func NewHTTPClient(reuse bool) *http.Client { return NewClient(NewTransport(reuse, DialTCP)) }
+
+// DialTCP opens a connection to a backend server.
+func DialTCP(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return dialer.DialContext(ctx, network, address)
+}
 
-func newClient(transport http.RoundTripper) *http.Client {
+// NewClient returns an HTTP client that sends requests with a transport and follows no redirects.
+func NewClient(transport http.RoundTripper) *http.Client {
 	return &http.Client{
 		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
-func newTransport(reuse bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+// NewTransport returns the transport of NewHTTPClient with another function that opens connections.
+func NewTransport(reuse bool, dial Dial) *http.Transport {
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		DisableKeepAlives:   !reuse,
 		DisableCompression:  true,
 		MaxIdleConns:        0,
--- a/internal/engine/transport.go
+++ b/internal/engine/transport.go
@@ -29,17 +29,17 @@
 // NewEngineHTTPClient returns an HTTP client like NewHTTPClient with reuse, which sends no request on a connection on
 // which an earlier one was refused: a faulty engine may write a refusal once more, and its responses do not tell to which
 // request they belong.
-func NewEngineHTTPClient() *http.Client {
-	transport := newTransport(true)
-	dial := transport.DialContext
-	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+func NewEngineHTTPClient() *http.Client { return NewClient(NewEngineTransport(DialTCP)) }
+
+// NewEngineTransport returns the transport of NewEngineHTTPClient with another function that opens connections.
+func NewEngineTransport(dial Dial) http.RoundTripper {
+	return refusalTransport{NewTransport(true, func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
 		return &refusalConn{Conn: conn}, nil
-	}
-	return newClient(refusalTransport{transport})
+	})}
 }
 
 // RoundTrip implements http.RoundTripper.
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -46,6 +46,8 @@
 		authority *certificate.Authority                        // Issues router certificates; nil means plain TCP.
 		faults    atomic.Pointer[func(call string) table.Fault] // Faults of the table; nil means none.
 		client    *http.Client
+		networks  []*harness.Network // Between each router and the backend servers; nil means a TCP dialer.
+		logs      *zerolog.Logger    // Logger of the routers; nil means none.
 	}
 
 	chatAnswer struct {
@@ -74,13 +76,18 @@
 // TCP.
 func startWith(t *testing.T, declared *inventory.Inventory, routers int, authority *certificate.Authority) *fleet {
 	t.Helper()
-	f := &fleet{
-		authority: authority,
-		t:         t,
-		platform:  &standin.Platform{},
-		standins:  &standin.Fleet{Inventory: declared},
-		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}},
-	}
+	f := &fleet{authority: authority}
+	f.start(t, declared, routers)
+	return f
+}
+
+// start runs a number of routers with an inventory and waits until they are ready.
+func (f *fleet) start(t *testing.T, declared *inventory.Inventory, routers int) {
+	t.Helper()
+	f.t = t
+	f.platform = &standin.Platform{}
+	f.standins = &standin.Fleet{Inventory: declared}
+	f.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
 	f.platform.Table.Inject = func(call string) table.Fault {
 		if faults := f.faults.Load(); faults != nil {
 			return (*faults)(call)
@@ -125,7 +132,6 @@
 			return err == nil && got.status == http.StatusOK
 		})
 	}
-	return f
 }
 
 // commit commits an inventory as the next configuration version.
@@ -164,7 +170,10 @@
 		settings.Secret = files.Key
 	}
 	listening := make(chan string, 1)
-	process := &router.Router{Settings: settings, Listening: listening}
+	process := &router.Router{Settings: settings, Listening: listening, Logger: f.logs}
+	if f.networks != nil {
+		process.Dial = f.networks[i].Open
+	}
 	if os.Getenv("CITRONSLIP_TEST_LOG") != "" {
 		logger := zerolog.New(os.Stderr).With().Timestamp().Str("router", settings.Name).Logger()
 		process.Logger = &logger
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -56,6 +56,8 @@
 		Settings  Settings
 		Logger    *zerolog.Logger
 		Listening chan<- string // Receives the address for callers once the router listens; may be nil.
+		// Dial, if set, opens the connections to backend servers in place of a TCP dialer.
+		Dial engine.Dial
 		// Credentials are accepted from operators in addition to those of the credential file in Settings.
 		Credentials []operator.Credential
 
@@ -291,7 +293,10 @@
 	r.hosts = &hosts.Client{Platform: client}
 	r.weights = &weights.Client{Platform: client}
 	r.placements.router = r
-	r.engines = &engine.Client{HTTP: engine.NewEngineHTTPClient()}
+	if r.Dial == nil {
+		r.Dial = engine.DialTCP
+	}
+	r.engines = &engine.Client{HTTP: engine.NewClient(engine.NewEngineTransport(r.Dial))}
 }
 
 // buildRequestHandling creates the parts that decide on requests: budgets, idempotency, billing, routing and queues.
@@ -358,7 +363,7 @@
 		Ask:         r.queryClaim,
 		Scope:       r.scope.SubScope("caller"),
 		Engines:     r.engines,
-		Once:        &engine.Client{HTTP: engine.NewHTTPClient(false)},
+		Once:        &engine.Client{HTTP: engine.NewClient(engine.NewTransport(false, r.Dial))},
 		Logger:      r.Logger,
 		BodyBytes:   int64(r.Settings.Body),
 		HeaderBytes: r.Settings.Header,
