Wait for a search that asks for the server of the attempt

What callers saw: at the begin of a cut attempts of the own front counted as not sent although another router reached their server, and a server whose load could not be asked for this reason was taken for crashed.

Cause: an attempt waited for the search in progress, which may not ask for its server, looked for a way once more, and gave up although it had just started the search for its own server.

--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -207,19 +207,21 @@
 // find returns the way of a request to a server that was not tried yet. Without one, it waits for the end of the search
 // for other routers.
 func (p *Paths) find(ctx context.Context, address string, tried []string) way {
-	way, found := p.next(address, tried)
-	if _, ok := way.(blocked); !ok || found == nil {
-		return way
-	}
 	timer := time.NewTimer(findTimeout)
 	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-found:
+	for {
+		way, found := p.next(address, tried)
+		if _, ok := way.(blocked); !ok || found == nil {
+			return way
+		}
+		select {
+		case <-ctx.Done():
+			return way
+		case <-timer.C:
+			return way
+		case <-found: // The search may have begun before the way to this server broke.
+		}
 	}
-	way, _ = p.next(address, tried)
-	return way
 }
 
 // next returns the way of a request to a server, and without one a channel that is closed at the end of the search for
