Send requests of the own front through another router while the servers are out of reach

What callers saw: a router of the own front that reached no backend server kept their requests in its queue until they gave up, although other routers reached the servers.

Cause: it had one way to a backend server, its own connections, and failures of the way opened the circuits of servers that were sound.

Change: attempts, load queries, usage, cancellation and token counts of the own front go through internal/proxy. Routers accept requests of others at the setting proxy, with the mutual TLS of the peer listener. A router in the middle sends requests to declared servers only, and no new attempts to leaving ones. Attempts and load queries that break off with the way do not count against the server, and a planned stop waits for requests of other routers. State queries and commands of the placement stay direct: not every engine checks fencing numbers. The header with the request ID between routers gets a name of its own, since Citronslip-Request is a header of the own front.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -58,6 +58,7 @@
 		serverProcess string                  // Process of the backend server before the attempt; empty if unknown.
 		process       ServerProcess           // Process that answers; the zero value until its load report came.
 		record        *explain.Attempt
+		rerouted      bool // Whether requests to the server went through another router at its begin.
 		startedAt     time.Time
 		firstByteAt   time.Time // Time of the first byte; zero if none came or a chat answer is not streamed.
 		answerBegun   bool      // Whether the server has begun to answer.
@@ -91,6 +92,7 @@
 		reservation:   reservation,
 		admittedCopy:  admitted,
 		serverProcess: c.front.Starts.Latest(choice.Server.Name).Start,
+		rerouted:      c.front.isRerouted(choice.Server.Address),
 		startedAt:     time.Now(),
 	}
 	c.record.Attempts = append(c.record.Attempts, explain.Attempt{
@@ -132,7 +134,7 @@
 	default:
 		c.cancelExecution(ctx, a.admittedCopy)
 	}
-	a.choice.Done(outcome)
+	a.choice.Done(c.serverOutcome(a, outcome))
 	a.record.End = time.Now()
 	a.record.ChargedTokens = int64(used)
 	a.record.Outcome = outcomeName(outcome)
@@ -141,7 +143,7 @@
 // holdAttempt ends an attempt whose token usage is not known. Its reservation stays at the bound until the
 // AttemptResolver settles the attempt.
 func (c *call) holdAttempt(ctx context.Context, a *attempt, outcome routing.Outcome, held HeldAttempt) {
-	a.choice.Done(outcome)
+	a.choice.Done(c.serverOutcome(a, outcome))
 	c.mayHaveRun = true
 	a.record.End = time.Now()
 	a.record.ReservationKept = true
@@ -165,6 +167,15 @@
 	c.front.Resolver.Add(held)
 }
 
+// serverOutcome returns the outcome of an attempt for the choice of servers. An attempt that broke off while the way to
+// its server broke says nothing about the server, which another router reaches.
+func (c *call) serverOutcome(a *attempt, outcome routing.Outcome) routing.Outcome {
+	if _, broken := outcome.(routing.Broken); broken && !a.rerouted && c.front.isRerouted(a.choice.Server.Address) {
+		return routing.Cancelled{}
+	}
+	return outcome
+}
+
 // runAttempt makes one attempt to have a backend server generate the answer.
 func (c *chatCall) runAttempt(ctx context.Context) attemptResult {
 	c.routingRequest.Idempotent = c.idempotent
--- a/internal/caller/frontend.go
+++ b/internal/caller/frontend.go
@@ -62,6 +62,10 @@
 		// Ask queries another router instance for the state of a claim. It is nil if instances cannot be queried.
 		Ask func(ctx context.Context, instance, account, key, nonce string) (claim.Report, error)
 
+		// Rerouted reports whether requests to the backend server with a base URL go through another router, as this one
+		// does not reach it; optional.
+		Rerouted func(base string) bool
+
 		BodyBytes   int64         // Largest accepted request body in bytes.
 		HeaderBytes int           // Largest accepted request header in bytes.
 		Duration    time.Duration // Time limit of one request.
@@ -121,6 +125,10 @@
 	}
 }
 
+func (f *Frontend) isRerouted(base string) bool {
+	return f.Rerouted != nil && f.Rerouted(base)
+}
+
 func (f *Frontend) isStopping() bool {
 	stopping := f.Stopping.Load()
 	return stopping != nil && *stopping
--- a/internal/caller/plain_call.go
+++ b/internal/caller/plain_call.go
@@ -206,7 +206,8 @@
 // handleLostConnection ends an attempt without a complete response. A plain service reports no usage, so the request's
 // cost is charged if it may have run.
 func (p *plainCall) handleLostConnection(ctx context.Context, a *attempt, err error) attemptResult {
-	if errors.Is(err, engine.ErrNotSent) {
+	var refused *engine.RefusedError
+	if errors.Is(err, engine.ErrNotSent) || errors.As(err, &refused) {
 		return p.handleRequestError(ctx, a, err)
 	}
 	p.mayHaveRun = true
--- a/internal/caller/quarantine.go
+++ b/internal/caller/quarantine.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// crashProbeTimeout bounds the query whether a server that broke a connection is still running.
-	crashProbeTimeout = time.Second
+	// crashProbeTimeout bounds the query whether a server that broke a connection is still running. It leaves time for
+	// asking through another router after a connection could not be opened.
+	crashProbeTimeout = 1500 * time.Millisecond
 	// crashExitWindow is the time that a crashing server gets to stop answering before it is queried.
 	crashExitWindow = 20 * time.Millisecond
 	// maxServerListWait is the longest wait after changes of the server list. If the guard asks for a longer one, a
--- a/internal/command/settings_test.go
+++ b/internal/command/settings_test.go
@@ -69,6 +69,8 @@
 		{`listen = "localhost:80"`, "listen", "accepted is an IP address with a port"},
 		{`peer = "127.0.0.1"`, "peer", "accepted is an IP address with a port"},
 		{`peer = "192.0.2.1:7080"`, "-authority", "is missing; without it the peer address must be a loopback address"},
+		{`proxy = "127.0.0.1"`, "proxy", "accepted is an IP address with a port"},
+		{`proxy = "192.0.2.1:7081"`, "-authority", "is missing; without it the proxy address must be a loopback address"},
 		{`admin = ":8082"`, "admin", "accepted is an IP address with a port"},
 		{`admin = "192.0.2.1:80"`, "-credential", "is missing; without it the admin address must be a loopback address"},
 		{`seeds = ["127.0.0.1:1", "x"]`, "seeds", `"x" cannot be parsed; accepted is an IP address with a port`},
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -53,6 +53,11 @@
 	return internalLimits.dial(ctx, network, address)
 }
 
+// Backend opens a connection to a backend server. Its signature is that of the DialContext field of http.Transport.
+func Backend(ctx context.Context, network, address string) (net.Conn, error) {
+	return backendLimits.dial(ctx, network, address)
+}
+
 // Listen returns a TCP listener on an address for connections of other routers and of the host's platform.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
 	return internalLimits.listen(ctx, address)
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -20,6 +20,7 @@
 	"github.com/gravitational/trace"
 
 	"citronslip/internal/platform"
+	"citronslip/internal/proxy"
 )
 
 const (
@@ -185,8 +186,8 @@
 	return c.doOK(request)
 }
 
-// Do sends a request. Its errors are ErrNotSent if no connection was obtained, so that the backend server cannot have
-// received the request, and otherwise ErrConnectionLost.
+// Do sends a request. Its errors are ErrNotSent if no connection to the backend server was obtained, so that it cannot
+// have received the request, a *RefusedError if another router was not to send it, and otherwise ErrConnectionLost.
 func (c *Client) Do(request *http.Request) (*http.Response, error) {
 	var sent atomic.Bool
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
@@ -196,10 +197,16 @@
 			}
 		},
 	})
+	ctx = proxy.WithCall(ctx, proxy.Call{Request: request.Header.Get(HeaderAttempt), Permit: true})
 	response, err := c.HTTP.Do(request.WithContext(ctx))
+	var refused *proxy.RefusedError
 	switch {
 	case err == nil:
 		return response, nil
+	case errors.Is(err, proxy.ErrNotSent):
+		return nil, trace.Wrap(ErrNotSent, "%v", err) // A connection to another router may have been obtained.
+	case errors.As(err, &refused):
+		return nil, &RefusedError{Status: http.StatusTooManyRequests}
 	case sent.Load():
 		return nil, trace.Wrap(ErrConnectionLost, "%v", err)
 	default:
--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -274,6 +274,14 @@
 	return 1
 }
 
+// Rerouted reports whether requests to the server at an address go through another router, which reaches it.
+func (p *Paths) Rerouted(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	path := p.servers[address]
+	return path != nil && path.broken && path.confirmed
+}
+
 // reaches reports whether a server is reached directly, and whether that is known.
 func (p *Paths) reaches(address string) (reached, known bool) {
 	p.mu.Lock()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -14,7 +14,7 @@
 	// headerAddress is the address of the backend server to which a request is to be sent.
 	headerAddress = "Citronslip-Address"
 	// headerRequest is the ID of the request, for the log.
-	headerRequest = "Citronslip-Request"
+	headerRequest = "Citronslip-Proxy-Request"
 	// headerPermit is set if the sender has a permit for the request or knows of no rate limit of the server.
 	headerPermit = "Citronslip-Permit"
 	// headerOutcome is the outcome of a request, see the constants of type outcome.
--- a/internal/router/activate.go
+++ b/internal/router/activate.go
@@ -44,6 +44,7 @@
 		servers = append(servers, server)
 	}
 	r.picker.Update(servers)
+	r.updatePaths(index)
 }
 
 // declaredModels returns the models that the inventory declares for a backend server, with version and adapters.
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -47,6 +47,7 @@
 		faults    atomic.Pointer[func(call string) table.Fault] // Faults of the table; nil means none.
 		client    *http.Client
 		networks  []*harness.Network // Between each router and the backend servers; nil means a TCP dialer.
+		proxies   []string           // Setting Proxy of each router; nil means the default.
 		logs      *zerolog.Logger    // Logger of the routers; nil means none.
 	}
 
@@ -171,6 +172,9 @@
 	}
 	listening := make(chan string, 1)
 	process := &router.Router{Settings: settings, Listening: listening, Logger: f.logs}
+	if f.proxies != nil {
+		process.Settings.Proxy = f.proxies[i]
+	}
 	if f.networks != nil {
 		process.Dial = f.networks[i].Open
 	}
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -80,6 +80,8 @@
 	r.peerMethods.Reserve = r.handleReserve
 	r.peerMethods.Settle = r.handleSettle
 	r.peerMethods.Cancel = r.handleCancel
+	r.peerMethods.Reach = r.paths.Reach
+	r.paths.Peers = r.peerClient
 	r.remoteBudgets = &budget.Remote{
 		Live:     &r.shared.Live,
 		Address:  r.Settings.Peer,
--- a/internal/router/placement.go
+++ b/internal/router/placement.go
@@ -158,7 +158,7 @@
 	if err != nil {
 		return placement.EngineState{}, err
 	}
-	state, err := e.router.engines.State(ctx, address)
+	state, err := e.router.control.State(ctx, address)
 	if err != nil {
 		return placement.EngineState{}, trace.Wrap(err)
 	}
@@ -194,7 +194,7 @@
 			Adapters: e.adapters(model.Name, command.Layout.Adapters),
 		})
 	}
-	_, err = e.router.engines.Command(ctx, address, declared)
+	_, err = e.router.control.Command(ctx, address, declared)
 	var refused *engine.RefusedError
 	switch {
 	case err == nil:
--- a/internal/router/poll.go
+++ b/internal/router/poll.go
@@ -68,7 +68,14 @@
 func (r *Router) pollLoad(ctx context.Context, name, address string) {
 	pollCtx, cancel := context.WithTimeout(ctx, loadPollTimeout)
 	defer cancel()
+	rerouted := r.rerouted(address)
 	load, err := r.engines.Load(pollCtx, address)
+	if err != nil && !rerouted && r.rerouted(address) {
+		// The way to the server broke during the poll, which says nothing about the server.
+		repeatCtx, cancel := context.WithTimeout(ctx, loadPollTimeout)
+		defer cancel()
+		load, err = r.engines.Load(repeatCtx, address)
+	}
 	r.picker.RecordPoll(name, routingLoad(load), err == nil && load.Ready)
 	r.front.RecordProcess(name, load)
 	if err == nil && load.Models != nil && r.reportedModels.put(name, loadedModels(load.Models)) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
+	"citronslip/internal/board"
 	"citronslip/internal/budget"
 	"citronslip/internal/burn"
 	"citronslip/internal/caller"
@@ -32,6 +33,7 @@
 	"citronslip/internal/operator"
 	"citronslip/internal/peer"
 	"citronslip/internal/platform"
+	"citronslip/internal/proxy"
 	"citronslip/internal/quarantine"
 	"citronslip/internal/routing"
 	"citronslip/internal/table"
@@ -81,9 +83,14 @@
 		notifySlots      chan struct{} // Semaphore of notify: one element for each notification in flight.
 		claims           *claim.Claims // Idempotency keys and their recorded answers.
 		biller           *claim.Biller
-		picker           *routing.Picker // Chooses backend servers.
-		engines          *engine.Client
-		resolver         *caller.AttemptResolver // Finds out the usage of attempts that ended without it.
+		picker           *routing.Picker               // Chooses backend servers.
+		engines          *engine.Client                // Sends requests through another router if need be.
+		once             *engine.Client                // The same with a connection for each request.
+		control          *engine.Client                // Sends commands and queries of the placement, always directly.
+		paths            *proxy.Paths                  // Ways to the backend servers.
+		carrier          *proxy.Handler                // Sends requests of other routers to backend servers.
+		serverNames      board.Cell[map[string]string] // Names of the backend servers by address.
+		resolver         *caller.AttemptResolver       // Finds out the usage of attempts that ended without it.
 		queues           *caller.AdmissionQueues
 		front            *caller.Frontend // Handles the requests of callers.
 		callerServer     *http.Server
@@ -125,6 +132,12 @@
 		listener.Close()
 		return trace.Wrap(err)
 	}
+	proxyListener, err := r.listenProxy(ctx)
+	if err != nil {
+		listener.Close()
+		r.peerServer.Listener.Close()
+		return trace.Wrap(err)
+	}
 	event.RouterStarted.Log(r.Logger).Str("router", r.Settings.Name).Str("instance", r.instance).
 		Str("address", listener.Addr().String()).Send()
 	if r.Listening != nil {
@@ -138,6 +151,7 @@
 		group.Go(func() error { return controller(controllersCtx) })
 	}
 	group.Go(r.serve)
+	group.Go(func() error { return r.carry(controllersCtx, proxyListener) })
 	if r.operatorServer != nil {
 		group.Go(func() error { return ignoreServerClosed(r.operatorServer.ListenAndServe()) })
 	}
@@ -188,6 +202,7 @@
 		r.biller.Run,
 		r.resolver.Run,
 		r.queues.Run,
+		r.paths.Run,
 	}
 }
 
@@ -227,6 +242,7 @@
 		event.ShutdownTimedOut.Log(r.Logger).Int64("requests", r.front.InFlight()).Send()
 		r.callerServer.Close()
 	}
+	r.awaitCarried(ctx)
 	r.settlePending(ctx)
 	// The biller and the grants log their failures. Grants that were not returned count as granted until they are
 	// reclaimed.
@@ -293,10 +309,7 @@
 	r.hosts = &hosts.Client{Platform: client}
 	r.weights = &weights.Client{Platform: client}
 	r.placements.router = r
-	if r.Dial == nil {
-		r.Dial = engine.DialTCP
-	}
-	r.engines = &engine.Client{HTTP: engine.NewClient(engine.NewEngineTransport(r.Dial))}
+	r.buildPaths()
 }
 
 // buildRequestHandling creates the parts that decide on requests: budgets, idempotency, billing, routing and queues.
@@ -361,9 +374,10 @@
 		Crashes:     r.crashes,
 		Burn:        r.burn,
 		Ask:         r.queryClaim,
+		Rerouted:    r.rerouted,
 		Scope:       r.scope.SubScope("caller"),
 		Engines:     r.engines,
-		Once:        &engine.Client{HTTP: engine.NewClient(engine.NewTransport(false, r.Dial))},
+		Once:        r.once,
 		Logger:      r.Logger,
 		BodyBytes:   int64(r.Settings.Body),
 		HeaderBytes: r.Settings.Header,
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -42,6 +42,7 @@
 		Certificate string        // File of the certificate for callers; empty means plain HTTP.
 		Key         string        // File of the private key of Certificate.
 		Peer        string        // Address for other routers.
+		Proxy       string        // Address for requests of other routers to backend servers; empty means a free port of Peer's IP address.
 		Seeds       string        // Peer addresses through which the router joins the fleet, separated by commas.
 		Authority   string        // File of the fleet's certificate authority; empty means plain TCP, on loopback only.
 		Identity    string        // File of the router's certificate for connections with other routers.
@@ -74,6 +75,7 @@
 	flags.StringVar(&s.Certificate, "certificate", "", "file of the certificate for callers; empty means plain HTTP")
 	flags.StringVar(&s.Key, "key", "", "file of the private key of -certificate")
 	flags.StringVar(&s.Peer, "peer", "127.0.0.1:7080", "IP address and port for other routers")
+	flags.StringVar(&s.Proxy, "proxy", "", "IP address and port for requests of other routers to backend servers; default is a free port of the IP address of -peer")
 	flags.StringVar(&s.Seeds, "seeds", "", "addresses of other routers through which this one joins the fleet, separated by commas")
 	flags.StringVar(&s.Authority, "authority", "", "file of the fleet's certificate authority; required unless -peer is a loopback address")
 	flags.StringVar(&s.Identity, "identity", "", "file of the router's certificate for connections with other routers")
@@ -123,7 +125,10 @@
 	if s.Admin != "" {
 		addresses["admin"] = s.Admin
 	}
-	for _, key := range []string{"listen", "peer", "admin"} {
+	if s.Proxy != "" {
+		addresses["proxy"] = s.Proxy
+	}
+	for _, key := range []string{"listen", "peer", "admin", "proxy"} {
 		address, ok := addresses[key]
 		if !ok {
 			continue
@@ -144,6 +149,9 @@
 	if s.Authority == "" && !isLoopback(s.Peer) {
 		add("authority", "is missing; without it the peer address must be a loopback address")
 	}
+	if s.Authority == "" && s.Proxy != "" && !isLoopback(s.Proxy) {
+		add("authority", "is missing; without it the proxy address must be a loopback address")
+	}
 	if s.Admin != "" && s.Credential == "" && !isLoopback(s.Admin) {
 		add("credential", "is missing; without it the admin address must be a loopback address")
 	}
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -73,6 +73,14 @@
 	event.CircuitClosed.Log(p.Logger).Str("server", s.config.Name).Send()
 }
 
+// IsLeaving reports whether a server is leaving, or is not in the set.
+func (p *Picker) IsLeaving(name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[name]
+	return s == nil || s.leaving || s.config.Leaving
+}
+
 // addServer adds a server of which nothing is known.
 func (p *Picker) addServer(name string, now time.Time) *server {
 	s := &server{
