--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -21,6 +21,7 @@
 
 	"citronslip/internal/dial"
 	"citronslip/internal/platform"
+	"citronslip/internal/proxy"
 )
 
 const (
@@ -114,6 +115,9 @@
 		Ready  bool          `json:"ready"`
 	}
 
+	// Dial opens a connection to a backend server. An error that wraps a *net.OpError of a dial means that none was opened.
+	Dial = func(ctx context.Context, network, address string) (net.Conn, error)
+
 	// Client calls model engines and other backend servers. The parameter base of its methods is the URL of the server,
 	// without a path.
 	Client struct {
@@ -123,26 +127,30 @@
 
 // NewHTTPClient returns an HTTP client for backend servers, which follows no redirects. Without reuse each call opens a
 // new connection, on which the transport never repeats a request by itself.
-func NewHTTPClient(reuse bool) *http.Client { return newClient(newTransport(reuse)) }
+func NewHTTPClient(reuse bool) *http.Client { return NewClient(NewTransport(reuse, DialTCP)) }
 
-func newClient(transport http.RoundTripper) *http.Client {
+// DialTCP opens a connection to a backend server.
+func DialTCP(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return dial.WithLossDetection(conn), nil
+}
+
+// NewClient returns an HTTP client that sends requests with a transport and follows no redirects.
+func NewClient(transport http.RoundTripper) *http.Client {
 	return &http.Client{
 		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
-func newTransport(reuse bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	dialContext := func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return dial.WithLossDetection(conn), nil
-	}
+// NewTransport returns the transport of NewHTTPClient with another function that opens connections.
+func NewTransport(reuse bool, open Dial) *http.Transport {
 	return &http.Transport{
-		DialContext:         dialContext,
+		DialContext:         open,
 		DisableKeepAlives:   !reuse,
 		DisableCompression:  true,
 		MaxIdleConns:        0,
@@ -183,8 +191,8 @@
 	return c.doOK(request)
 }
 
-// Do sends a request. Its errors are ErrNotSent if no connection was obtained, so that the backend server cannot have
-// received the request, and otherwise ErrConnectionLost.
+// Do sends a request. Its errors are ErrNotSent if no connection to the backend server was obtained, so that it cannot
+// have received the request, a *RefusedError if another router was not to send it, and otherwise ErrConnectionLost.
 func (c *Client) Do(request *http.Request) (*http.Response, error) {
 	var sent atomic.Bool
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
@@ -194,10 +202,16 @@
 			}
 		},
 	})
+	ctx = proxy.WithCall(ctx, proxy.Call{Request: request.Header.Get(HeaderAttempt), Permit: true})
 	response, err := c.HTTP.Do(request.WithContext(ctx))
+	var refused *proxy.RefusedError
 	switch {
 	case err == nil:
 		return response, nil
+	case errors.Is(err, proxy.ErrNotSent):
+		return nil, trace.Wrap(ErrNotSent, "%v", err) // A connection to another router may have been obtained.
+	case errors.As(err, &refused):
+		return nil, &RefusedError{Status: http.StatusTooManyRequests}
 	case sent.Load():
 		return nil, trace.Wrap(ErrConnectionLost, "%v", err)
 	default:
