Do not count the end of another router against the servers of its requests

What callers saw: after the router in the middle had been killed, requests that may not be repeated were refused at the router that was cut off, although a third router reached the servers.

Cause: three attempts in a row that were lost with the other router opened the circuit of a server, and so did one load query. Only requests that may be repeated close it again.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -59,6 +59,7 @@
 		process       ServerProcess           // Process that answers; the zero value until its load report came.
 		record        *explain.Attempt
 		rerouted      bool // Whether requests to the server went through another router at its begin.
+		pathLost      bool // Whether it broke off because another router ended.
 		startedAt     time.Time
 		firstByteAt   time.Time // Time of the first byte; zero if none came or a chat answer is not streamed.
 		answerBegun   bool      // Whether the server has begun to answer.
@@ -167,10 +168,13 @@
 	c.front.Resolver.Add(held)
 }
 
-// serverOutcome returns the outcome of an attempt for the choice of servers. An attempt that broke off while the way to
-// its server broke says nothing about the server, which another router reaches.
+// serverOutcome returns the outcome of an attempt for the choice of servers. An attempt that broke off because the way to
+// its server broke says nothing about the server.
 func (c *call) serverOutcome(a *attempt, outcome routing.Outcome) routing.Outcome {
-	if _, broken := outcome.(routing.Broken); broken && !a.rerouted && c.front.isRerouted(a.choice.Server.Address) {
+	if _, broken := outcome.(routing.Broken); !broken {
+		return outcome
+	}
+	if a.pathLost || !a.rerouted && c.front.isRerouted(a.choice.Server.Address) {
 		return routing.Cancelled{}
 	}
 	return outcome
@@ -222,6 +226,7 @@
 // handleRequestError ends an attempt that got no response, or only a part of it.
 func (c *call) handleRequestError(ctx context.Context, a *attempt, err error) attemptResult {
 	server := a.choice.Server.Name
+	a.pathLost = errors.Is(err, engine.ErrPathLost)
 	var statusErr *engine.RefusedError
 	switch {
 	case errors.As(err, &statusErr):
--- a/internal/caller/plain_call.go
+++ b/internal/caller/plain_call.go
@@ -211,6 +211,7 @@
 		return p.handleRequestError(ctx, a, err)
 	}
 	p.mayHaveRun = true
+	a.pathLost = errors.Is(err, engine.ErrPathLost)
 	if ctx.Err() != nil {
 		p.settleAttempt(ctx, a, routing.Cancelled{}, p.ruleDecision.Cost)
 		return p.contextEndResult(ctx, true)
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -53,6 +53,9 @@
 	ErrNotSent = errors.New("engine: request not sent")
 	// ErrConnectionLost is returned when a call fails after its request may have reached the backend server.
 	ErrConnectionLost = errors.New("engine: connection lost")
+	// ErrPathLost is returned together with ErrConnectionLost when the way to the backend server failed, such as another
+	// router that ended, which says nothing about the server.
+	ErrPathLost = errors.New("engine: way to the server failed")
 	// ErrUnknownAttempt is returned when the engine does not know the attempt.
 	ErrUnknownAttempt = errors.New("engine: no such attempt")
 )
@@ -200,6 +203,7 @@
 	ctx = proxy.WithCall(ctx, proxy.Call{Request: request.Header.Get(HeaderAttempt), Permit: true})
 	response, err := c.HTTP.Do(request.WithContext(ctx))
 	var refused *proxy.RefusedError
+	var lost *proxy.LostError
 	switch {
 	case err == nil:
 		return response, nil
@@ -207,6 +211,8 @@
 		return nil, trace.Wrap(ErrNotSent, "%v", err) // A connection to another router may have been obtained.
 	case errors.As(err, &refused):
 		return nil, &RefusedError{Status: http.StatusTooManyRequests}
+	case errors.As(err, &lost) && lost.Path:
+		return nil, fmt.Errorf("%w: %w: %v", ErrConnectionLost, ErrPathLost, err)
 	case sent.Load():
 		return nil, trace.Wrap(ErrConnectionLost, "%v", err)
 	default:
--- a/internal/engine/proxied_test.go
+++ b/internal/engine/proxied_test.go
@@ -38,6 +38,9 @@
 	}
 	is.True(errors.Is(chat(fmt.Errorf("%w: refused", proxy.ErrNotSent)), engine.ErrNotSent))
 	is.True(errors.Is(chat(&proxy.LostError{Err: errors.New("ended")}), engine.ErrConnectionLost))
+	is.True(!errors.Is(chat(&proxy.LostError{Err: errors.New("ended")}), engine.ErrPathLost))
+	ended := chat(&proxy.LostError{Path: true, Err: errors.New("router ended")})
+	is.True(errors.Is(ended, engine.ErrConnectionLost) && errors.Is(ended, engine.ErrPathLost))
 	var refused *engine.RefusedError
 	is.True(errors.As(chat(&proxy.RefusedError{After: time.Second}), &refused))
 	is.Equal(refused.Status, http.StatusTooManyRequests)
--- a/internal/fleet/cut_test.go
+++ b/internal/fleet/cut_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -79,6 +80,11 @@
 			f.t.Error(err)
 		}
 	})
+	f.t.Cleanup(func() {
+		if f.t.Failed() {
+			f.t.Logf("log of %s:\n%s", p.name, logs.text())
+		}
+	})
 	p.listenAddress = <-listening
 	f.waitReady(p)
 	return p, logs
@@ -94,6 +100,27 @@
 	})
 }
 
+// useBothRouters sends requests until each of the other routers has sent some of them, so that connections to it may be
+// kept open.
+func (f *fleet) useBothRouters(cut *routerProcess, logs *lineBuffer) {
+	f.t.Helper()
+	var group sync.WaitGroup
+	for n := range 12 {
+		group.Go(func() {
+			request := apiRequest{method: http.MethodPost, path: "/booking", body: fmt.Sprintf("warm %d", n)}
+			if _, err := f.send(f.t.Context(), cut, request); err != nil {
+				f.t.Error(err)
+			}
+		})
+	}
+	group.Wait()
+	for _, p := range f.routers {
+		if !strings.Contains(logs.text(), fmt.Sprintf(`"peer":%q,"address"`, p.peerAddress)) {
+			f.t.Fatalf("no request was sent through %s", p.name)
+		}
+	}
+}
+
 // Guards against a request that may run once running twice, or being reported as not executed, when the router through
 // which it was sent dies.
 func TestRequestRunsOnceWhenItsOtherRouterDies(t *testing.T) {
@@ -111,31 +138,47 @@
 			f.startRouters(2)
 			cut, logs := f.startCutOff()
 			f.awaitProxied(cut)
-			request := apiRequest{method: http.MethodPost, path: "/booking", body: "visit"}
-			if keyed {
-				request.header = map[string]string{"Idempotency-Key": "visit"}
-			}
-			var first apiResponse
+			f.useBothRouters(cut, logs)
+			requests := make([]apiRequest, 8)
 			var group sync.WaitGroup
-			group.Go(func() {
-				var err error
-				if first, err = f.send(t.Context(), cut, request); err != nil {
-					t.Error(err)
+			var lost atomic.Int64
+			for n := range requests {
+				request := apiRequest{method: http.MethodPost, path: "/booking", body: fmt.Sprintf("visit %d", n)}
+				if keyed {
+					request.header = map[string]string{"Idempotency-Key": request.body}
 				}
+				requests[n] = request
+				group.Go(func() {
+					got, err := f.send(t.Context(), cut, request)
+					if err != nil || got.status != http.StatusOK && got.runHeader != "unknown" {
+						t.Errorf("%s: status %d, run %s, error %v", request.body, got.status, got.runHeader, err)
+					}
+					if got.status != http.StatusOK {
+						lost.Add(1)
+					}
+				})
+			}
+			eventually(t, "all bookings run", func() bool {
+				executions := f.executions()
+				return !slices.ContainsFunc(requests, func(r apiRequest) bool { return executions[r.body] == 0 })
 			})
-			eventually(t, "the booking runs", func() bool { return f.executions()["visit"] > 0 })
 			f.carrier(logs).kill()
 			group.Wait()
-			t.Logf("status %d, run %s", first.status, first.runHeader)
-			is.True(first.status != http.StatusOK)
-			is.Equal(first.runHeader, "unknown")
-			if keyed {
-				// The caller asks again; the service cannot tell whether it ran.
-				_, err := f.send(t.Context(), cut, request)
+			t.Logf("%d of %d requests lost", lost.Load(), len(requests))
+			is.True(lost.Load() > 0)
+			for _, request := range requests {
+				if !keyed {
+					break
+				}
+				_, err := f.send(t.Context(), cut, request) // The caller asks again; the service cannot tell whether it ran.
 				is.NoErr(err)
 			}
 			time.Sleep(time.Second) // A second execution would have begun by then.
-			is.Equal(f.executions()["visit"], 1)
+			for _, request := range requests {
+				if count := f.executions()[request.body]; count != 1 {
+					t.Errorf("%s ran %d times", request.body, count)
+				}
+			}
 			got, err := f.send(t.Context(), cut, apiRequest{method: http.MethodPost, path: "/booking", body: "next"})
 			is.NoErr(err)
 			is.Equal(got.status, http.StatusOK) // Through the other router that is left.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -48,10 +48,11 @@
 	// outcome is the value of headerOutcome.
 	outcome string
 
-	// LostError is returned when a backend server may have executed a request and no usable response arrived through the
-	// other router.
+	// LostError is returned when a backend server may have executed a request and no usable response arrived, either through
+	// another router or because the direct way broke.
 	LostError struct {
 		Reset bool // Whether the server's connection was reset.
+		Path  bool // Whether the way to the server failed, which says nothing about the server.
 		Err   error
 	}
 
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -146,7 +146,7 @@
 	if ctx.Err() == nil {
 		t.recordFailure(ctx, address, w, err)
 	}
-	return nil, &LostError{Err: err}
+	return nil, &LostError{Path: true, Err: err}
 }
 
 // recordFailure records that a router did not send a request, or lost it.
--- a/internal/router/poll.go
+++ b/internal/router/poll.go
@@ -70,8 +70,8 @@
 	defer cancel()
 	rerouted := r.rerouted(address)
 	load, err := r.engines.Load(pollCtx, address)
-	if err != nil && !rerouted && r.rerouted(address) {
-		// The way to the server broke during the poll, which says nothing about the server.
+	if err != nil && (rerouted || r.rerouted(address)) {
+		// The way to the server may have broken during the poll, or the other router ended, which says nothing about the server.
 		repeatCtx, cancel := context.WithTimeout(ctx, loadPollTimeout)
 		defer cancel()
 		load, err = r.engines.Load(repeatCtx, address)
