Count what was used in grants that are written again after a restore

A budget could be exceeded: a router spends tokens without an answer of the store, the store comes back from an older copy, the router writes its grant again and is killed before its next write. Its successor charged only the opened part.

Cause: the row written in the new era had the clock of the latest answer, but the opened part from before the outage, of which more was used. By the clock no more than that could have been spent. The write that decides about an unanswered one of an earlier era had the same gap.

Both now open at least what is used.

The write after an unanswered one has no test of its own.

--- a/internal/prepaid/evidence_test.go
+++ b/internal/prepaid/evidence_test.go
@@ -119,6 +119,36 @@
 	}
 }
 
+// Guards against tokens that are spent twice, because a router spent them during an outage and is killed after it has written
+// its grant into a store that came back from an older copy, but before it has written what it spent.
+func TestUnrecordedSpendingIsChargedAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleetOfAccounts(1)
+		f.start(t.Context())
+		defer f.stop()
+		r := f.routers[0]
+		spent := r.spend(t, total, 100, 40*time.Millisecond)
+		time.Sleep(3 * time.Second)
+		saved := f.store.Copy()
+		r.storeUnreachable.Store(true)
+		spent += r.spend(t, total, 100, 60*time.Millisecond)
+		grant := f.grantRow(t, r.name)
+		is.True(spent > grant.Opened) // Spent without an answer of the store.
+		f.store.Restore(saved)
+		isUnavailable := func(k store.Key) bool { return k.Part == account && f.grantRow(t, r.name).Era > grant.Era }
+		f.unavailable.Store(&isUnavailable)
+		r.storeUnreachable.Store(false)
+		time.Sleep(4 * time.Second)
+		is.True(f.grantRow(t, r.name).Era > grant.Era)
+		r.kill()
+		f.unavailable.Store(nil)
+		time.Sleep(700 * time.Millisecond)
+		t.Logf("%d spent", spent)
+		is.True(r.startAndReadClosed(t) >= spent)
+	})
+}
+
 // Guards against a router that takes the store to be away for as long as the rows are unavailable that it reads and writes
 // at regular times, although the store answers for its grants again.
 func TestStoreIsNoticedByGrantRows(t *testing.T) {
--- a/internal/prepaid/restore.go
+++ b/internal/prepaid/restore.go
@@ -236,9 +236,11 @@
 	return !restoredAt.IsZero() && l.Now().Sub(restoredAt) < restoreNoticeTime
 }
 
-// knownGrant returns this router's grant as it is to be written in a new era.
+// knownGrant returns this router's grant as it is to be written in a new era. The opened part covers what is used, since the
+// row has the clock of an answer.
 func (l *Ledger) knownGrant(a *account) wire.PrepaidGrant {
 	grant := a.grant.PrepaidGrant
+	grant.Opened = min(max(grant.Opened, int(a.used())), grant.Amount)
 	grant.Clock, grant.Era = int(l.storeStatus.storeClock.Milliseconds()), int(l.storeStatus.era)
 	grant.Proof = l.proof()
 	return grant
@@ -262,7 +264,7 @@
 	}
 	next := plannedRows{budget: a.budget, grant: a.grant, resolves: true}
 	next.grant.Amount = int(smaller)
-	next.grant.Opened = min(next.grant.Opened, next.grant.Amount)
+	next.grant.Opened = min(max(next.grant.Opened, int(a.used())), next.grant.Amount)
 	return l.planGrantWrite(a, next)
 }
 
