--- a/internal/router/proxy.go
+++ b/internal/router/proxy.go
@@ -66,6 +66,7 @@
 		Members:  r.otherLive,
 		Dial:     r.dialServer,
 		Restored: func(server string) { r.picker.ForgetFailures(server) },
+		Reopened: func(server string) { r.picker.AllowProbe(server) },
 		Closed:   r.isStopping,
 		Now:      time.Now,
 		Logger:   r.Logger,
