Keep a path with two leading slashes on its way to a backend server

A request for //a/b reached its server as http://a/b, which net/http writes for an opaque URL that begins with two slashes: with another host and path. A bare question mark behind a path was lost.

Evidence: found in review of internal/proxy.

--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -174,7 +174,7 @@
 	}
 	request := (&http.Request{
 		Method:        r.Method,
-		URL:           &url.URL{Scheme: "http", Host: address, Opaque: r.URL.EscapedPath(), RawQuery: r.URL.RawQuery},
+		URL:           ServerURL(address, r.URL),
 		Host:          r.Host,
 		Header:        header,
 		Body:          http.NoBody,
@@ -184,6 +184,14 @@
 	return request
 }
 
+// ServerURL returns the URL at an address of a request that was received, with the same path and query.
+func ServerURL(address string, received *url.URL) *url.URL {
+	return &url.URL{
+		Scheme: "http", Host: address, Path: received.Path, RawPath: received.RawPath,
+		RawQuery: received.RawQuery, ForceQuery: received.ForceQuery,
+	}
+}
+
 // PreventRepeat sets the body of a request so that net/http does not send the request again on its own: it takes requests
 // without a body for repeatable if their method is idempotent or they have one of idempotencyHeaders.
 func PreventRepeat(request *http.Request, body []byte) {
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"strconv"
 	"syscall"
 	"time"
@@ -185,15 +184,10 @@
 func (t *Transport) proxied(request *http.Request, address string, w through) *http.Request {
 	call := callOf(request.Context())
 	result := request.Clone(request.Context())
-	target := *request.URL
-	target.Scheme, target.Host = "http", w.address
+	result.URL = ServerURL(w.address, request.URL)
 	if t.Secure {
-		target.Scheme = "https"
+		result.URL.Scheme = "https"
 	}
-	if target.Opaque == "" {
-		target = url.URL{Scheme: target.Scheme, Host: w.address, Opaque: request.URL.EscapedPath(), RawQuery: request.URL.RawQuery}
-	}
-	result.URL = &target
 	if result.Host == "" {
 		result.Host = address
 	}
