Keep a request that arrived with the one before through a planned stop

A caller that sends a request behind another one without waiting for the answer lost it in a planned stop, if the first response had begun before the stop and so did not ask for the close: the request was read whole and passed on, then cancelled, and its connection closed without an answer.

Cause: the connection counts as idle behind the first response, and ends unless a read finds data. But net/http has read both requests at once, and reports that a connection is active only if it reads more data for a request. The read that waits for the end of the caller then finds the end of the connection, which cancels the request.

net/http sets one read deadline when a connection becomes idle and the next when it has the start of a request. From the second on the connection is no longer idle.

--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -43,6 +43,7 @@
 		http2      bool      // Whether the protocol is HTTP/2.
 		deadline   time.Time // Read deadline that the server has set.
 		ending     bool      // Whether the connection ends if no data has arrived.
+		deadlines  int       // Number of read deadlines set since the connection is idle.
 	}
 
 	// writeCloser is a connection that can be closed in one direction.
@@ -83,6 +84,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deadline = deadline
+	if c.state == http.StateIdle {
+		// net/http sets one deadline when the connection becomes idle and the next when it has a request, which may have
+		// come together with the one before. It reports the state of such a request only if it reads more data.
+		if c.deadlines++; c.deadlines > 1 {
+			c.received, c.ending = true, false
+		}
+	}
 	if c.ending {
 		return nil
 	}
@@ -139,7 +147,7 @@
 	if state != http.StateIdle {
 		return
 	}
-	c.received = false
+	c.received, c.deadlines = false, 0
 	if c.listener.stopping.Load() && !c.http2 {
 		// The response may have begun before the stop, so that it did not ask for the close.
 		c.end()
--- a/internal/drain/listener_test.go
+++ b/internal/drain/listener_test.go
@@ -29,6 +29,7 @@
 		listener *drain.Listener
 		server   *http.Server
 		stopping atomic.Bool
+		handle   atomic.Pointer[http.HandlerFunc] // Answers in place of the function of serveWith; optional.
 		ended    chan error
 	}
 
@@ -83,10 +84,14 @@
 	s := &testServer{listener: &drain.Listener{TCP: listener}, ended: make(chan error, 1)}
 	s.server = &http.Server{
 		ConnState: s.listener.ConnState,
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if s.stopping.Load() {
 				w.Header().Set("Connection", "close")
 			}
+			if handle := s.handle.Load(); handle != nil {
+				(*handle)(w, r)
+				return
+			}
 			respond(w)
 		}),
 	}
@@ -268,3 +273,42 @@
 	is.True(err != nil)
 	stop.Wait()
 }
+
+// Guards against the loss of a request that came together with one whose response began before the stop.
+func TestStopDoesNotCancelPipelinedRequest(t *testing.T) {
+	is := is.New(t)
+	begun, release, second := make(chan struct{}), make(chan struct{}), make(chan error, 1)
+	s := serve(t, listen(t))
+	first := true
+	handle := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if first {
+			first = false
+			w.WriteHeader(http.StatusOK)
+			_ = http.NewResponseController(w).Flush()
+			close(begun)
+			<-release
+			return
+		}
+		time.Sleep(500 * time.Millisecond) // Idle connections are closed meanwhile.
+		second <- r.Context().Err()
+	})
+	s.handle.Store(&handle)
+	conn := s.dial(t)
+	_, err := io.WriteString(conn, request+request)
+	is.NoErr(err)
+	<-begun
+	var stop sync.WaitGroup
+	stop.Go(func() { s.stop(t) })
+	time.Sleep(600 * time.Millisecond)
+	close(release)
+	reader := bufio.NewReader(conn)
+	for range 2 {
+		response, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, response.Body)
+		is.NoErr(err)
+		response.Body.Close()
+	}
+	is.NoErr(<-second)
+	stop.Wait()
+}
