Refuse to wait for the same request in a router that stops earlier

Late in a planned stop, the product's own front let a request with an idempotency key wait for the same request, here or at another router, for up to the time limit of requests. The end of the grace period then cut its connection without an answer.

Cause: late requests are refused where they enter the admission queue. One that finds its key in use waits before that.

It is refused with status 503 and Citronslip-Run "unknown" now if its time limit is later than the close of the connections. Recorded answers are still sent, since that takes no time.

Evidence: the test failed before, because the request waited for the end of the other:

stopping_test.go:111: 200 != 503 --- FAIL: TestStoppingRouterRefusesToWaitForTheSameRequest

internal/caller passes with the race detector.

--- a/internal/caller/idempotency.go
+++ b/internal/caller/idempotency.go
@@ -83,8 +83,11 @@
 	}
 }
 
-// awaitLocalRun waits for the same request, which this router is running.
+// awaitLocalRun waits for the same request, which this router is running, unless the router stops before the wait has to end.
 func (c *call) awaitLocalRun(ctx context.Context, joined claim.Joined) (retryClaim, proceed bool, refusal *Refusal) {
+	if refusal := c.front.stopRefusal(ctx); refusal != nil {
+		return false, false, refusal
+	}
 	answer, err := joined.Wait(ctx)
 	switch {
 	case err == nil:
@@ -97,11 +100,15 @@
 	}
 }
 
-// askOtherRouter waits for the same request, which another router is running.
+// askOtherRouter waits for the same request, which another router is running, unless this router stops before the wait has to
+// end.
 func (c *call) askOtherRouter(ctx context.Context, running claim.Running) (retryClaim, proceed bool, refusal *Refusal) {
 	if c.front.Ask == nil {
 		return false, false, c.claimConflictRefusal("the same request runs in another router", time.Second)
 	}
+	if refusal := c.front.stopRefusal(ctx); refusal != nil {
+		return false, false, refusal
+	}
 	report, err := c.front.Ask(ctx, running.Instance, c.account.Name, c.idempotencyKey, running.Nonce)
 	switch {
 	case err == nil && report.State == claim.ReportDone && report.Answer != nil:
--- a/internal/caller/stopping_test.go
+++ b/internal/caller/stopping_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -80,3 +81,37 @@
 		}
 	})
 }
+
+// Guards against a stopping router that lets a request wait for the same one, which it may have to cut.
+func TestStoppingRouterRefusesToWaitForTheSameRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFrontend(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(2 * time.Minute)
+			w.Header().Set("Content-Type", "application/json")
+			_, _ = io.WriteString(w, `{"usage":{"prompt_tokens":1,"completion_tokens":1}}`) // The caller notices a failure.
+		}))
+		defer f.close()
+		client := f.client(false)
+		send := func() *http.Response {
+			request := newChatRequest(context.Background(), `{"model":"planner","messages":[{"role":"user","content":"a"}]}`)
+			request.Header.Set(caller.HeaderIdempotencyKey, "key")
+			response, err := client.Do(request)
+			is.NoErr(err)
+			response.Body.Close()
+			return response
+		}
+		first := make(chan int, 1)
+		go func() { first <- send().StatusCode }()
+		time.Sleep(time.Second)
+		stopping, closing := true, time.Now().Add(time.Minute)
+		f.front.Stopping.Store(&stopping)
+		f.front.Closing.Store(&closing)
+		response := send()
+		is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+		is.Equal(response.Header.Get(caller.HeaderRun), "unknown")
+		is.Equal(<-first, http.StatusOK)
+		is.Equal(send().StatusCode, http.StatusOK) // A recorded answer takes no time.
+		client.CloseIdleConnections()
+	})
+}
