Count the answers of issuers towards the wait for a permit

What callers saw: requests to servers at their limits, or brittle ones, waited for a permit for up to the whole time that they had, in place of a quarter, and were then sent with too little time left or refused late.

Cause: only the pauses between two questions counted towards the wait, not the time that the routers took to answer them.

TestWaitForPermitIsLimited failed before with 'not true: time.Since(sent) < r.Timeout/4+7*issuers.delay'.

--- a/internal/dispatch/permit.go
+++ b/internal/dispatch/permit.go
@@ -43,14 +43,14 @@
 // not know which of them issues the permits, it tries again.
 func (c *call) pickWaiting(ctx context.Context, request *routing.Request) (*Server, *routing.Choice, error) {
 	maxWait := min(maxPermitWait, time.Duration(permitWaitShare*float64(time.Until(c.deadline()))))
+	end := time.Now().Add(maxWait) // The answers of the routers that issue permits take a part of the time.
 	for {
 		request.Exclude = nil
-		server, choice, err := c.pickWithin(ctx, request, max(maxWait, 0))
+		server, choice, err := c.pickWithin(ctx, request, max(time.Until(end), 0))
 		var exhausted *ratelimit.ExhaustedError
-		if !errors.As(err, &exhausted) || exhausted.Full || exhausted.After >= maxWait || !delay.Sleep(ctx, exhausted.After) {
+		if !errors.As(err, &exhausted) || exhausted.Full || exhausted.After >= time.Until(end) || !delay.Sleep(ctx, exhausted.After) {
 			return server, choice, err
 		}
-		maxWait -= exhausted.After
 	}
 }
 
--- a/internal/dispatch/permit_test.go
+++ b/internal/dispatch/permit_test.go
@@ -13,6 +13,7 @@
 	"citronslip/internal/dispatch"
 	"citronslip/internal/ratelimit"
 	"citronslip/internal/store"
+	"citronslip/internal/wire"
 )
 
 // newLimitedDispatcher returns a dispatcher of a single router, whose servers name the limits in the map.
@@ -84,6 +85,41 @@
 	})
 }
 
+// slowIssuers stands for other routers that answer after a time that no permit is free.
+type slowIssuers struct {
+	delay time.Duration
+}
+
+func (s slowIssuers) Take(context.Context, string, wire.RatelimitTake) (wire.RatelimitAnswer, error) {
+	time.Sleep(s.delay)
+	return wire.RatelimitAnswer{Wait: int((10 * time.Millisecond).Microseconds())}, nil
+}
+
+func (s slowIssuers) Report(context.Context, string, wire.RatelimitReport) (wire.RatelimitAnswer, error) {
+	return wire.RatelimitAnswer{}, nil
+}
+
+// Guards against a wait for a permit that is longer than its limit because the issuers answer slowly.
+func TestWaitForPermitIsLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const limit = 0.5
+		issuers := slowIssuers{delay: 100 * time.Millisecond}
+		b := newLimitedDispatcher(map[string]ratelimit.Rate{"a": limit, "b": limit, "c": limit})
+		b.Limits.Peers = issuers
+		b.Limits.Members = func() []string { return []string{"10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1", "10.0.0.5:1"} }
+		for range 20 {
+			response := &callerResponse{}
+			sent := time.Now()
+			r := request("/safe/1")
+			r.Timeout = 1500 * time.Millisecond
+			b.Serve(t.Context(), r, response)
+			is.True(time.Since(sent) < r.Timeout/4+7*issuers.delay) // A quarter of the time, and questions for each server before and at its end.
+			time.Sleep(time.Second)
+		}
+	})
+}
+
 // Guards against callers that wait, or are told that the request may have run, while no server has room, against servers
 // that must reject many requests meanwhile, and against a time to come back at which there is no permit yet.
 func TestRequestsWithoutRoomAreRefusedAtOnce(t *testing.T) {
