Abort a response that cannot begin

Two paths on which a request that was read ended without a call of its Response were left: a plain response and a stream without events whose Begin fails. net/http completes such a handler with an empty success.

--- a/internal/dispatch/closing_test.go
+++ b/internal/dispatch/closing_test.go
@@ -91,3 +91,16 @@
 		})
 	}
 }
+
+// Guards against a response that cannot begin and ends without a call of its Response.
+func TestResponseThatCannotBeginIsAborted(t *testing.T) {
+	for path, body := range map[string]string{"/once/1": "booked", "/stream/1": "", "/stream/2": eventText(1, 3)} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			d := newTestDispatcher(func(context.Context, int, dispatch.Attempt) dispatch.Outcome { return completeAnswer(body) })
+			response := &callerResponse{disconnected: true}
+			d.Serve(t.Context(), request(path), response)
+			is.True(response.aborted)
+		})
+	}
+}
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -60,6 +60,7 @@
 	c.responseStarted = true
 	if err := c.response.Begin(o.Head, o.Length); err != nil {
 		choice.Done(routing.Cancelled{})
+		c.response.Abort()
 		c.setResult("caller left", "")
 		return false, ""
 	}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -81,6 +81,7 @@
 	choice.Done(routing.Finished{Cached: -1, Output: c.events * c.tokensPerEvent(), Duration: time.Since(start)})
 	if !c.responseStarted {
 		if err := c.response.Begin(o.Head, o.Length); err != nil {
+			c.response.Abort()
 			c.setResult("caller left", "")
 			return false, ""
 		}
