Ask unknown routers as early as known ones of the own data centre

Cause: a search asked routers of the own data centre that were known to reach servers before any others, so that a router that was cut off kept to the first three that it had found, for all its servers. With few carriers for each router the load of the busiest varies widely.

Change: routers that are not known are asked at random with those.

--- a/internal/proxy/search.go
+++ b/internal/proxy/search.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// searchOrder returns the routers to ask, in order: those in the own data centre that reach servers, others at random, those
+// searchOrder returns the routers to ask, in order: those that are not known or are in the own data centre, at random, others, those
 // that reached none of the servers when they were last asked, and those that have failed recently. The caller holds the lock.
 func (p *Paths) searchOrder(now time.Time) []string {
 	peers := slices.Clone(p.Members())
@@ -89,7 +89,7 @@
 	r := p.routers[peer]
 	switch {
 	case r == nil:
-		return 1
+		return 0 // As many carriers as possible become known, which spreads the load.
 	case now.Sub(r.failedAt) < routerTTL:
 		return 3
 	case r.reachedNone:
