Reserve the two internal ports of a router in tests

harness.ReservePortPair holds both, like ReservePort. The option that lets the server listen is set after the bind, as the bind of a given port that is reserved would succeed with it. TestReservedPortPair reserves 300 pairs.

--- a/internal/harness/port.go
+++ b/internal/harness/port.go
@@ -13,24 +13,40 @@
 // as net.Listen does.
 func ReservePort(t testing.TB) string {
 	t.Helper()
-	port, err := bindPort(t)
+	port, err := bindPort(t, 0)
 	if err != nil {
 		t.Fatalf("cannot reserve a port on the loopback interface: %v", err)
 	}
 	return fmt.Sprintf("127.0.0.1:%d", port)
 }
 
-// bindPort binds a socket to a free loopback port until the test ends and returns the port.
-func bindPort(t testing.TB) (int, error) {
+// ReservePortPair returns the first of two consecutive ports of the loopback interface, both reserved like that of
+// ReservePort.
+func ReservePortPair(t testing.TB) int {
+	t.Helper()
+	for {
+		first, err := bindPort(t, 0)
+		if err != nil {
+			t.Fatalf("cannot reserve a port on the loopback interface: %v", err)
+		}
+		if _, err := bindPort(t, first+1); err == nil {
+			return first
+		}
+	}
+}
+
+// bindPort binds a socket to a loopback port, a free one if it is 0, until the test ends and returns the port.
+func bindPort(t testing.TB, port int) (int, error) {
 	socket, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return 0, err
 	}
 	t.Cleanup(func() { _ = unix.Close(socket) }) // Nothing was written to it, so that an error loses no data.
-	if err := unix.SetsockoptInt(socket, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
+	// The option is set after the bind, which would otherwise succeed for a given port that is reserved already.
+	if err := unix.Bind(socket, &unix.SockaddrInet4{Port: port, Addr: [4]byte{127, 0, 0, 1}}); err != nil {
 		return 0, err
 	}
-	if err := unix.Bind(socket, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+	if err := unix.SetsockoptInt(socket, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
 		return 0, err
 	}
 	sockaddr, err := unix.Getsockname(socket)
--- a/internal/harness/port_test.go
+++ b/internal/harness/port_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strconv"
 	"testing"
 
 	"github.com/matryer/is"
@@ -31,3 +32,20 @@
 		_ = listener.Close()
 	}
 }
+
+// Guards against a pair whose second port is reserved already, or on which a server cannot listen.
+func TestReservedPortPair(t *testing.T) {
+	const pairs = 300
+	is := is.New(t)
+	seen := make(map[int]bool)
+	for range pairs {
+		first := harness.ReservePortPair(t)
+		for _, port := range []int{first, first + 1} {
+			is.True(!seen[port])
+			seen[port] = true
+			listener, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+			is.NoErr(err)
+			_ = listener.Close()
+		}
+	}
+}
