Search again for a way when more routers become known

Cause: its first searches have no router to ask. Each counts as a search without a result, so that the time until the next one doubles, to 1 to 4 s.

Change: more known routers than before make a search due for each server that no known router reaches.

--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -64,6 +64,7 @@
 		transport *proxy.Transport
 		handler   *proxy.Handler
 
+		alone    atomic.Bool  // Whether it knows no other routers.
 		asked    atomic.Int64 // How many routers it has asked.
 		restored []string     // Protected by the lock of the fleet.
 
@@ -129,7 +130,13 @@
 		}
 		r.paths = &proxy.Paths{
 			Address: fmt.Sprintf("router-%d", i), Place: fmt.Sprintf("z%d", i%2),
-			Peers: r, Members: func() []string { return members }, Dial: r.dial,
+			Peers: r, Dial: r.dial,
+			Members: func() []string {
+				if r.alone.Load() {
+					return nil
+				}
+				return members
+			},
 			Restored: r.recordRestored, Now: time.Now, Logger: &logger,
 		}
 		r.transport = &proxy.Transport{Direct: directLink{r}, Routers: routerLink{r}, Paths: r.paths}
--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -61,6 +61,8 @@
 		wake    chan struct{}
 		search  *search // Search in progress; nil if there is none.
 
+		routerCount int // Number of other running routers when they were last counted.
+
 		brokenTestsAt time.Time // When broken ways were last tested.
 		recoveredAt   time.Time // When a broken way last worked again.
 	}
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -79,6 +79,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Now()
+	p.noticeRouters(now)
 	active, searchDue := false, false
 	for _, path := range p.servers {
 		active = active || path.broken || path.testing || !path.testAt.IsZero()
--- a/internal/proxy/search.go
+++ b/internal/proxy/search.go
@@ -43,6 +43,20 @@
 	return s.broken && s.wanted && !now.Before(s.searchAt)
 }
 
+// noticeRouters makes a search due for the servers that no known router reaches if more routers are known than before: those
+// that were asked say nothing about the new ones. A router that has just started knows no others. The caller holds the lock.
+func (p *Paths) noticeRouters(now time.Time) {
+	count := len(p.Members())
+	if count > p.routerCount {
+		for _, path := range p.servers {
+			if path.broken && !p.found(path, now) {
+				path.searchAt, path.searches = now, 0
+			}
+		}
+	}
+	p.routerCount = count
+}
+
 // startSearch starts a search for routers that reach the servers that requests need. The caller holds the lock.
 func (p *Paths) startSearch() {
 	now := p.Now()
--- a/internal/proxy/search_test.go
+++ b/internal/proxy/search_test.go
@@ -145,3 +145,23 @@
 		is.True(time.Since(begin) < 100*time.Millisecond)
 	})
 }
+
+// Guards against a router that knows no others when it is cut off, as after its start, and that looks for them seconds
+// late because it counts its searches without a router to ask as failed ones.
+func TestRouterIsUsedAsSoonAsItIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 2, 1)
+		f.routers[0].alone.Store(true)
+		f.set(cutOff(0, refusing))
+		for begin := time.Now(); time.Since(begin) < 4*time.Second; time.Sleep(10 * time.Millisecond) {
+			is.True(errors.Is(f.routers[0].send(0), proxy.ErrNotSent))
+		}
+		f.routers[0].alone.Store(false)
+		begin := time.Now()
+		for f.routers[0].send(0) != nil {
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(time.Since(begin) < 300*time.Millisecond)
+	})
+}
