Keep looking for the fleet until the membership view lists it

Cause: a router that becomes the leader writes the view without routers first and lists them with its next write. A router that reads the view in between took the empty list for the fleet: it dropped the addresses of its settings, counted one router, and read again only after 2 s, the interval of a fleet that is known.

Change: an empty list changes nothing but the leader, so that the router reads again after 0.25 to 0.75 s.

--- a/internal/prepaid/members.go
+++ b/internal/prepaid/members.go
@@ -153,6 +153,9 @@
 		l.membership.view.observed = nil
 	}
 	l.membership.view.leader = stored.Keeper
+	if len(stored.Routers) == 0 {
+		return // A leader that knows no routers yet claims the view first and lists them with its next write.
+	}
 	addresses := make(map[string]string, len(stored.Routers))
 	for _, r := range stored.Routers {
 		addresses[r.Node] = r.Address
--- a/internal/prepaid/members_test.go
+++ b/internal/prepaid/members_test.go
@@ -66,6 +66,24 @@
 	}
 }
 
+// Guards against routers that read the membership view before its leader has listed the routers, and then know no other
+// router for the time between two reads.
+func TestRoutersOfNewFleetKnowEachOtherSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(40, total)
+		f.roundTrip = 100 * time.Millisecond
+		defer f.stop()
+		for _, r := range f.routers {
+			r.start(t.Context())
+		}
+		time.Sleep(2 * time.Second)
+		for _, r := range f.routers {
+			is.Equal(len(r.ledger.Load().PeerAddresses()), len(f.routers)-1)
+		}
+	})
+}
+
 // Guards against a fleet whose membership view is no longer updated after its leader was killed, and against two
 // leaders at a time.
 func TestStoppedLeaderIsReplaced(t *testing.T) {
