Give the socket of callers' connections to the planned stop

Cause: the end of an idle connection in a planned stop asks the socket whether a request has arrived, but the connections of the platform's front are wrapped by the meter of the host's link, which hides the socket. There the stop went on without that question.

The new test failed before (the connection is no syscall.Conn) and passes; internal/dial passes three times with -race.

--- a/internal/dial/meter.go
+++ b/internal/dial/meter.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -195,6 +197,15 @@
 	return n, err
 }
 
+// SyscallConn returns the socket of the connection. Its error is errors.ErrUnsupported if the connection has none.
+func (c *meteredConn) SyscallConn() (syscall.RawConn, error) {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return socket.SyscallConn()
+}
+
 // Accept returns the next connection.
 func (l *MeteredListener) Accept() (net.Conn, error) {
 	conn, err := l.TCPListener.Accept()
--- a/internal/dial/meter_test.go
+++ b/internal/dial/meter_test.go
@@ -1,6 +1,8 @@
 package dial_test
 
 import (
+	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -58,3 +60,24 @@
 	m.AddBytes(1<<30, 1<<30)
 	is.True(!m.Congested())
 }
+
+// Guards against connections of callers whose socket cannot be asked for data that has arrived, so that a planned stop of a
+// process that gets no processor time ends them with an unread request.
+func TestMeteredConnectionGivesItsSocket(t *testing.T) {
+	is := is.New(t)
+	meter := &dial.LinkMeter{Now: time.Now}
+	listener, err := meter.Listen(t.Context(), "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer caller.Close()
+	conn, err := listener.Accept()
+	is.NoErr(err)
+	defer conn.Close()
+	socket, ok := conn.(syscall.Conn)
+	is.True(ok)
+	raw, err := socket.SyscallConn()
+	is.NoErr(err)
+	is.NoErr(raw.Control(func(uintptr) {}))
+}
