Accept the connections that wait at the end of a planned stop

A server that got too little processor time in a planned stop reset connections that the system had opened: callers lost the requests that they had sent.

Cause: a stopped listener accepts for 300 ms at most, and a call of Accept whose deadline has passed does not look for a connection. A process that did not run in this time closed the socket without a look at its queue.

Before it closes the socket, the listener now asks the system whether a connection waits (poll). As long as one does, it accepts, even after 300 ms: the system ignores requests for new ones by then, so that the queue only gets shorter. Where it does not (no packet filter), the 300 ms stay the bound.

--- a/internal/drain/listener.go
+++ b/internal/drain/listener.go
@@ -19,7 +19,8 @@
 const (
 	// acceptWait is how long a stopped listener waits for a connection that the system has already opened.
 	acceptWait = 100 * time.Millisecond
-	// maxAcceptTime bounds the time in which a stopped listener accepts connections.
+	// maxAcceptTime bounds the time in which a stopped listener waits for connections. Those that the system has opened by
+	// then are accepted later, too, unless the system still opens new ones.
 	maxAcceptTime = 300 * time.Millisecond
 	// pollInterval is the time between two looks at the open connections.
 	pollInterval = 10 * time.Millisecond
@@ -39,7 +40,8 @@
 		once    sync.Once
 		closed  chan struct{} // Closed when no connection is accepted any more.
 		mu      sync.Mutex
-		stopEnd time.Time // When a stopped listener stops to accept; zero before Stop.
+		stopEnd time.Time // When a stopped listener stops to wait for connections; zero before Stop.
+		dropNew bool      // Whether the system ignores requests for new connections.
 		conns   map[*conn]struct{}
 	}
 
@@ -79,7 +81,7 @@
 		switch {
 		case err == nil:
 			return l.track(accepted), nil
-		case isTimeout(err) && stopping:
+		case isTimeout(err) && stopping && !l.mustAccept():
 			return nil, errors.Join(net.ErrClosed, l.Close())
 		case !isTimeout(err):
 			return nil, err
@@ -109,9 +111,9 @@
 func (l *Listener) Stop(ctx context.Context) error {
 	l.once.Do(l.init)
 	l.stopping.Store(true)
-	// If this fails, only a connection that is opened in the moment of the close is reset.
-	_ = dropNewConnections(l.TCP)
-	if err := l.beginStop(); err != nil {
+	// If this fails, only a connection that is opened near the moment of the close is reset.
+	dropNew := dropNewConnections(l.TCP) == nil
+	if err := l.beginStop(dropNew); err != nil {
 		return errors.Join(trace.Wrap(err), l.Close())
 	}
 	select {
@@ -154,11 +156,11 @@
 }
 
 // beginStop ends the call of Accept that waits.
-func (l *Listener) beginStop() error {
+func (l *Listener) beginStop(dropNew bool) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	l.stopEnd = now.Add(maxAcceptTime)
+	l.stopEnd, l.dropNew = now.Add(maxAcceptTime), dropNew
 	return l.TCP.SetDeadline(now)
 }
 
@@ -170,12 +172,20 @@
 		return false, nil
 	}
 	deadline := time.Now().Add(acceptWait)
-	if l.stopEnd.Before(deadline) {
+	if l.stopEnd.Before(deadline) && (!l.dropNew || !hasInput(l.TCP)) {
 		deadline = l.stopEnd
 	}
 	return true, l.TCP.SetDeadline(deadline)
 }
 
+// mustAccept reports whether a stopped listener has to accept a connection that the system has opened. The deadline of
+// Accept may have passed before the process looked for one.
+func (l *Listener) mustAccept() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return (l.dropNew || time.Now().Before(l.stopEnd)) && hasInput(l.TCP)
+}
+
 // track returns a connection that is known to the listener until it is closed.
 func (l *Listener) track(accepted net.Conn) net.Conn {
 	c := &conn{Conn: accepted, listener: l, stateSince: time.Now()}
@@ -224,6 +234,22 @@
 	return trace.Wrap(errors.Join(err, sockoptErr))
 }
 
+// hasInput reports whether a connection waits to be accepted on a socket, or data or its end to be read.
+func hasInput(socket syscall.Conn) bool {
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ready := 0
+	pollErr := error(unix.EINTR)
+	err = raw.Control(func(fd uintptr) {
+		for errors.Is(pollErr, unix.EINTR) {
+			ready, pollErr = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		}
+	})
+	return errors.Join(err, pollErr) == nil && ready > 0
+}
+
 // isTimeout reports whether an error says that a deadline has passed.
 func isTimeout(err error) bool {
 	var netErr net.Error
