--- a/internal/drain/listener_test.go
+++ b/internal/drain/listener_test.go
@@ -260,34 +260,6 @@
 	}
 }
 
-// Guards against a further request on a connection whose response began before the stop, and so did not ask for the close.
-func TestConnectionEndsBehindResponseThatBeganBeforeStop(t *testing.T) {
-	is := is.New(t)
-	begun, release := make(chan struct{}, 2), make(chan struct{})
-	s := serveWith(t, listen(t), func(w http.ResponseWriter) {
-		w.WriteHeader(http.StatusOK)
-		_ = http.NewResponseController(w).Flush()
-		begun <- struct{}{}
-		<-release
-	})
-	conn := s.dial(t)
-	status := make(chan int, 1)
-	go func() {
-		n, _ := exchange(conn)
-		status <- n
-	}()
-	<-begun
-	var stop sync.WaitGroup
-	stop.Go(func() { s.stop(t) })
-	time.Sleep(time.Second)
-	close(release)
-	is.Equal(<-status, http.StatusOK)
-	time.Sleep(5 * time.Millisecond) // A caller is not faster.
-	_, err := exchange(conn)
-	is.True(err != nil)
-	stop.Wait()
-}
-
 // Guards against the loss of a request that came together with one whose response began before the stop.
 func TestStopDoesNotCancelPipelinedRequest(t *testing.T) {
 	is := is.New(t)
