Wait for the idle connection in a test of ending connections

TestRequestOnEndingConnectionIsAnswered failed in 6 of 200 runs of 8 parallel copies of the race binary on 2 cores (2 in the case without pauses, 4 in that with them):

listener_test.go:197: not true: response.Close

Cause: the preparation races. The test waits for the next read deadline that passes, as soon as the first response has arrived. But net/http ends its read beside a handler by a deadline of its own, behind the response. If the test was earlier, it took that deadline for the one of the stop, and sent the request before the server stopped.

The test now waits until net/http has reported the connection as idle, behind that read. All assertions stay.

--- a/internal/drain/listener_test.go
+++ b/internal/drain/listener_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"citronslip/internal/drain"
+	"citronslip/internal/harness"
 )
 
 const (
@@ -29,6 +30,7 @@
 		listener *drain.Listener
 		server   *http.Server
 		stopping atomic.Bool
+		idle     atomic.Int64                     // Number of times that a connection became idle.
 		handle   atomic.Pointer[http.HandlerFunc] // Answers in place of the function of serveWith; optional.
 		ended    chan error
 	}
@@ -92,7 +94,12 @@
 	t.Helper()
 	s := &testServer{listener: &drain.Listener{TCP: listener}, ended: make(chan error, 1)}
 	s.server = &http.Server{
-		ConnState: s.listener.ConnState,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			s.listener.ConnState(conn, state)
+			if state == http.StateIdle {
+				s.idle.Add(1)
+			}
+		},
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if s.stopping.Load() {
 				w.Header().Set("Connection", "close")
@@ -183,6 +190,8 @@
 			conn := s.dial(t)
 			_, err := exchange(conn)
 			is.NoErr(err)
+			// Behind a response, net/http ends a read by a deadline before it reports that the connection is idle.
+			harness.Eventually(t, maxWait, "connection is idle", func() bool { return s.idle.Load() == 1 })
 			slow.armed.Store(true)
 			var stop sync.WaitGroup
 			stop.Go(func() { s.stop(t) })
