Count less of a slow heartbeat towards the time limits of requests

Cause: while the link of the host is full, requests count as older by the duration of the last heartbeat (event 759 of this host with full at 4.37 s). That holds the time of the store and of the way back, too, and there was hardly any wait on the link. Streams were cut before their callers gave them up. Ruled out: the planned stop of this host (signal at 11.16 s, its connections are closed at 18.8 s), a lost connection, SIGHUP.

Change: the first 0.4 s of a heartbeat do not count. A time limit may be exceeded by half a second (CONFIG), so that nothing is lost where requests do wait on the link.

--- a/internal/dispatch/link_monitor.go
+++ b/internal/dispatch/link_monitor.go
@@ -15,6 +15,10 @@
 	maxDelayShare = 0.5
 	// maxSmallBodyBytes is the size above which a body counts as large on a full link.
 	maxSmallBodyBytes = 4 << 10
+	// maxUncountedDelay is the part of a heartbeat's duration that does not count as a delay of requests on a full link. The
+	// store and the way back take a part of the heartbeat, and answers to requests that count as older than they are would
+	// be cut early. A request may be answered half a second behind its time limit.
+	maxUncountedDelay = 400 * time.Millisecond
 )
 
 type (
@@ -38,12 +42,12 @@
 	}
 )
 
-// ArrivalDelay returns the estimated time that requests wait on the link before they are read.
+// ArrivalDelay returns the time that requests wait on the link before they are read, by a low estimate.
 func (l *LinkMonitor) ArrivalDelay() time.Duration {
 	if !l.Full() {
 		return 0
 	}
-	return l.Trip()
+	return max(l.Trip()-maxUncountedDelay, 0)
 }
 
 // RejectsBody reports whether a body must not be read because it would time out. The length is negative if it is
