Search again for a way when other routers become known than before

Cause: a search became due only when the number of known routers grew. Seeds may be out of date, and routers are replaced: if the membership view lists as many routers as were known before, but others, those that were asked in vain still put the next search off, to up to 4 s.

--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -64,9 +64,9 @@
 		transport *proxy.Transport
 		handler   *proxy.Handler
 
-		alone    atomic.Bool  // Whether it knows no other routers.
-		asked    atomic.Int64 // How many routers it has asked.
-		restored []string     // Protected by the lock of the fleet.
+		known    atomic.Pointer[[]string] // Routers that it knows; nil if it knows all.
+		asked    atomic.Int64             // How many routers it has asked.
+		restored []string                 // Protected by the lock of the fleet.
 
 		// Set while no attempts are in progress.
 		respond func() (io.Reader, error)  // Responses of the servers to this router; optional.
@@ -132,8 +132,8 @@
 			Address: fmt.Sprintf("router-%d", i), Place: fmt.Sprintf("z%d", i%2),
 			Peers: r, Dial: r.dial,
 			Members: func() []string {
-				if r.alone.Load() {
-					return nil
+				if known := r.known.Load(); known != nil {
+					return *known
 				}
 				return members
 			},
--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -61,7 +61,7 @@
 		wake    chan struct{}
 		search  *search // Search in progress; nil if there is none.
 
-		routerCount int // Number of other running routers when they were last counted.
+		knownRouters map[string]struct{} // Peer addresses of the other running routers at the last step.
 
 		brokenTestsAt time.Time // When broken ways were last tested.
 		recoveredAt   time.Time // When a broken way last worked again.
--- a/internal/proxy/search.go
+++ b/internal/proxy/search.go
@@ -43,18 +43,26 @@
 	return s.broken && s.wanted && !now.Before(s.searchAt)
 }
 
-// noticeRouters makes a search due for the servers that no known router reaches if more routers are known than before: those
-// that were asked say nothing about the new ones. A router that has just started knows no others. The caller holds the lock.
+// noticeRouters makes a search due for the servers that no known router reaches if a router has become known: those that were
+// asked say nothing about it. A router that has just started knows no others. The caller holds the lock.
 func (p *Paths) noticeRouters(now time.Time) {
-	count := len(p.Members())
-	if count > p.routerCount {
-		for _, path := range p.servers {
-			if path.broken && !p.found(path, now) {
-				path.searchAt, path.searches = now, 0
-			}
+	members := p.Members()
+	known := make(map[string]struct{}, len(members))
+	noticed := false
+	for _, peer := range members {
+		known[peer] = struct{}{}
+		_, before := p.knownRouters[peer]
+		noticed = noticed || !before
+	}
+	p.knownRouters = known
+	if !noticed {
+		return
+	}
+	for _, path := range p.servers {
+		if path.broken && !p.found(path, now) {
+			path.searchAt, path.searches = now, 0
 		}
 	}
-	p.routerCount = count
 }
 
 // startSearch starts a search for routers that reach the servers that requests need. The caller holds the lock.
--- a/internal/proxy/search_test.go
+++ b/internal/proxy/search_test.go
@@ -146,22 +146,32 @@
 	})
 }
 
-// Guards against a router that knows no others when it is cut off, as after its start, and that looks for them seconds
-// late because it counts its searches without a router to ask as failed ones.
+// Guards against a router that knows no others when it is cut off, as after its start, or only ones that do not run, and that
+// looks for new ones seconds late because it counts its searches before as failed ones.
 func TestRouterIsUsedAsSoonAsItIsKnown(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newFleet(t, 2, 1)
-		f.routers[0].alone.Store(true)
-		f.set(cutOff(0, refusing))
-		for begin := time.Now(); time.Since(begin) < 4*time.Second; time.Sleep(10 * time.Millisecond) {
-			is.True(errors.Is(f.routers[0].send(0), proxy.ErrNotSent))
-		}
-		f.routers[0].alone.Store(false)
-		begin := time.Now()
-		for f.routers[0].send(0) != nil {
-			time.Sleep(10 * time.Millisecond)
-		}
-		is.True(time.Since(begin) < 300*time.Millisecond)
-	})
+	for name, known := range map[string][]string{"none known": nil, "another one known": {"peer-1"}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(t, 3, 1)
+				f.setPeers(func(router int) linkMode {
+					if router == 1 {
+						return refusing
+					}
+					return open
+				})
+				f.routers[0].known.Store(&known)
+				f.set(cutOff(0, refusing))
+				for begin := time.Now(); time.Since(begin) < 4*time.Second; time.Sleep(10 * time.Millisecond) {
+					is.True(errors.Is(f.routers[0].send(0), proxy.ErrNotSent))
+				}
+				f.routers[0].known.Store(&[]string{"peer-2"})
+				begin := time.Now()
+				for f.routers[0].send(0) != nil {
+					time.Sleep(10 * time.Millisecond)
+				}
+				is.True(time.Since(begin) < 300*time.Millisecond)
+			})
+		})
+	}
 }
