Keep requests on a broken way that no other attempt can follow

Cause: an attempt counted as repeatable by its route alone. When the way to its server broke and another router reached the server, it was ended also if it was the last one that the route allows, the retry budget had none left, or no other server could take the request. The caller got 502, where the server could still answer on the old connection.

proxy.Call.Replace takes the place of Repeat: the dispatcher reserves the next attempt (server, permit, retry budget) as it does for streams that move, and the attempt ends only once that has succeeded. A response that comes while its attempt is ended no longer loses its body to the cancelled context.

harness.PauseCut holds the data of open connections back until its end.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -273,7 +273,9 @@
 	defer c.endWatch()
 	choice.Started()
 	c.logSent(server, choice)
-	outcome := c.Backend.Send(ctx, c.newAttempt(server))
+	next := &replacement{}
+	outcome := c.Backend.Send(ctx, c.newAttempt(ctx, server, next))
+	target := next.end(ctx, outcome)
 	switch o := outcome.(type) {
 	case NotSent:
 		choice.Done(c.outcomeOrCancelled(ctx, routing.ConnectionRefused{}))
@@ -296,6 +298,11 @@
 		c.triedServers = append(c.triedServers, server.Name)
 		c.mayHaveRun = true
 		c.recordNoResponse(ctx, server, choice, o)
+		if target != nil {
+			c.target = target
+			c.logStreamMoved()
+			return true, IncompleteResponse
+		}
 		return c.allowRetry(ctx)
 	case Answered:
 		c.triedServers = append(c.triedServers, server.Name)
@@ -339,10 +346,10 @@
 	}
 }
 
-func (c *call) newAttempt(server *Server) Attempt {
+func (c *call) newAttempt(ctx context.Context, server *Server, next *replacement) Attempt {
 	a := Attempt{
 		Request: c.request, Server: server, Left: time.Until(c.deadline()), Rank: c.route.Priority, LastEvent: c.lastEvent,
-		Permitted: c.permit.Issued(), Repeatable: c.route.Repeat != inventory.AtMostOnce,
+		Permitted: c.permit.Issued(), Replace: c.replacer(ctx, server, next),
 	}
 	if c.account != nil {
 		a.Account = c.account.Name
@@ -365,11 +372,16 @@
 	if ctx.Err() != nil || !c.attemptsLeft() || c.route.Repeat == inventory.AtMostOnce || !c.Repeats.Allow(c.service) {
 		return false, c.failureReason(ctx)
 	}
+	c.logStreamMoved()
+	return true, IncompleteResponse
+}
+
+// logStreamMoved records that a stream of which the caller has received a part continues with another attempt.
+func (c *call) logStreamMoved() {
 	if c.responseStarted {
 		c.brokenAt = time.Now()
 		c.logEvent(event.StreamMoved).Str("last", c.lastEvent).Int64("events", c.events).Send()
 	}
-	return true, IncompleteResponse
 }
 
 // failureReason returns why an attempt failed: the deadline passed, or no complete response arrived.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -109,14 +109,14 @@
 
 	// Attempt is one transmission of a request to a backend server.
 	Attempt struct {
-		Request    *Request
-		Server     *Server
-		Account    string        // Empty on a public route.
-		Rank       int           // Priority; 0 is the most urgent.
-		Left       time.Duration // Time that remains until the deadline.
-		LastEvent  string        // ID of the event after which the server is to continue a stream.
-		Permitted  bool          // Whether a permit was issued for the attempt, as the server has a rate limit.
-		Repeatable bool          // Whether the request may be executed more than once.
+		Request   *Request
+		Server    *Server
+		Account   string        // Empty on a public route.
+		Rank      int           // Priority; 0 is the most urgent.
+		Left      time.Duration // Time that remains until the deadline.
+		LastEvent string        // ID of the event after which the server is to continue a stream.
+		Permitted bool          // Whether a permit was issued for the attempt, as the server has a rate limit.
+		Replace   func() bool   // Reserves an attempt in place of this one, if its way is broken, and reports success; nil if there can be none.
 	}
 
 	// Backend sends attempts to backend servers.
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -110,7 +110,7 @@
 	w.mu.Unlock()
 	var target *selection
 	if remaining > 0 && current.movable() {
-		target = current.reserveMove(ctx) // May ask another router for a permit.
+		target = current.reserveNext(ctx, current.Pool.SilentServers()) // May ask another router for a permit.
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -160,14 +160,14 @@
 	return c.responseStarted && c.route.Repeat == inventory.Resumable && c.resumable() && c.attemptsLeft()
 }
 
-// reserveMove picks the server at which the stream continues. It returns nil if there is none at present.
-func (c *call) reserveMove(ctx context.Context) *selection {
+// reserveNext picks a server for another attempt while one is in progress. It returns nil if there is none at present.
+func (c *call) reserveNext(ctx context.Context, exclude []string) *selection {
 	if ctx.Err() != nil || time.Until(c.deadline()) < minAttemptTimeout || !c.Repeats.Available(c.service) ||
 		c.Behind != nil && c.Behind() {
 		return nil
 	}
 	request := c.routingRequest()
-	request.Exclude = append(c.Limits.ExhaustedServers(), c.Pool.SilentServers()...)
+	request.Exclude = append(c.Limits.ExhaustedServers(), exclude...)
 	server, choice, err := c.pickWithin(ctx, request, 0)
 	if err != nil {
 		return nil
--- a/internal/harness/network.go
+++ b/internal/harness/network.go
@@ -17,7 +17,12 @@
 	ResetCut
 	// RefuseCut refuses new connections; open ones live on.
 	RefuseCut
+	// PauseCut does not open new connections, and holds the data of open ones back until its end, as the kernel sends
+	// again what was lost in a short partition.
+	PauseCut
 
+	// pausePollInterval is the time between two looks at whether PauseCut has ended.
+	pausePollInterval = 5 * time.Millisecond
 	// silentPeerTimeout is how long the kernel keeps a connection whose peer does not respond.
 	silentPeerTimeout = 2 * time.Second
 	// hangTimeout is how long the opening of a connection takes to fail during HangCut.
@@ -64,7 +69,7 @@
 // Open opens a connection unless the network is cut. Its signature is that of the DialContext field of http.Transport.
 func (n *Network) Open(ctx context.Context, network, address string) (net.Conn, error) {
 	switch n.current() {
-	case HangCut:
+	case HangCut, PauseCut:
 		ctx, cancel := context.WithTimeout(ctx, hangTimeout)
 		defer cancel()
 		<-ctx.Done()
@@ -106,6 +111,7 @@
 func (c *cutConn) Read(data []byte) (int, error) {
 	for {
 		read, err := c.Conn.Read(data)
+		c.awaitResumption()
 		if !c.lost() {
 			return read, err
 		}
@@ -117,6 +123,7 @@
 
 // Write writes to the connection. Data that is written during HangCut is lost.
 func (c *cutConn) Write(data []byte) (int, error) {
+	c.awaitResumption()
 	if !c.lost() {
 		return c.Conn.Write(data)
 	}
@@ -134,6 +141,13 @@
 	return c.Conn.Close()
 }
 
+// awaitResumption waits until the end of PauseCut or of the connection.
+func (c *cutConn) awaitResumption() {
+	for c.network.current() == PauseCut && !c.lost() {
+		time.Sleep(pausePollInterval)
+	}
+}
+
 // lost reports whether a cut ended the connection.
 func (c *cutConn) lost() bool {
 	c.network.mu.Lock()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -65,7 +65,11 @@
 	Call struct {
 		Request string // Request ID, for the log.
 		Permit  bool   // Whether the request has a permit if its server has a rate limit that this router knows.
-		Repeat  bool   // Whether the request may be executed more than once.
+		// Replace reserves an attempt that takes the place of this one, and reports whether there is one. It is called from another
+		// goroutine while the request waits for its response on a broken way, again and again until it succeeds, and may ask
+		// other routers. Once it has succeeded, the request ends with a *LostError unless its response has come meanwhile. It
+		// is nil if the request may not be executed more than once, or no further attempt is allowed.
+		Replace func() bool
 	}
 
 	// Server is a backend server.
--- a/internal/proxy/search.go
+++ b/internal/proxy/search.go
@@ -219,7 +219,7 @@
 		Dur("after", p.Now().Sub(path.brokenAt)).Send()
 	p.restored(path)
 	for a := range path.attempts {
-		a.interrupt()
+		p.interrupt(path, a)
 	}
 }
 
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -110,6 +110,10 @@
 	done := t.Paths.watch(a, address)
 	response, _, err := send(t.Direct, request.WithContext(a.trace()))
 	done()
+	if err == nil && a.interrupted() { // The body ends with the context of the attempt.
+		_ = response.Body.Close()
+		err = errInterrupted
+	}
 	switch {
 	case err == nil:
 		t.Paths.recordContact(address)
