Test that the own front keeps requests on a broken way

The test holds that fast: a GET to the booking service in flight while the ways break (data held back for 2 s, or new connections refused) is answered.

--- a/internal/router/cut_test.go
+++ b/internal/router/cut_test.go
@@ -28,6 +28,8 @@
 	cutCallTimeout = time.Second
 	// proxiedEvent is the event of a request that is sent through another router.
 	proxiedEvent = 423
+	// foundEvent is the event of a router that reaches a server to which the own way is broken.
+	foundEvent = 421
 )
 
 var (
@@ -160,6 +162,28 @@
 	}
 }
 
+// Guards against a request that is given up while its response can still come on the connection on which it was sent.
+func TestRequestInFlightIsAnsweredOnABrokenWay(t *testing.T) {
+	const work = 2 * time.Second // Longer than it takes to notice the cut and to find another router.
+	for name, mode := range map[string]harness.CutMode{"pause": harness.PauseCut, "refuse": harness.RefuseCut} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := startCut(t, 2)
+			f.serve(0, time.Second)
+			for _, booking := range f.standins.Bookings {
+				booking.Delay = work
+			}
+			time.AfterFunc(100*time.Millisecond, func() { f.networks[0].Cut(mode) })
+			time.AfterFunc(100*time.Millisecond+work, func() { f.networks[0].Cut(harness.NoCut) })
+			got, err := f.send(t.Context(), http.MethodGet, f.url(0, "/booking"), "")
+			is.NoErr(err)
+			is.Equal(got.status, http.StatusOK)
+			is.True(f.log.count(foundEvent) > 0)
+		})
+	}
+}
+
 // Guards against connections between routers that do not work with the certificates of the fleet, and against a listener
 // for requests of other routers that serves anybody else.
 func TestCutOffRouterIsServedOverMutualTLS(t *testing.T) {
