Keep the rate limit of a server when another router refuses a request

Cause: the refusal of a router in the middle (the server wants none from it for a time) reached the dispatcher as a refusal of the server without a rate limit. As the request had a permit, issued after the last response that named the limit, the limit counted as ended: its row was removed, and all routers sent without permits until a response named it again.

dispatch.Refused has Withheld for such refusals, of which the limiter is not told.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -288,7 +288,7 @@
 		c.triedServers = append(c.triedServers, server.Name)
 		c.Pool.ReportLoad(server, o.Load)
 		c.markLeaving(server, o.Leaving)
-		if !o.Misdirected {
+		if !o.Misdirected && !o.Withheld {
 			c.Limits.Observe(server.process(), c.permit, o.Limit)
 		}
 		choice.Done(routing.Refused{Reason: o.Reason, After: o.After})
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -152,6 +152,7 @@
 		Load        *routing.Load
 		Leaving     bool                   // Whether the server announced that it is about to be removed.
 		Misdirected bool                   // Whether another server than the expected one responded.
+		Withheld    bool                   // Whether another router refused to send it, so that the server has said nothing.
 		Limit       ratelimit.Announcement // What the response says about the server's rate limit.
 	}
 
