Tell routers when a carried request without a permit can come back

Cause: Carry asked for permits that it can use at once. Such requests are refused until a random time after the next permit, over which routers spread their tries, but were told the time of the permit itself: 1 ns once that had passed, which arrived as 0. Carry now lets a request wait up to 10 ms for its permit, so that the time of the next permit is when the issuer is asked.

Evidence: TestCarriedRequestsWithoutAPermitGetOne failed at the first such refusal (1 sender; 3 senders).

--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -6,10 +6,17 @@
 	"fmt"
 	"time"
 
+	"citronslip/internal/delay"
 	"citronslip/internal/event"
 	"citronslip/internal/ratelimit"
 )
 
+const (
+	// maxCarriedWait is the longest time that a request of another router waits for a permit. If it could not wait at all,
+	// it would be refused beyond the time of the next permit, over which routers spread their tries.
+	maxCarriedWait = 10 * time.Millisecond
+)
+
 var (
 	// ErrNotCarried is returned when a request of another router may not be sent to its server at present.
 	ErrNotCarried = errors.New("dispatch: request of another router not sent")
@@ -54,7 +61,7 @@
 		return carried, nil
 	}
 	var err error
-	carried.permit, err = d.Limits.Acquire(ctx, server.process(), 0)
+	carried.permit, err = d.Limits.Acquire(ctx, server.process(), maxCarriedWait)
 	var exhausted *ratelimit.ExhaustedError
 	switch {
 	case errors.As(err, &exhausted):
@@ -62,6 +69,7 @@
 	case err != nil:
 		return nil, fmt.Errorf("%w: %w", ErrNotCarried, err)
 	}
+	delay.Sleep(ctx, carried.permit.Wait)
 	return carried, nil
 }
 
