Round the time of a refusal to another router up

A router in the middle gave the time for which a server wants no requests in whole milliseconds, rounded down: up to 1 ms too early, and unknown below that. TestRefusalsOfTheOtherRouter failed before (1.999 ms became 1 ms).

--- a/internal/proxy/end_test.go
+++ b/internal/proxy/end_test.go
@@ -104,6 +104,12 @@
 	is.True(errors.As(err, &refused))
 	is.Equal(refused.After, 1500*time.Millisecond)
 	is.True(!errors.Is(err, proxy.ErrNotSent))
+	c.admit = func(context.Context, string, bool) (proxy.Admission, error) {
+		return nil, &proxy.RefusedError{After: 1999 * time.Microsecond}
+	}
+	_, _, err = c.fetch(c.request(t.Context(), "POST", "/", "x", nil))
+	is.True(errors.As(err, &refused))
+	is.Equal(refused.After, 2*time.Millisecond) // Not too early.
 	var permits []bool
 	c.admit = func(_ context.Context, address string, permit bool) (proxy.Admission, error) {
 		is.Equal(address, c.server.Listener.Addr().String())
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -125,7 +125,7 @@
 	var refused *RefusedError
 	if errors.As(err, &refused) {
 		result = outcomeRefused
-		w.Header().Set(headerAfter, strconv.FormatInt(refused.After.Milliseconds(), 10))
+		w.Header().Set(headerAfter, strconv.FormatInt((refused.After+time.Millisecond-1).Milliseconds(), 10))
 	}
 	h.fail(w, r, result, err)
 }
