Do not blame a server for a connection lost on a broken way

Cause: a request that no other attempt can follow now stays on its broken way. If its connection ends there without a response (the kernel gives it up after 2 s, or it is reset), the error came back as one of the server: in package dispatch it counted for the server's circuit and made the request a suspect of a crash, which an address that refuses connections to this router turns into a record for the whole fleet.

Transport now returns that LostError if a connection was obtained and requests to the server go through another router, as internal/caller does for the same case on its own.

Evidence: found by reading.

--- a/internal/proxy/replace_test.go
+++ b/internal/proxy/replace_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,9 +36,11 @@
 }
 
 // heldLink sends requests on a connection that lives on while new ones are refused.
-type heldLink struct{}
+type heldLink struct {
+	err error // With which the connection ends in place of a response; optional.
+}
 
-func (heldLink) RoundTrip(request *http.Request) (*http.Response, error) {
+func (l heldLink) RoundTrip(request *http.Request) (*http.Response, error) {
 	conn, other := net.Pipe()
 	defer func() { _, _ = conn.Close(), other.Close() }()
 	httptrace.ContextClientTrace(request.Context()).GotConn(httptrace.GotConnInfo{Conn: conn, Reused: true})
@@ -46,6 +49,9 @@
 		return nil, request.Context().Err()
 	case <-time.After(heldAnswerTime):
 	}
+	if l.err != nil {
+		return nil, l.err
+	}
 	return &http.Response{
 		StatusCode: http.StatusOK, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{},
 		Body: io.NopCloser(heldBody{strings.NewReader("answer"), request.Context()}), ContentLength: -1, Request: request,
@@ -117,3 +123,36 @@
 		})
 	}
 }
+
+// Guards against a server that is blamed for the loss of a connection on a way that broke: its circuit opens, and the request
+// may count as one that crashes servers.
+func TestConnectionLostOnABrokenWaySaysNothingAboutTheServer(t *testing.T) {
+	for name, test := range map[string]struct {
+		err    error
+		broken bool
+	}{
+		"reset, way broken":   {syscall.ECONNRESET, true},
+		"timeout, way broken": {syscall.ETIMEDOUT, true},
+		"reset, way works":    {syscall.ECONNRESET, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(t, 2, 1)
+				r := f.routers[0]
+				is.NoErr(r.send(0))
+				r.transport.Direct = heldLink{err: test.err}
+				if test.broken {
+					f.set(cutOff(0, refusing))
+				}
+				request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://server-0/a", proxy.NewBody([]byte("x")))
+				is.NoErr(err)
+				_, err = r.transport.RoundTrip(request)
+				is.True(errors.Is(err, test.err))
+				is.True(!errors.Is(err, proxy.ErrNotSent))
+				var lost *proxy.LostError
+				is.Equal(errors.As(err, &lost) && lost.Path, test.broken)
+			})
+		})
+	}
+}
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -133,6 +133,8 @@
 	case isDialError(err):
 		t.Paths.recordFailure(address)
 		err = fmt.Errorf("%w: %w", ErrNotSent, err)
+	case a.connected.Load() && t.Paths.Rerouted(address): // The connection was lost with its way.
+		err = &LostError{Reset: isReset(err), Path: true, Err: err}
 	default:
 		t.Paths.suspect(address)
 	}
