--- a/internal/proxy/search_test.go
+++ b/internal/proxy/search_test.go
@@ -165,3 +165,23 @@
 		is.True(time.Since(begin) < 300*time.Millisecond)
 	})
 }
+
+// Guards against failures that count against a server although no router answered for a moment: its circuit stays open then
+// while other routers reach the server again.
+func TestServerIsRestoredAfterRoutersDidNotAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 3, 1)
+		f.set(cutOff(0, refusing))
+		is.NoErr(f.routers[0].send(0))
+		is.NoErr(f.routers[0].send(0)) // Has routers searched for again, 4 s after the first search.
+		is.Equal(f.routers[0].restoredCount(), 1)
+		f.setPeers(func(int) linkMode { return silent })
+		time.Sleep(5 * time.Second)
+		f.setPeers(func(int) linkMode { return open })
+		is.True(errors.Is(f.routers[0].send(0), proxy.ErrNotSent))
+		time.Sleep(2 * time.Second)
+		is.NoErr(f.routers[0].send(0))
+		is.Equal(f.routers[0].restoredCount(), 2)
+	})
+}
