--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -376,14 +376,6 @@
 	return true, IncompleteResponse
 }
 
-// logStreamMoved records that a stream of which the caller has received a part continues with another attempt.
-func (c *call) logStreamMoved() {
-	if c.responseStarted {
-		c.brokenAt = time.Now()
-		c.logEvent(event.StreamMoved).Str("last", c.lastEvent).Int64("events", c.events).Send()
-	}
-}
-
 // failureReason returns why an attempt failed: the deadline passed, or no complete response arrived.
 func (c *call) failureReason(ctx context.Context) Reason {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -76,6 +76,14 @@
 	return true, IncompleteResponse
 }
 
+// logStreamMoved records that a stream of which the caller has received a part continues with another attempt.
+func (c *call) logStreamMoved() {
+	if c.responseStarted {
+		c.brokenAt = time.Now()
+		c.logEvent(event.StreamMoved).Str("last", c.lastEvent).Int64("events", c.events).Send()
+	}
+}
+
 // finishStream ends a stream after its last event.
 func (c *call) finishStream(choice *routing.Choice, o Answered, start time.Time) (bool, Reason) {
 	choice.Done(routing.Finished{Cached: -1, Output: c.events * c.tokensPerEvent(), Duration: time.Since(start)})
