End the callers of a load with its test

A test of internal/fleet that failed under load left its callers running. They logged to the test when it had ended, which the race detector reports, and so failed two other tests that ran in parallel: TestEachRequestIsBilledOnce and TestPlannedStopOfOtherRouterEndsNoRequests ("race detected during execution of test", 1 of 6 parallel copies on 2 cores).

startLoad now ends its callers in a cleanup of the test.

--- a/internal/fleet/budget_test.go
+++ b/internal/fleet/budget_test.go
@@ -154,6 +154,7 @@
 	steadyLoad struct {
 		fleet           *fleet
 		done            chan struct{}
+		end             sync.Once
 		callers         sync.WaitGroup
 		answered        atomic.Int64
 		budgetRefused   atomic.Int64 // Requests refused because of the budget.
@@ -164,7 +165,8 @@
 	}
 )
 
-// startLoad starts callers, each of which sends one request after another to all routers in turn.
+// startLoad starts callers, each of which sends one request after another to all routers in turn, at the latest until the
+// test ends.
 func (f *fleet) startLoad(callers int) *steadyLoad {
 	l := &steadyLoad{fleet: f, done: make(chan struct{})}
 	for caller := range callers {
@@ -179,6 +181,7 @@
 			}
 		})
 	}
+	f.t.Cleanup(l.stop)
 	return l
 }
 
@@ -224,6 +227,6 @@
 
 // stop ends the load and waits for the requests in flight.
 func (l *steadyLoad) stop() {
-	close(l.done)
+	l.end.Do(func() { close(l.done) })
 	l.callers.Wait()
 }
