--- a/internal/harness/port_test.go
+++ b/internal/harness/port_test.go
@@ -65,10 +65,10 @@
 	for range conns {
 		conn, err := net.Dial("tcp", listener.Addr().String())
 		is.NoErr(err)
-		defer conn.Close()
+		t.Cleanup(func() { conn.Close() })
 		accepted, err := listener.Accept()
 		is.NoErr(err)
-		defer accepted.Close()
+		t.Cleanup(func() { accepted.Close() })
 	}
 	before := openFiles(t)
 	for range pairs {
