Revert the close of circuits after routers did not answer

Cause of the revert: that also closes the circuit of a server that has crashed and comes back. In TestCrashingRequestStopsAtMostTwoServers of internal/router the harmful request then got to a server three times.

--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -74,7 +74,7 @@
 		failedAt  time.Time // When a test for another router last failed.
 		broken    bool      // Whether the server is not reached directly.
 		brokenAt  time.Time
-		doubtAt   time.Time            // When the last way to the server was lost or missed. Contacts of other routers before that show nothing.
+		doubtAt   time.Time            // When the last way to the server was lost. Contacts of other routers before that show nothing.
 		cut       bool                 // Whether no server of its service was reached directly at some time since.
 		confirmed bool                 // Whether another router reaches the server since the last failure of the way to it.
 		via       []string             // Peer addresses of the routers that reach the server.
@@ -310,9 +310,6 @@
 		peer := p.best(candidates)
 		return through{peer: peer, address: p.routers[peer].address}, nil
 	}
-	if path.confirmed && !p.found(path, now) {
-		path.confirmed, path.doubtAt = false, now // The server is restored again when a router is found.
-	}
 	if p.search != nil && !p.search.isFound {
 		return blocked{}, p.search.found
 	}
