Add a review case in which bookings are refused for good

A service that gets only requests that may run once: its workers lose some answers by resets, which opens their circuits, and nothing ever probes them.

--- a/review/tools/main.go
+++ b/review/tools/main.go
@@ -31,8 +31,9 @@
 		fail("usage: review CASE RECORD")
 	}
 	cases := map[string]func(record *Record, trouble bool) int{
-		"second-stop": secondStop,
-		"lost-return": lostReturn,
+		"second-stop":   secondStop,
+		"lost-return":   lostReturn,
+		"open-circuits": openCircuits,
 	}
 	play := cases[os.Args[1]]
 	if play == nil {
--- a/review/tools/worker.go
+++ b/review/tools/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -16,6 +17,7 @@
 		Zone    string
 		Work    func(r *http.Request) time.Duration // How long a plain request takes.
 		Events  func(r *http.Request) (count int, gap time.Duration)
+		Lose    func() bool // Whether the answer to a plain request that has run is lost by a reset; optional.
 		Record  *Record
 		Store   *Store
 
@@ -94,6 +96,11 @@
 	}
 	select {
 	case <-time.After(w.Work(r)):
+		if w.Lose != nil && w.Lose() {
+			w.end(id, "its answer is lost, the connection is reset")
+			reset(out)
+			return
+		}
 		w.end(id, "answer written")
 	case <-r.Context().Done():
 		w.end(id, "its connection was closed")
@@ -122,3 +129,15 @@
 	}
 	w.end(id, "answer written")
 }
+
+// reset resets the connection of a request.
+func reset(out http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(out).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
