Send requests to cold backend servers with permits only

Configuration, rows, responses and settings name when a server is cold and how many requests it takes meanwhile. A process that restarts under its name has a slow start after its cold start.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"citronslip/internal/board"
+	"citronslip/internal/coldstart"
 	"citronslip/internal/crash"
 	"citronslip/internal/event"
 	"citronslip/internal/ratelimit"
@@ -37,6 +38,7 @@
 		Repeats   *RetryBudget
 		Crashes   *crash.Tracker
 		Limits    *ratelimit.Limiter
+		Cold      *coldstart.Limiter // Nil if no server is ever cold.
 		Streams   *resume.Tracker
 		// Behind reports whether updates of the backend servers, and the requests sent to them, are delayed so much
 		// that a server that is about to be removed would still get requests. It is optional.
@@ -62,11 +64,11 @@
 		endWatch        func()        // Ends the watch of the current attempt.
 		answerBegun     bool          // Whether the server of the current attempt has begun to answer.
 		reservation     Reservation
-		triedServers    []string         // Names of the servers that received the request.
-		responseStarted bool             // Whether the caller has received a part of the response.
-		mayHaveRun      bool             // Whether a server may have started to execute the request.
-		permit          ratelimit.Permit // Permit of the current attempt.
-		target          *selection       // Server reserved for the next attempt; nil if it is still to be picked.
+		triedServers    []string   // Names of the servers that received the request.
+		responseStarted bool       // Whether the caller has received a part of the response.
+		mayHaveRun      bool       // Whether a server may have started to execute the request.
+		permit          permit     // Permit of the current attempt.
+		target          *selection // Server reserved for the next attempt; nil if it is still to be picked.
 		lastEvent       string
 		software        string         // Software version at which the stream goes on; empty before its first event.
 		brokenAt        time.Time      // When the stream last broke off and could continue at another server.
@@ -211,6 +213,10 @@
 			c.fail(ctx, CrashesServers)
 			return
 		}
+		if c.permit.cold.Expired(time.Now()) {
+			choice.Done(routing.Cancelled{})
+			continue
+		}
 		retry, reason := c.attempt(ctx, server, choice)
 		if reason == "" {
 			return
@@ -289,7 +295,8 @@
 		c.Pool.ReportLoad(server, o.Load)
 		c.markLeaving(server, o.Leaving)
 		if !o.Misdirected && !o.Withheld {
-			c.Limits.Observe(server.process(), c.permit, o.Limit)
+			c.Limits.Observe(server.process(), c.permit.limit, o.Limit)
+			c.Cold.RecordResponse(server.Name, o.Cold)
 		}
 		choice.Done(routing.Refused{Reason: o.Reason, After: o.After})
 		c.logEvent(event.AttemptRefused).Str("server", server.Name).Int("reason", int(o.Reason)).Send()
@@ -311,7 +318,8 @@
 		c.Pool.ReportLoad(server, o.Load)
 		c.markLeaving(server, o.Leaving)
 		c.Pool.BackOff(server, o.Rest)
-		c.Limits.Observe(server.process(), c.permit, o.Limit)
+		c.Limits.Observe(server.process(), c.permit.limit, o.Limit)
+		c.Cold.RecordResponse(server.Name, o.Cold)
 		switch {
 		case o.Success && c.route.Stream && !(c.responseStarted && o.OtherContent):
 			return c.forwardStream(ctx, server, choice, o)
@@ -349,7 +357,7 @@
 func (c *call) newAttempt(ctx context.Context, server *Server, next *replacement) Attempt {
 	a := Attempt{
 		Request: c.request, Server: server, Left: time.Until(c.deadline()), Rank: c.route.Priority, LastEvent: c.lastEvent,
-		Permitted: c.permit.Issued(), Replace: c.replacer(ctx, server, next),
+		Permitted: c.permit.issued(), Replace: c.replacer(ctx, server, next),
 	}
 	if c.account != nil {
 		a.Account = c.account.Name
--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -32,7 +32,7 @@
 	Carried struct {
 		dispatcher *Dispatcher
 		server     *Server
-		permit     ratelimit.Permit
+		permit     permit
 		permitted  bool // Whether the other router has a permit, and reports the outcome to its issuer.
 	}
 )
@@ -44,7 +44,7 @@
 
 // Carry decides whether a request of another router may be sent to the server at an address. What servers ask of a
 // router holds for such requests as well: a server sees only from which router they come. Unless the other router has a
-// permit, Carry obtains one if the server has a rate limit. Its error is a *PauseError or wraps ErrNotCarried.
+// permit, Carry obtains one if the server has a rate limit or is cold. Its error is a *PauseError or wraps ErrNotCarried.
 func (d *Dispatcher) Carry(ctx context.Context, address string, permit bool) (*Carried, error) {
 	if d.Behind != nil && d.Behind() {
 		return nil, fmt.Errorf("%w: %s", ErrNotCarried, LinkFull)
@@ -61,7 +61,7 @@
 		return carried, nil
 	}
 	var err error
-	carried.permit, err = d.Limits.Acquire(ctx, server.process(), maxCarriedWait)
+	carried.permit, err = d.acquire(ctx, server, maxCarriedWait)
 	var exhausted *ratelimit.ExhaustedError
 	switch {
 	case errors.As(err, &exhausted):
@@ -69,7 +69,7 @@
 	case err != nil:
 		return nil, fmt.Errorf("%w: %w", ErrNotCarried, err)
 	}
-	delay.Sleep(ctx, carried.permit.Wait)
+	delay.Sleep(ctx, carried.permit.wait())
 	return carried, nil
 }
 
@@ -82,10 +82,12 @@
 			return
 		}
 		c.observe(o.Leaving, o.Limit)
+		d.Cold.RecordResponse(c.server.Name, o.Cold)
 		d.Pool.ReportLoad(c.server, o.Load)
 		d.Pool.BackOff(c.server, o.After)
 	case Answered:
 		c.observe(o.Leaving, o.Limit)
+		d.Cold.RecordResponse(c.server.Name, o.Cold)
 		d.Pool.ReportLoad(c.server, o.Load)
 		d.Pool.BackOff(c.server, o.Rest)
 	case NotSent, NoResponse:
@@ -98,6 +100,6 @@
 		c.dispatcher.Pool.MarkLeaving(c.server)
 	}
 	if !c.permitted {
-		c.dispatcher.Limits.Observe(c.server.process(), c.permit, limit)
+		c.dispatcher.Limits.Observe(c.server.process(), c.permit.limit, limit)
 	}
 }
--- /dev/null
+++ b/internal/dispatch/cold_test.go
@@ -0,0 +1,98 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"citronslip/internal/coldstart"
+	"citronslip/internal/dispatch"
+)
+
+const (
+	coldTime = 3 * time.Second
+)
+
+// newColdDispatcher returns a dispatcher of a single router with more cold servers than one request tries, and with the
+// server "warm".
+func newColdDispatcher() *testDispatcher {
+	logger := zerolog.Nop()
+	b := newTestDispatcher(func(context.Context, int, dispatch.Attempt) dispatch.Outcome { return completeAnswer("answer") })
+	b.Cold = &coldstart.Limiter{
+		Address: "10.0.0.1:1", Now: time.Now, Logger: &logger, Metrics: tally.NoopScope,
+		View:    func() ([]string, bool) { return nil, true },
+		NewsAge: func() time.Duration { return 0 },
+		Terms:   func(string) coldstart.Terms { return coldstart.Terms{Duration: coldTime, Rate: 0.9} },
+	}
+	born := time.Now().UnixMilli()
+	servers := []dispatch.Server{{Name: "warm", Service: "s", Born: 1}}
+	cold := []coldstart.Server{{Name: "warm", Service: "s", Born: 1}}
+	for i := range 50 {
+		name := fmt.Sprintf("cold%d", i)
+		servers = append(servers, dispatch.Server{Name: name, Service: "s", Born: born})
+		cold = append(cold, coldstart.Server{Name: name, Service: "s", Born: born})
+	}
+	b.Pool.Update(servers)
+	b.Cold.Observe(cold)
+	return b
+}
+
+// Guards against requests that are refused because many cold servers look idle, while another server takes them, and
+// against requests without a permit.
+func TestColdServersArePassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newColdDispatcher()
+		counts := make(map[string]int)
+		for begin := time.Now(); time.Since(begin) < coldTime; time.Sleep(5 * time.Millisecond) {
+			response := &callerResponse{}
+			b.Serve(t.Context(), request("/safe/1"), response)
+			if !response.ended {
+				t.Fatalf("refused: %+v", response.refusal)
+			}
+		}
+		for _, a := range b.sends {
+			counts[a.Server.Name]++
+			if a.Server.Name != "warm" && !a.Permitted {
+				t.Fatalf("sent to %s without a permit", a.Server.Name)
+			}
+		}
+		for name, n := range counts {
+			if name != "warm" && n > 2 {
+				t.Errorf("%d requests to %s", n, name)
+			}
+		}
+	})
+}
+
+// Guards against a refusal that comes late or names no time, or a time after the cold start, if all servers are cold, and
+// against a cold start without an end.
+func TestRetryAfterOfColdServersIsTruthful(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newColdDispatcher()
+		b.Cold.MarkCold("") // The warm server, too.
+		begin := time.Now()
+		refused := 0
+		for time.Since(begin) < coldTime {
+			response := &callerResponse{}
+			sent := time.Now()
+			b.Serve(t.Context(), request("/safe/1"), response)
+			if response.refusal == nil {
+				continue
+			}
+			refused++
+			is.Equal(response.refusal.Reason, dispatch.RateLimited)
+			is.True(time.Since(sent) < 10*time.Millisecond)
+			is.True(response.refusal.After > 0 && response.refusal.After <= begin.Add(coldTime).Sub(time.Now()))
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(refused > 0)
+		is.True(b.serve("/safe/1").ended)
+	})
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -102,9 +102,11 @@
 		Service  string
 		Address  string
 		Place    string
-		Software string // Version of its software; empty if unknown.
-		Leaving  bool   // Whether it is about to be removed.
-		Born     int64  // Start of its process in Unix milliseconds; changes when it restarts under the same name.
+		Software string        // Version of its software; empty if unknown.
+		Leaving  bool          // Whether it is about to be removed.
+		Born     int64         // Start of its process in Unix milliseconds; changes when it restarts under the same name.
+		Cold     time.Duration // Remaining time of its cold start when its row was written.
+		Row      int64         // Version of its row.
 	}
 
 	// Attempt is one transmission of a request to a backend server.
@@ -115,7 +117,7 @@
 		Rank      int           // Priority; 0 is the most urgent.
 		Left      time.Duration // Time that remains until the deadline.
 		LastEvent string        // ID of the event after which the server is to continue a stream.
-		Permitted bool          // Whether a permit was issued for the attempt, as the server has a rate limit.
+		Permitted bool          // Whether a permit was issued for the attempt, as the server has a rate limit or is cold.
 		Replace   func() bool   // Reserves an attempt in place of this one, if its way is broken, and reports success; nil if there can be none.
 	}
 
@@ -143,6 +145,7 @@
 		Leaving bool                   // Whether the server announced that it is about to be removed.
 		Rest    time.Duration          // How long the server asks this router to send no requests; zero if it did not ask.
 		Limit   ratelimit.Announcement // What the response says about the server's rate limit.
+		Cold    time.Duration          // Remaining time of the server's cold start; zero if it named none.
 	}
 
 	// Refused means that the server did not execute the request and never will.
@@ -154,6 +157,7 @@
 		Misdirected bool                   // Whether another server than the expected one responded.
 		Withheld    bool                   // Whether another router refused to send it, so that the server has said nothing.
 		Limit       ratelimit.Announcement // What the response says about the server's rate limit.
+		Cold        time.Duration          // Remaining time of the server's cold start; zero if it named none.
 	}
 
 	// NotSent means that no part of the request was sent.
--- a/internal/dispatch/log.go
+++ b/internal/dispatch/log.go
@@ -43,7 +43,7 @@
 // logNoServerAvailable logs why no server accepts the request.
 func (c *call) logNoServerAvailable() {
 	request := c.routingRequest()
-	request.Exclude = c.Limits.ExhaustedServers()
+	request.Exclude = c.exhaustedServers()
 	request.Explain = &routing.Explanation{}
 	if _, choice, err := c.Pool.Pick(request); err == nil {
 		// A server has become available meanwhile, but the request is already being refused.
--- a/internal/dispatch/server_registry.go
+++ b/internal/dispatch/server_registry.go
@@ -177,6 +177,7 @@
 	}
 	// A process that was leaving does not come back, whatever an older row says.
 	server.Leaving = server.Leaving || old != nil && old.server.Born == server.Born && old.server.Leaving
+	server.Row = row.Version
 	next := &serverEntry{server: server, version: row.Version}
 	if removed, ok := r.removed[row.Name]; ok && old == nil && removed.born == server.Born {
 		next.server.Leaving = server.Leaving || removed.leaving
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"citronslip/internal/delay"
-	"citronslip/internal/ratelimit"
 	"citronslip/internal/routing"
 	"citronslip/pkg/inventory"
 )
@@ -41,7 +40,7 @@
 	selection struct {
 		server *Server
 		choice *routing.Choice
-		permit ratelimit.Permit
+		permit permit
 		trial  bool // Whether the attempt is sent only to learn whether the request's content crashes servers.
 	}
 
@@ -167,7 +166,7 @@
 		return nil
 	}
 	request := c.routingRequest()
-	request.Exclude = append(c.Limits.ExhaustedServers(), exclude...)
+	request.Exclude = append(c.exhaustedServers(), exclude...)
 	server, choice, err := c.pickWithin(ctx, request, 0)
 	if err != nil {
 		return nil
--- a/internal/entry/proxy.go
+++ b/internal/entry/proxy.go
@@ -43,6 +43,7 @@
 // observeServers tells the other parts of a new set of backend servers.
 func (r *Router) observeServers(servers []dispatch.Server) {
 	r.streams.Observe(dispatch.Origins(servers))
+	r.observeCold(servers)
 	list := make([]proxy.Server, 0, len(servers))
 	for i := range servers {
 		list = append(list, proxy.Server{Name: servers[i].Name, Service: servers[i].Service, Address: servers[i].Address})
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -263,7 +263,7 @@
 		Plain:    true, // The platform lets only routers connect to this address.
 		Methods: &peer.Methods{
 			Relay: r.answerRelay, Reserve: r.reserveForPeer, Settle: r.settleForPeer, Known: r.learnBudget,
-			Take: r.limiter.Take, Limit: r.limiter.Report, Keep: r.keepForPeer, Find: r.findForPeer,
+			Take: r.limiter.Take, Limit: r.limiter.Report, Cold: r.cold.Take, Keep: r.keepForPeer, Find: r.findForPeer,
 			Reach: r.Paths.Reach,
 		},
 		Timeout: peerTimeout,
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"citronslip/internal/board"
+	"citronslip/internal/coldstart"
 	"citronslip/internal/crash"
 	"citronslip/internal/dial"
 	"citronslip/internal/dispatch"
@@ -87,6 +88,7 @@
 		ledger         *prepaid.Ledger
 		limiter        *ratelimit.Limiter
 		limitFollower  *store.Follower
+		cold           *coldstart.Limiter
 		streams        *resume.Tracker
 		bodies         *dispatch.BodyReader
 		carrier        *proxy.Handler
@@ -173,6 +175,7 @@
 		Logger:   r.Logger,
 	}
 	r.buildLimiter()
+	r.buildCold()
 	r.buildStreams()
 	r.buildPaths()
 	r.pool.Observe = r.observeServers
@@ -194,6 +197,7 @@
 		Budgets:   r.ledger,
 		Crashes:   r.crashes,
 		Limits:    r.limiter,
+		Cold:      r.cold,
 		Streams:   r.streams,
 		Behind:    r.linkMonitor.ShouldHoldSends,
 		Closing:   r.closingTime,
@@ -229,6 +233,7 @@
 		{"crash rows", r.crashes.Run},
 		{"rate limits", r.limitFollower.Run},
 		{"limiter", r.limiter.Run},
+		{"cold servers", r.cold.Run},
 		{"streams", r.streams.Run},
 		{"peers", r.peers.Run},
 		{"fetch", r.fetchRows},
@@ -345,6 +350,7 @@
 	next := r.Settings
 	next.Bandwidth, next.Grace, next.Drain = settings.Bandwidth, settings.Grace, settings.Drain
 	next.RetryRatio, next.RetrySlack, next.RetrySpan = settings.RetryRatio, settings.RetrySlack, settings.RetrySpan
+	next.ColdBound = settings.ColdBound
 	r.activeSettings.Store(&next)
 	return reflect.DeepEqual(next, settings)
 }
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -2,7 +2,11 @@
 // provides the store, the settings and the list of backend servers.
 package entry
 
-import "time"
+import (
+	"time"
+
+	"citronslip/internal/coldstart"
+)
 
 type (
 	// Settings are the settings that the platform gives to a router.
@@ -24,5 +28,7 @@
 		RetryRatio float64       // Retries per request, for all routers together.
 		RetrySlack float64       // Retries beyond the ratio in a window, for all routers together.
 		RetrySpan  time.Duration // Window of the ratio and the slack.
+		// ColdBound bounds the requests to a cold server in any second, for all routers together; zero if unlimited.
+		ColdBound coldstart.Bound
 	}
 )
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -159,6 +159,11 @@
 	return call[wire.RatelimitAnswer](ctx, c, address, MethodRatelimitReport, params)
 }
 
+// TakeColdPermit asks a router for a permit to send one request to a cold backend server.
+func (c *Client) TakeColdPermit(ctx context.Context, address string, params wire.ColdstartTake) (wire.ColdstartAnswer, error) {
+	return call[wire.ColdstartAnswer](ctx, c, address, MethodColdstartTake, params)
+}
+
 // KeepRecords hands records of streams to a router, which keeps them.
 func (c *Client) KeepRecords(ctx context.Context, address string, params wire.ResumeRecords) (wire.ResumeAck, error) {
 	return call[wire.ResumeAck](ctx, c, address, MethodResumeKeep, params)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -49,6 +49,8 @@
 	MethodRatelimitTake = "ratelimit.take"
 	// MethodRatelimitReport reports what a backend server said about its rate limit.
 	MethodRatelimitReport = "ratelimit.report"
+	// MethodColdstartTake asks for a permit to send one request to a cold backend server.
+	MethodColdstartTake = "coldstart.take"
 	// MethodResumeKeep hands records of streams to another router.
 	MethodResumeKeep = "resume.keep"
 	// MethodResumeFind asks which software version began a stream.
@@ -108,6 +110,7 @@
 		Relay   Handler[wire.RelayQuery, wire.RelayAnswer]            // MethodStoreRelay.
 		Take    Handler[wire.RatelimitTake, wire.RatelimitAnswer]     // MethodRatelimitTake.
 		Limit   Handler[wire.RatelimitReport, wire.RatelimitAnswer]   // MethodRatelimitReport.
+		Cold    Handler[wire.ColdstartTake, wire.ColdstartAnswer]     // MethodColdstartTake.
 		Keep    Handler[wire.ResumeRecords, wire.ResumeAck]           // MethodResumeKeep.
 		Find    Handler[wire.ResumeQuery, wire.ResumeAnswer]          // MethodResumeFind.
 		Reach   Handler[wire.ProxyQuery, wire.ProxyAnswer]            // MethodProxyReach.
@@ -186,6 +189,8 @@
 		return invoke(ctx, m.Take, params)
 	case MethodRatelimitReport:
 		return invoke(ctx, m.Limit, params)
+	case MethodColdstartTake:
+		return invoke(ctx, m.Cold, params)
 	case MethodResumeKeep:
 		return invoke(ctx, m.Keep, params)
 	case MethodResumeFind:
--- a/internal/prepaid/members.go
+++ b/internal/prepaid/members.go
@@ -289,6 +289,14 @@
 	return l.addresses()
 }
 
+// View returns the addresses that PeerAddresses returns, and whether the membership view was read and lists this router.
+func (l *Ledger) View() (others []string, listed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, listed = l.membership.addresses[l.Node]
+	return l.addresses(), listed
+}
+
 // KnowsMembers reports whether the membership view was read, so that PeerAddresses does not return Seeds.
 func (l *Ledger) KnowsMembers() bool {
 	l.mu.Lock()
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -73,6 +73,15 @@
 	event.CircuitClosed.Log(p.Logger).Str("server", s.config.Name).Send()
 }
 
+// SlowStartFrom begins the slow start of a server at a time to come, until which the server has its least share.
+func (p *Picker) SlowStartFrom(name string, begin time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.servers[name]; s != nil && begin.After(s.slowStartBegin) {
+		s.slowStartBegin = begin
+	}
+}
+
 // AllowProbe lets one request at a time probe the open circuit of a server to which a connection can be opened again.
 func (p *Picker) AllowProbe(name string) {
 	p.mu.Lock()
--- a/pkg/inventory/directory.go
+++ b/pkg/inventory/directory.go
@@ -67,6 +67,10 @@
 	EntryService struct {
 		Name   string
 		Engine *Engine // Nil if the service has no model engines.
+		// ColdStart is how long a server is cold after its start, ColdRate the requests per second that a cold server takes
+		// from all routers together. If one of them is zero, no server is cold.
+		ColdStart time.Duration
+		ColdRate  float64
 	}
 
 	// Engine describes the model engines of a service.
