--- a/internal/coldstart/fleet_test.go
+++ b/internal/coldstart/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -183,14 +184,15 @@
 			}
 		},
 		"frozen": func(_ *fleet, r *router, i int) {
-			if i%3 == 0 {
+			if i%10 != 0 {
 				r.frozen.Store(true)
 				time.AfterFunc(time.Second, func() { r.frozen.Store(false) })
 			}
 		},
-		"partitioned": func(_ *fleet, r *router, i int) { r.side.Store(int32(i % 3)) },
-		"starting":    func(*fleet, *router, int) {}, // The routers start with the servers.
-		"store away":  func(*fleet, *router, int) {}, // For longer than Lease.
+		"partitioned":    func(_ *fleet, r *router, i int) { r.side.Store(int32(i % 3)) },
+		"starting":       func(*fleet, *router, int) {}, // The routers start with the servers.
+		"starting apart": func(*fleet, *router, int) {}, // Each of them sees a part of the fleet.
+		"store away":     func(*fleet, *router, int) {}, // For longer than Lease.
 		"joined": func(f *fleet, r *router, i int) {
 			if i%4 == 0 {
 				f.learn(f.start(fmt.Sprintf("new%d", i)), len(f.listed))
@@ -223,9 +225,15 @@
 	for i := range n {
 		f.start(f.listed[i]).limiter.Observe(old)
 	}
-	if name != "starting" {
+	if !strings.HasPrefix(name, "starting") {
 		time.Sleep(uptime)
 	}
+	if name == "starting apart" {
+		for own, r := range f.routers {
+			view := slices.DeleteFunc(slices.Clone(f.listed), func(address string) bool { return address != own && rand.IntN(2) == 0 })
+			r.view.Store(&view)
+		}
+	}
 	if name == "store away" {
 		f.storeAway.Store(true)
 		time.Sleep(2 * coldstart.Lease)
--- a/internal/dispatch/cold_test.go
+++ b/internal/dispatch/cold_test.go
@@ -13,6 +13,7 @@
 
 	"citronslip/internal/coldstart"
 	"citronslip/internal/dispatch"
+	"citronslip/internal/wire"
 )
 
 const (
@@ -70,6 +71,29 @@
 	})
 }
 
+// refusingIssuers stands for other routers whose permits are all taken.
+type refusingIssuers struct{}
+
+func (refusingIssuers) Take(context.Context, string, wire.ColdstartTake) (wire.ColdstartAnswer, error) {
+	time.Sleep(time.Millisecond)
+	return wire.ColdstartAnswer{Issuer: true, Wait: int((2 * time.Second).Microseconds())}, nil
+}
+
+// Guards against a request that is refused after it was refused permits for many cold servers, or that asks for all of
+// them, although another server takes it.
+func TestRequestAsksForFewColdServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newColdDispatcher()
+		b.Cold.View = func() ([]string, bool) { return []string{"10.0.0.2:1", "10.0.0.3:1"}, false }
+		b.Cold.Peers = refusingIssuers{}
+		begin := time.Now()
+		is.True(b.serve("/safe/1").ended)
+		is.Equal(b.sends[0].Server.Name, "warm")
+		is.True(time.Since(begin) < 10*time.Millisecond)
+	})
+}
+
 // Guards against a refusal that comes late or names no time, or a time after the cold start, if all servers are cold, and
 // against a cold start without an end.
 func TestRetryAfterOfColdServersIsTruthful(t *testing.T) {
