--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -38,6 +38,9 @@
 	// maxScale bounds the extrapolation from the router's own work to that of all routers; beyond it, one request would
 	// count as a full batch.
 	maxScale = 8
+	// coldShare is the share of its speed at which a server is rated before its slow start begins. Its requests are bounded
+	// by permits meanwhile, which would stay unused at the share with which the slow start begins.
+	coldShare = 0.5
 	// minSlowStartShare is the share of its speed with which a new or recovered server starts.
 	minSlowStartShare = 0.1
 )
@@ -118,8 +121,11 @@
 	}
 	rampTime := p.SlowStart
 	age := now.Sub(s.slowStartBegin)
-	if age >= rampTime {
+	switch {
+	case age >= rampTime:
 		return 1
+	case age < 0:
+		return coldShare
 	}
 	return max(minSlowStartShare, float64(age)/float64(rampTime))
 }
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -73,7 +73,7 @@
 	event.CircuitClosed.Log(p.Logger).Str("server", s.config.Name).Send()
 }
 
-// SlowStartFrom begins the slow start of a server at a time to come, until which the server has its least share.
+// SlowStartFrom begins the slow start of a server at a time to come. Until then others bound the requests to it.
 func (p *Picker) SlowStartFrom(name string, begin time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
