--- a/internal/dispatch/cold_test.go
+++ b/internal/dispatch/cold_test.go
@@ -113,7 +113,7 @@
 			refused++
 			is.Equal(response.refusal.Reason, dispatch.RateLimited)
 			is.True(time.Since(sent) < 10*time.Millisecond)
-			is.True(response.refusal.After > 0 && response.refusal.After <= begin.Add(coldTime).Sub(time.Now()))
+			is.True(response.refusal.After > 0 && response.refusal.After <= time.Until(begin.Add(coldTime)))
 			time.Sleep(10 * time.Millisecond)
 		}
 		is.True(refused > 0)
