--- a/internal/wire/relay.go
+++ b/internal/wire/relay.go
@@ -18,6 +18,9 @@
 	// Era of the store to which the versions belong; 0 if unknown.
 	Era int `json:"era"`
 
+	// Rows that evacuate data centres, if they are newer than the sender's.
+	Evacuations *RelayEvacuations `json:"evacuations,omitempty,omitzero"`
+
 	// Rows of all backend servers in place of the field servers, as a packed Snapshot
 	// in base64.
 	Packed *string `json:"packed,omitempty,omitzero"`
@@ -31,6 +34,19 @@
 	Version int `json:"version"`
 }
 
+// RelayEvacuations is a state of the rows that evacuate data centres.
+type RelayEvacuations struct {
+	// Era of the store to which the versions belong; 0 if unknown.
+	Era int `json:"era"`
+
+	// All rows; only in an answer.
+	Rows []RelayRow `json:"rows,omitempty,omitzero"`
+
+	// Version of the store up to which the rows are known; negative if they are not
+	// known.
+	Version int `json:"version"`
+}
+
 type RelayJson map[string]interface{}
 
 // RelayQuery asks a router for rows of the store that are newer than those of the
@@ -46,6 +62,10 @@
 	// Era of the store to which the versions belong; 0 if unknown.
 	Era int `json:"era"`
 
+	// Version of the evacuations that the sender knows. Without it, the answer has
+	// none.
+	Evacuations *RelayEvacuations `json:"evacuations,omitempty,omitzero"`
+
 	// Whether the sender can read the field packed of the answer.
 	Packed *bool `json:"packed,omitempty,omitzero"`
 
