Send no requests to evacuated data centres, and keep requests in their home regions

The follower of the configuration passes the rows of evacuations on; routers that cannot reach the store get them with the other rows from a router that knows newer ones. The picker excludes the servers, the dispatcher picks a request anew whose server was evacuated before it was sent, and the transport checks once more when a connection has been opened. A router refuses to carry such requests, and opens no connections to test the ways to the servers.

Home regions of routes and accounts limit the servers of a request and the routers that carry it.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -24,6 +25,7 @@
 )
 
 var (
+	errEvacuated  = errors.New("dispatch: data centre of the backend server is evacuated")
 	errNotResumed = errors.New("dispatch: backend server answered the resumption of a stream with something else")
 )
 
@@ -44,6 +46,8 @@
 		// Closing returns when a stopping router closes the connections of its callers, once it takes no more requests that
 		// may last longer, and the zero time before. It is optional.
 		Closing func() time.Time
+		// Regions returns the region of each data centre. Nil if the configuration's home regions do not apply.
+		Regions func() map[string]string
 		Logger  *zerolog.Logger
 		Metrics tally.Scope
 	}
@@ -62,7 +66,9 @@
 		endWatch        func()        // Ends the watch of the current attempt.
 		answerBegun     bool          // Whether the server of the current attempt has begun to answer.
 		reservation     Reservation
+		places          []string         // Data centres in the home regions of the request; nil if it has none.
 		triedServers    []string         // Names of the servers that received the request.
+		withheldServers []string         // Names of servers to which the request was not sent, see NotSent.Withheld.
 		responseStarted bool             // Whether the caller has received a part of the response.
 		mayHaveRun      bool             // Whether a server may have started to execute the request.
 		permit          ratelimit.Permit // Permit of the current attempt.
@@ -107,7 +113,7 @@
 
 // resolve finds the route, the client account and the service of the request. It returns an empty reason on success.
 func (c *call) resolve() Reason {
-	if c.directory == nil {
+	if c.directory == nil || !c.Pool.knowsEvacuations() {
 		return NotReady
 	}
 	c.route = c.directory.Route(c.request.Host, c.request.Path)
@@ -128,9 +134,26 @@
 		return CrashesServers
 	}
 	c.service = c.route.ChooseService(rand.Float64())
+	if !c.findHomes() {
+		return NoServerAvailable
+	}
 	return ""
 }
 
+// findHomes finds the data centres in the home regions of the route and the account. It returns false if they have home
+// regions and there is none.
+func (c *call) findHomes() bool {
+	if c.Regions == nil {
+		return true
+	}
+	var homes inventory.HomeRegions
+	if c.account != nil {
+		homes = c.account.Homes
+	}
+	c.places = inventory.HomePlaces(c.Regions(), c.route.Homes, homes)
+	return c.places == nil || len(c.places) > 0
+}
+
 // deadline returns the time at which the router gives the request up.
 func (c *call) deadline() time.Time {
 	timeout := c.route.Timeout
@@ -191,8 +214,17 @@
 			c.fail(ctx, LinkFull)
 			return
 		}
+		evacuations := c.Pool.evacuations()
 		server, choice, err := c.selectServer(ctx)
+		if err == nil && c.Pool.evacuations().Contains(server.Place) {
+			choice.Done(routing.Cancelled{})
+			c.logWithheld(server, errEvacuated)
+			continue
+		}
 		if err != nil {
+			if c.Pool.evacuations() != evacuations {
+				continue // The server that was picked may have been evacuated while the request waited for its permit.
+			}
 			if c.waitToContinue(ctx) {
 				continue
 			}
@@ -247,7 +279,8 @@
 func (c *call) routingRequest() *routing.Request {
 	r := &routing.Request{
 		Service:    c.service,
-		Tried:      c.triedServers,
+		Tried:      slices.Concat(c.triedServers, c.withheldServers),
+		Places:     c.places,
 		Idempotent: c.route.Repeat != inventory.AtMostOnce,
 		Software:   c.software,
 	}
@@ -278,6 +311,12 @@
 	target := next.end(ctx, outcome)
 	switch o := outcome.(type) {
 	case NotSent:
+		if o.Withheld {
+			choice.Done(routing.Cancelled{})
+			c.logWithheld(server, o.Err)
+			c.withheldServers = append(c.withheldServers, server.Name)
+			return ctx.Err() == nil, NoServerAvailable
+		}
 		choice.Done(c.outcomeOrCancelled(ctx, routing.ConnectionRefused{}))
 		c.logNotSent(server, o.Err)
 		if ctx.Err() == nil {
@@ -349,7 +388,7 @@
 func (c *call) newAttempt(ctx context.Context, server *Server, next *replacement) Attempt {
 	a := Attempt{
 		Request: c.request, Server: server, Left: time.Until(c.deadline()), Rank: c.route.Priority, LastEvent: c.lastEvent,
-		Permitted: c.permit.Issued(), Replace: c.replacer(ctx, server, next),
+		Places: c.places, Permitted: c.permit.Issued(), Replace: c.replacer(ctx, server, next),
 	}
 	if c.account != nil {
 		a.Account = c.account.Name
--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -20,6 +20,8 @@
 var (
 	// ErrNotCarried is returned when a request of another router may not be sent to its server at present.
 	ErrNotCarried = errors.New("dispatch: request of another router not sent")
+	// ErrWithheld is returned when a request of another router is not sent since the data centre of its server is evacuated.
+	ErrWithheld = errors.New("dispatch: request of another router not sent to an evacuated data centre")
 )
 
 type (
@@ -44,7 +46,7 @@
 
 // Carry decides whether a request of another router may be sent to the server at an address. What servers ask of a
 // router holds for such requests as well: a server sees only from which router they come. Unless the other router has a
-// permit, Carry obtains one if the server has a rate limit. Its error is a *PauseError or wraps ErrNotCarried.
+// permit, Carry obtains one if the server has a rate limit. Its error is a *PauseError or wraps ErrNotCarried or ErrWithheld.
 func (d *Dispatcher) Carry(ctx context.Context, address string, permit bool) (*Carried, error) {
 	if d.Behind != nil && d.Behind() {
 		return nil, fmt.Errorf("%w: %s", ErrNotCarried, LinkFull)
@@ -53,6 +55,9 @@
 	if server == nil || leaving {
 		return nil, fmt.Errorf("%w: no server at %s, or it is leaving", ErrNotCarried, address)
 	}
+	if d.Pool.Withholds(address) {
+		return nil, ErrWithheld
+	}
 	if wait := d.Pool.Picker.BusyTime(server.Name); wait > 0 {
 		return nil, &PauseError{After: wait}
 	}
@@ -70,6 +75,9 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotCarried, err)
 	}
 	delay.Sleep(ctx, carried.permit.Wait)
+	if d.Pool.Withholds(address) {
+		return nil, ErrWithheld
+	}
 	return carried, nil
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -115,6 +115,7 @@
 		Rank      int           // Priority; 0 is the most urgent.
 		Left      time.Duration // Time that remains until the deadline.
 		LastEvent string        // ID of the event after which the server is to continue a stream.
+		Places    []string      // Data centres of the routers that the request may be sent through; all if nil.
 		Permitted bool          // Whether a permit was issued for the attempt, as the server has a rate limit.
 		Replace   func() bool   // Reserves an attempt in place of this one, if its way is broken, and reports success; nil if there can be none.
 	}
@@ -158,7 +159,10 @@
 
 	// NotSent means that no part of the request was sent.
 	NotSent struct {
-		Err error
+		// Withheld is whether a router did not send it because the server's data centre is evacuated, or since no router that
+		// may receive the request reaches the server. That says nothing about the server.
+		Withheld bool
+		Err      error
 	}
 
 	// NoResponse means that the request may have been executed and no usable response arrived.
--- a/internal/dispatch/log.go
+++ b/internal/dispatch/log.go
@@ -65,6 +65,12 @@
 	c.logEvent(event.AttemptLost).Str("server", server.Name).Str("address", server.Address).Bool("sent", false).Err(err).Send()
 }
 
+// logWithheld logs that the request was not sent to a server, see NotSent.Withheld, so that another one is picked.
+func (c *call) logWithheld(server *Server, err error) {
+	c.Metrics.Counter("withheld").Inc(1)
+	c.logEvent(event.AttemptWithheld).Str("server", server.Name).Str("place", server.Place).Err(err).Send()
+}
+
 // logNoResponse logs an attempt that may have been executed and got no usable response.
 func (c *call) logNoResponse(server *Server, reset bool, err error) {
 	c.logEvent(event.AttemptLost).Str("server", server.Name).Str("address", server.Address).Bool("sent", true).Bool("reset", reset).
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"citronslip/internal/board"
+	"citronslip/internal/evacuation"
 	"citronslip/internal/ratelimit"
 	"citronslip/internal/routing"
 	"citronslip/pkg/inventory"
@@ -24,6 +26,9 @@
 	Pool struct {
 		Picker  *routing.Picker
 		Observe func(servers []Server) // Called with each new set of servers; optional.
+		// Evacuations holds the evacuated data centres, whose servers get no new requests. It is empty until they are known, and
+		// nil if none are ever evacuated. Refresh must be called after a change.
+		Evacuations *board.Cell[evacuation.Places]
 
 		mu         sync.Mutex
 		latest     []Server
@@ -51,6 +56,42 @@
 	p.updatePicker()
 }
 
+// Refresh puts a change of Evacuations in effect.
+func (p *Pool) Refresh() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.updatePicker()
+}
+
+// knowsEvacuations reports whether it is known which data centres are evacuated.
+func (p *Pool) knowsEvacuations() bool {
+	return p.Evacuations == nil || p.Evacuations.Load() != nil
+}
+
+// evacuations returns the evacuated data centres. Each change returns another pointer.
+func (p *Pool) evacuations() *evacuation.Places {
+	if p.Evacuations == nil {
+		return nil
+	}
+	return p.Evacuations.Load()
+}
+
+// Withholds reports whether no new request may be sent to an address, since its server is in an evacuated data centre or it
+// is not known which are evacuated.
+func (p *Pool) Withholds(address string) bool {
+	if p.Evacuations == nil {
+		return false
+	}
+	places := p.Evacuations.Load()
+	if places == nil {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	server := p.byAddress[address]
+	return server != nil && places.Contains(server.Place)
+}
+
 // MarkLeaving records that a server announced that it is about to be removed. Its process gets no new requests from
 // then on, whatever its row in the store says.
 func (p *Pool) MarkLeaving(server *Server) {
@@ -103,6 +144,7 @@
 // updatePicker passes the servers to the picker.
 func (p *Pool) updatePicker() {
 	servers := p.latest
+	evacuated := p.evacuations()
 	byName := make(map[string]*Server, len(servers))
 	byAddress := make(map[string]*Server, len(servers))
 	list := make([]routing.Server, 0, len(servers))
@@ -117,6 +159,7 @@
 			Born:          s.Born,
 			Software:      s.softwareVersion(),
 			Leaving:       s.Leaving || p.announcedLeaving(s),
+			Evacuated:     evacuated.Contains(s.Place),
 		})
 	}
 	p.byName, p.byAddress = byName, byAddress
--- /dev/null
+++ b/internal/entry/evacuation.go
@@ -0,0 +1,97 @@
+package entry
+
+import (
+	"time"
+
+	"citronslip/internal/evacuation"
+	"citronslip/internal/event"
+	"citronslip/internal/store"
+	"citronslip/internal/wire"
+)
+
+const (
+	// maxOperatorAge is the age of the store's last answer to the follower of the operator's rows from which on they are
+	// fetched from other routers, although the store answers other calls. It is above the longest time between two answers
+	// without changes, for which the store holds a call.
+	maxOperatorAge = 5 * time.Second
+)
+
+// buildEvacuations builds the tracker of evacuated data centres if the deployment has evacuations.
+func (r *Router) buildEvacuations() {
+	if !r.Settings.Evacuations {
+		return
+	}
+	r.pool.Evacuations = &r.evacuations
+	r.evacuated = &evacuation.Tracker{
+		Decode:  r.Evacuation,
+		Places:  &r.evacuations,
+		Changed: r.pool.Refresh,
+		Now:     time.Now,
+		Logger:  r.Logger,
+		Metrics: r.scope.SubScope("evacuation"),
+	}
+}
+
+// applyOperator applies changed rows of the operator.
+func (r *Router) applyOperator(change store.Change) {
+	if r.evacuated != nil {
+		r.evacuated.Apply(change)
+	}
+	r.applyDirectory(change)
+}
+
+// knowsEvacuations reports whether it is known which data centres are evacuated.
+func (r *Router) knowsEvacuations() bool {
+	return r.evacuated == nil || r.evacuations.Load() != nil
+}
+
+// regions returns the function that returns the region of each data centre; nil if home regions do not apply.
+func (r *Router) regions() func() map[string]string {
+	if r.Settings.Regions == nil {
+		return nil
+	}
+	return func() map[string]string { return r.activeSettings.Load().Regions }
+}
+
+// queryEvacuations returns the version of the evacuations that this router knows, to ask another router for newer ones.
+func (r *Router) queryEvacuations() *wire.RelayEvacuations {
+	if r.evacuated == nil {
+		return nil
+	}
+	version, era := r.evacuated.Version()
+	return &wire.RelayEvacuations{Version: int(version), Era: int(era)}
+}
+
+// answerEvacuations returns the evacuations if they are newer than those of the router that asks; nil otherwise.
+func (r *Router) answerEvacuations(query *wire.RelayEvacuations) *wire.RelayEvacuations {
+	if r.evacuated == nil || query == nil {
+		return nil
+	}
+	change, newer := r.evacuated.Newer(int64(query.Version), int64(query.Era))
+	if !newer {
+		return nil
+	}
+	answer := &wire.RelayEvacuations{Version: int(change.Version), Era: int(change.Era)}
+	for _, row := range change.Rows {
+		answer.Rows = append(answer.Rows, *encodeRow(row))
+	}
+	return answer
+}
+
+// applyRelayedEvacuations applies the evacuations that another router knows.
+func (r *Router) applyRelayedEvacuations(answer *wire.RelayEvacuations, address string) {
+	if r.evacuated == nil || answer == nil {
+		return
+	}
+	change := store.Change{Whole: true, Version: int64(answer.Version), Era: int64(answer.Era), Source: address}
+	for _, w := range answer.Rows {
+		row, err := decodeRow(w)
+		if err != nil {
+			event.RelayFailed.Log(r.Logger).Str("peer", address).Err(err).Send()
+			return
+		}
+		row.Table, row.Part = r.DirectoryKey.Table, r.DirectoryKey.Part
+		change.Rows = append(change.Rows, row)
+	}
+	r.evacuated.Apply(change)
+}
--- a/internal/entry/proxy.go
+++ b/internal/entry/proxy.go
@@ -37,6 +37,9 @@
 	r.Paths.Restored = r.pool.Picker.ForgetFailures
 	r.Paths.Reopened = r.pool.Picker.AllowProbe
 	r.Paths.Closed = r.stopping.Load
+	if r.evacuated != nil {
+		r.Paths.Withheld = r.pool.Withholds
+	}
 	r.Paths.Metrics = r.scope.SubScope("proxy")
 }
 
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -148,7 +148,8 @@
 	asked := false
 	for delay.Sleep(ctx, fetchInterval) {
 		onlyConfig := r.relayCache.storeAge() < minFetchStoreAge
-		if onlyConfig && (asked || time.Since(r.started) > maxStartFetchTime) {
+		asked = asked && !r.operatorStale()
+		if onlyConfig && (asked || time.Since(r.started) > maxStartFetchTime && !r.operatorStale()) {
 			continue
 		}
 		addresses := r.ledger.PeerAddresses()
@@ -160,11 +161,17 @@
 	return nil
 }
 
+// operatorStale reports whether the operator's rows are fetched from other routers although the store answers other calls.
+func (r *Router) operatorStale() bool {
+	return r.evacuated != nil && r.operator.Age() > maxOperatorAge
+}
+
 // fetchRowsFrom fetches rows from a router, or only its configuration, and reports whether it answered.
 func (r *Router) fetchRowsFrom(ctx context.Context, address string, onlyConfig bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	query := r.relayCache.query()
+	query.Evacuations = r.queryEvacuations()
 	if onlyConfig {
 		query.Era, query.Servers = math.MaxInt, math.MaxInt
 	}
@@ -173,6 +180,7 @@
 		event.RelayFailed.Log(r.Logger).Str("peer", address).Err(err).Send()
 		return false
 	}
+	r.applyRelayedEvacuations(answer.Evacuations, address)
 	if answer.Directory != nil {
 		r.applyRelayedDirectory(*answer.Directory, address)
 	}
@@ -215,6 +223,7 @@
 // answerRelay returns the rows that another router asks for.
 func (r *Router) answerRelay(ctx context.Context, query wire.RelayQuery) (wire.RelayAnswer, error) {
 	answer, err := r.relayCache.answer(ctx, query)
+	answer.Evacuations = r.answerEvacuations(query.Evacuations)
 	for _, row := range r.crashes.RecentRows() {
 		answer.Crashes = append(answer.Crashes, *encodeRow(row))
 	}
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -20,6 +20,7 @@
 	"citronslip/internal/crash"
 	"citronslip/internal/dial"
 	"citronslip/internal/dispatch"
+	"citronslip/internal/evacuation"
 	"citronslip/internal/event"
 	"citronslip/internal/metrics"
 	"citronslip/internal/peer"
@@ -63,7 +64,9 @@
 		DecodeDirectory func(data []byte) (*inventory.Directory, error)
 		DecodeServer    func(name string, data []byte) (dispatch.Server, error)
 		DirectoryKey    store.Key
-		ServerTable     string
+		// Evacuation returns the data centre that a row of DirectoryKey's table evacuates, and false if the row is another one.
+		Evacuation  func(key store.Key) (place string, ok bool)
+		ServerTable string
 		// Callers returns the HTTP handler for callers, Readiness the one for readiness checks.
 		Callers   func(d *dispatch.Dispatcher, bodies *dispatch.BodyReader, monitor *dispatch.LinkMonitor) http.Handler
 		Readiness func(ready func() bool) http.Handler
@@ -77,6 +80,9 @@
 		activeSettings board.Cell[Settings] // Settings in force.
 		scope          tally.Scope
 		directory      board.Cell[inventory.Directory]
+		evacuations    board.Cell[evacuation.Places]
+		evacuated      *evacuation.Tracker // Nil if no data centres are evacuated in this deployment.
+		operator       *store.Follower     // Of the configuration and the evacuations.
 		pool           *dispatch.Pool
 		serverRegistry *dispatch.ServerRegistry
 		dispatcher     *dispatch.Dispatcher
@@ -143,6 +149,7 @@
 		Metrics: r.scope.SubScope("routing"),
 		Logger:  r.Logger,
 	}}
+	r.buildEvacuations()
 	r.buildCrashes()
 	r.serverRegistry = &dispatch.ServerRegistry{
 		Pool:   r.pool,
@@ -172,6 +179,9 @@
 		Snapshot: &store.Snapshot{Store: r.Store, Table: r.ServerTable},
 		Logger:   r.Logger,
 	}
+	r.operator = &store.Follower{
+		Store: r.Store, Table: r.DirectoryKey.Table, Part: r.DirectoryKey.Part, Apply: r.applyOperator, Newest: true, Logger: r.Logger,
+	}
 	r.buildLimiter()
 	r.buildStreams()
 	r.buildPaths()
@@ -197,6 +207,7 @@
 		Streams:   r.streams,
 		Behind:    r.linkMonitor.ShouldHoldSends,
 		Closing:   r.closingTime,
+		Regions:   r.regions(),
 		Repeats: &dispatch.RetryBudget{
 			Ratio:   r.Settings.RetryRatio,
 			Slack:   r.Settings.RetrySlack,
@@ -213,16 +224,13 @@
 
 // controllers returns the background tasks of the router.
 func (r *Router) controllers(scrape http.Handler) []controller {
-	directory := &store.Follower{
-		Store: r.Store, Table: r.DirectoryKey.Table, Part: r.DirectoryKey.Part, Apply: r.applyDirectory, Newest: true, Logger: r.Logger,
-	}
 	r.relayCache.storeAge = r.ledger.StoreAge
 	r.relayCache.readable = func(row store.Row) bool {
 		_, err := r.DecodeServer(row.Name, row.Value)
 		return err == nil
 	}
 	list := []controller{
-		{"directory", directory.Run},
+		{"directory", r.operator.Run},
 		{"servers", r.serverFollower.Run},
 		{"snapshot", r.saveSnapshots},
 		{"crashes", r.crashFollower.Run},
@@ -243,6 +251,9 @@
 	if r.Settings.Proxy != "" {
 		list = append(list, controller{"carry", r.carry})
 	}
+	if r.evacuated != nil {
+		list = append(list, controller{"evacuations", r.evacuated.Run})
+	}
 	if r.Usage != nil {
 		list = append(list, controller{"usage", r.Usage.Run})
 	}
@@ -294,11 +305,11 @@
 	})
 }
 
-// ready reports whether the router accepts connections, knows a configuration and the servers, is not stopping, and has
+// ready reports whether the router accepts connections, knows a configuration, the evacuations and the servers, is not stopping, and has
 // bandwidth left on its host's link.
 func (r *Router) ready() bool {
 	full := r.Meter.RecentlyCongested()
-	ready := r.listening.Load() && r.directory.Load() != nil && r.serverRegistry.Synced() && !r.stopping.Load() && !full
+	ready := r.listening.Load() && r.directory.Load() != nil && r.knowsEvacuations() && r.serverRegistry.Synced() && !r.stopping.Load() && !full
 	if r.wasReady.Swap(ready) != ready {
 		in, out := r.Meter.Rates()
 		event.ReadinessChanged.Log(r.Logger).Bool("ready", ready).Bool("stopping", r.stopping.Load()).Bool("full", full).
@@ -344,6 +355,9 @@
 	r.Meter.SetBandwidth(settings.Bandwidth)
 	next := r.Settings
 	next.Bandwidth, next.Grace, next.Drain = settings.Bandwidth, settings.Grace, settings.Drain
+	if next.Regions != nil && settings.Regions != nil {
+		next.Regions = settings.Regions
+	}
 	next.RetryRatio, next.RetrySlack, next.RetrySpan = settings.RetryRatio, settings.RetrySlack, settings.RetrySpan
 	r.activeSettings.Store(&next)
 	return reflect.DeepEqual(next, settings)
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -24,5 +24,9 @@
 		RetryRatio float64       // Retries per request, for all routers together.
 		RetrySlack float64       // Retries beyond the ratio in a window, for all routers together.
 		RetrySpan  time.Duration // Window of the ratio and the slack.
+		// Evacuations is whether the operator may evacuate data centres, Regions the region of each data centre; nil if home
+		// regions do not apply.
+		Evacuations bool
+		Regions     map[string]string
 	}
 )
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -123,7 +123,11 @@
 func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, err error) {
 	result := outcomeUnsent
 	var refused *RefusedError
-	if errors.As(err, &refused) {
+	if errors.Is(err, ErrWithheld) {
+		w.Header().Set(headerWithheld, "1")
+		refused = &RefusedError{After: withheldPause}
+	}
+	if refused != nil || errors.As(err, &refused) {
 		result = outcomeRefused
 		w.Header().Set(headerAfter, strconv.FormatInt((refused.After+time.Millisecond-1).Milliseconds(), 10))
 	}
@@ -135,6 +139,8 @@
 	switch {
 	case r.Context().Err() != nil:
 		panic(http.ErrAbortHandler) // The other router has given the request up.
+	case errors.Is(err, ErrWithheld):
+		h.refuse(w, r, err)
 	case isDialError(err):
 		h.Paths.recordFailure(address)
 		h.fail(w, r, outcomeUnsent, err)
--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -51,6 +51,9 @@
 		// down before; optional.
 		Reopened func(server string)
 		Closed   func() bool // Whether this router sends no requests for others at present; optional.
+		// Withheld reports whether no connection may be opened and no request sent to an address at present; optional. It must
+		// not call the Paths.
+		Withheld func(address string) bool
 		Now      func() time.Time
 		Logger   *zerolog.Logger
 		Metrics  tally.Scope // Optional.
@@ -89,6 +92,10 @@
 		wanted   bool      // Whether a request needs another router to the server.
 		searchAt time.Time // Time of the next search for other routers.
 		searches int       // Searches without a result in a row.
+		// places lists the data centres of one of which a request needs a router; nil if all will do.
+		places []string
+		// placesAt is the time of the next search for such routers while others are known.
+		placesAt time.Time
 	}
 
 	// router is what is known about another router.
@@ -101,7 +108,7 @@
 		reachedNone bool      // Whether it reached none of the servers when it was last asked.
 	}
 
-	// way is how a request reaches its server: direct, through or blocked.
+	// way is how a request reaches its server: direct, through, blocked or closedOff.
 	way interface{ isWay() }
 
 	// direct is the way without another router.
@@ -116,6 +123,9 @@
 	// blocked means that no way is known.
 	blocked struct{}
 
+	// closedOff means that no router in the data centres that the request allows is known to reach the server, while others do.
+	closedOff struct{}
+
 	// attempted are the ways on which an attempt was not sent.
 	attempted struct {
 		direct  bool
@@ -127,6 +137,25 @@
 func (through) isWay() {}
 func (blocked) isWay() {}
 
+func (closedOff) isWay() {}
+
+// DialForRequest opens a connection to a backend server for a request with Dial. The error is ErrWithheld if the request must
+// not be sent, also if that became known while the connection was opened.
+func (p *Paths) DialForRequest(ctx context.Context, network, address string) (net.Conn, error) {
+	if p.withholds(address) {
+		return nil, ErrWithheld
+	}
+	conn, err := p.Dial(ctx, network, address)
+	if err == nil && p.withholds(address) {
+		_ = conn.Close()
+		return nil, ErrWithheld
+	}
+	return conn, err
+}
+
+// withholds reports whether no connection may be opened and no request sent to an address.
+func (p *Paths) withholds(address string) bool { return p.Withheld != nil && p.Withheld(address) }
+
 // Update replaces the set of backend servers. What is known about an address belongs to the server of that name.
 func (p *Paths) Update(servers []Server) {
 	p.mu.Lock()
@@ -267,7 +296,8 @@
 // find returns the way of a request to a server that was not tried yet. Without one, it waits for the ends of searches
 // for other routers, of which the first may have begun before the way to the server broke.
 func (p *Paths) find(ctx context.Context, address string, tried attempted) way {
-	found, searching := p.next(address, tried)
+	places := callOf(ctx).Places
+	found, searching := p.next(address, tried, places)
 	if searching == nil {
 		return found
 	}
@@ -281,14 +311,14 @@
 			return found
 		case <-searching:
 		}
-		found, searching = p.next(address, tried)
+		found, searching = p.next(address, tried, places)
 	}
 	return found
 }
 
 // next returns the way of a request to a server, and without one a channel that is closed at the end of the search for
-// other routers; nil if none is due.
-func (p *Paths) next(address string, tried attempted) (way, <-chan struct{}) {
+// other routers; nil if none is due. Only routers in the given data centres are used, or all if places is empty.
+func (p *Paths) next(address string, tried attempted, places []string) (way, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	path := p.servers[address]
@@ -303,21 +333,37 @@
 	}
 	now := p.Now()
 	candidates := slices.DeleteFunc(slices.Clone(path.via), func(peer string) bool {
-		return slices.Contains(tried.routers, peer) || !p.usable(path, peer, now)
+		return slices.Contains(tried.routers, peer) || !p.usable(path, peer, now) || !p.isIn(peer, places)
 	})
 	path.wanted = true
 	if len(candidates) > 0 {
 		peer := p.best(candidates)
 		return through{peer: peer, address: p.routers[peer].address}, nil
 	}
+	var none way = blocked{}
+	elsewhere := len(places) > 0 && p.found(path, now) // Routers in other data centres reach the server.
+	if elsewhere {
+		none = closedOff{}
+	}
 	if p.search != nil && !p.search.isFound {
-		return blocked{}, p.search.found
+		return none, p.search.found
 	}
-	if now.Before(path.searchAt) {
-		return blocked{}, nil
+	switch {
+	case elsewhere && now.Before(path.placesAt), !elsewhere && now.Before(path.searchAt):
+		return none, nil
+	case elsewhere:
+		path.searchAt, path.placesAt = now, now.Add(remoteSearchInterval)
 	}
+	path.places = places
 	p.startSearch()
-	return blocked{}, p.search.found
+	return none, p.search.found
+}
+
+// isIn reports whether a router is known to be in one of the data centres; always if there are none. The caller holds the
+// lock.
+func (p *Paths) isIn(peer string, places []string) bool {
+	r := p.routers[peer]
+	return len(places) == 0 || r != nil && slices.Contains(places, r.place)
 }
 
 // usable reports whether a router accepts requests of others and has not failed recently. The caller holds the lock.
@@ -358,7 +404,7 @@
 	path := p.servers[address]
 	now := p.Now()
 	switch {
-	case path == nil || path.broken || now.Sub(path.failedAt) < failureTTL:
+	case path == nil || path.broken || p.withholds(address) || now.Sub(path.failedAt) < failureTTL:
 		return false, true
 	case now.Sub(path.contactAt) < maxAge:
 		return true, true
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -83,7 +83,7 @@
 	active, searchDue := false, false
 	for _, path := range p.servers {
 		active = active || path.broken || path.testing || !path.testAt.IsZero()
-		searchDue = searchDue || path.searchDue(now)
+		searchDue = searchDue || path.searchDue(now) && !p.withholds(path.server.Address)
 	}
 	for _, path := range p.dueTests(now) {
 		path.testing = true
@@ -99,10 +99,11 @@
 func (p *Paths) dueTests(now time.Time) []*serverPath {
 	running := 0
 	var suspected, broken []*serverPath
-	for _, path := range p.servers {
+	for address, path := range p.servers {
 		switch {
 		case path.testing:
 			running++
+		case p.withholds(address):
 		case path.testAt.IsZero() || now.Before(path.testAt):
 		case path.broken:
 			broken = append(broken, path)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -23,6 +23,11 @@
 	headerAfter = "Citronslip-After"
 	// headerUnframed is set if the server's response has neither a length nor chunks and ends with its connection.
 	headerUnframed = "Citronslip-Unframed"
+	// headerWithheld is set if the router withholds all requests from the server, with outcomeRefused. Routers that do not know
+	// it send nothing to the server for the time of headerAfter.
+	headerWithheld = "Citronslip-Withheld"
+	// withheldPause is the value of headerAfter in these answers.
+	withheldPause = time.Second
 
 	// outcomeAnswered means that the response is that of the backend server.
 	outcomeAnswered outcome = "answered"
@@ -39,9 +44,12 @@
 var (
 	// ErrNotSent is returned when no part of a request reached a backend server.
 	ErrNotSent = errors.New("proxy: request not sent")
+	// ErrWithheld is returned when nothing was sent because a router withholds all requests from the server, or since no
+	// router in the data centres that the request allows reaches it. That says nothing about the server.
+	ErrWithheld = errors.New("proxy: request withheld from the backend server")
 
 	// ownHeaders are exchanged between routers only.
-	ownHeaders = []string{headerAddress, headerRequest, headerPermit, headerOutcome, headerAfter, headerUnframed}
+	ownHeaders = []string{headerAddress, headerRequest, headerPermit, headerOutcome, headerAfter, headerUnframed, headerWithheld}
 )
 
 type (
@@ -65,6 +73,8 @@
 	Call struct {
 		Request string // Request ID, for the log.
 		Permit  bool   // Whether the request has a permit if its server has a rate limit that this router knows.
+		// Places lists the data centres of the routers through which the request may be sent; all if nil.
+		Places []string
 		// Replace reserves an attempt that takes the place of this one, and reports whether there is one. It is called from another
 		// goroutine while the request waits for its response on a broken way, again and again until it succeeds, and may ask
 		// other routers. Once it has succeeded, the request ends with a *LostError unless its response has come meanwhile. It
--- a/internal/proxy/search.go
+++ b/internal/proxy/search.go
@@ -68,15 +68,16 @@
 // startSearch starts a search for routers that reach the servers that requests need. The caller holds the lock.
 func (p *Paths) startSearch() {
 	now := p.Now()
-	var addresses []string
+	var addresses, places []string
 	for address, path := range p.servers {
-		if path.searchDue(now) {
+		if path.searchDue(now) && !p.withholds(address) {
 			addresses = append(addresses, address)
+			places = append(places, path.places...)
 		}
 	}
 	current := &search{addresses: addresses, found: make(chan struct{})}
 	p.search = current
-	peers := p.searchOrder(now)
+	peers := p.searchOrder(now, places)
 	go func() {
 		p.runSearch(addresses, peers)
 		p.mu.Lock()
@@ -97,24 +98,25 @@
 }
 
 // searchOrder returns the routers to ask, in order: those that are not known or are in the own data centre, at random, others, those
-// that reached none of the servers when they were last asked, and those that have failed recently. The caller holds the lock.
-func (p *Paths) searchOrder(now time.Time) []string {
+// that reached none of the servers when they were last asked, and those that have failed recently. If requests need routers in
+// some data centres, routers that are known to be elsewhere come after those that are not. The caller holds the lock.
+func (p *Paths) searchOrder(now time.Time, places []string) []string {
 	peers := slices.Clone(p.Members())
 	maps.DeleteFunc(p.routers, func(peer string, _ *router) bool { return !slices.Contains(peers, peer) })
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	slices.SortStableFunc(peers, func(a, b string) int { return p.searchRank(a, now) - p.searchRank(b, now) })
+	slices.SortStableFunc(peers, func(a, b string) int { return p.searchRank(a, places, now) - p.searchRank(b, places, now) })
 	return peers
 }
 
 // searchRank returns the rank of a router in the order of a search. The caller holds the lock.
-func (p *Paths) searchRank(peer string, now time.Time) int {
+func (p *Paths) searchRank(peer string, places []string, now time.Time) int {
 	r := p.routers[peer]
 	switch {
 	case r == nil:
 		return 0 // As many carriers as possible become known, which spreads the load.
 	case now.Sub(r.failedAt) < routerTTL:
 		return 3
-	case r.reachedNone:
+	case r.reachedNone, !p.isIn(peer, places):
 		return 2
 	}
 	return p.distance(peer)
@@ -149,6 +151,7 @@
 
 // scheduleSearch sets the time of the next search for a server. The caller holds the lock.
 func (p *Paths) scheduleSearch(path *serverPath, now time.Time) {
+	path.places = nil
 	if p.found(path, now) {
 		path.wanted, path.searches = false, 0
 		path.searchAt = now.Add(searchInterval)
@@ -161,18 +164,22 @@
 	path.searches++
 }
 
-// allFound reports whether a router that has not failed recently reaches each of the servers. The caller holds the lock.
+// allFound reports whether a router that has not failed recently, in one of the data centres that a request needs, reaches each
+// of the servers. The caller holds the lock.
 func (p *Paths) allFound(addresses []string) bool {
 	now := p.Now()
 	return !slices.ContainsFunc(addresses, func(address string) bool {
 		path := p.servers[address]
-		return path != nil && path.broken && !p.found(path, now)
+		return path != nil && path.broken && !p.foundIn(path, path.places, now)
 	})
 }
 
 // found reports whether a router that has not failed recently reaches a server. The caller holds the lock.
-func (p *Paths) found(path *serverPath, now time.Time) bool {
-	return slices.ContainsFunc(path.via, func(peer string) bool { return p.usable(path, peer, now) })
+func (p *Paths) found(path *serverPath, now time.Time) bool { return p.foundIn(path, nil, now) }
+
+// foundIn is like found, for a router in one of the data centres; in any if there are none. The caller holds the lock.
+func (p *Paths) foundIn(path *serverPath, places []string, now time.Time) bool {
+	return slices.ContainsFunc(path.via, func(peer string) bool { return p.usable(path, peer, now) && p.isIn(peer, places) })
 }
 
 // ask asks a router which of the servers it reaches, and records the answer.
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -30,7 +30,7 @@
 	// broken. It implements http.RoundTripper. The host of a request's URL is the address of the server. Set the fields before
 	// the first use.
 	//
-	// Errors wrap ErrNotSent if nothing reached the server, a *RefusedError if the other router sent nothing because of the
+	// Errors wrap ErrNotSent or ErrWithheld if nothing reached the server, a *RefusedError if the other router sent nothing because of the
 	// server's wishes, and a *LostError if a response through another router was lost. All others are those of Direct.
 	Transport struct {
 		Direct  http.RoundTripper // Sends requests to backend servers.
@@ -83,13 +83,22 @@
 	for {
 		var response *http.Response
 		var err error
-		switch w := t.Paths.find(ctx, address, tried).(type) {
+		if t.Paths.withholds(address) {
+			return nil, ErrWithheld
+		}
+		found := t.Paths.find(ctx, address, tried)
+		if t.Paths.withholds(address) { // The search for another router may have taken a while.
+			return nil, ErrWithheld
+		}
+		switch w := found.(type) {
 		case direct:
 			tried.direct = true
 			response, err = t.sendDirect(request, address)
 		case through:
 			tried.routers = append(tried.routers, w.peer)
 			response, err = t.sendThrough(request, address, w)
+		case closedOff:
+			return nil, fmt.Errorf("%w: %v", ErrWithheld, cause)
 		case blocked:
 			return nil, fmt.Errorf("%w: %v", ErrNotSent, cause)
 		}
@@ -125,7 +134,7 @@
 			closed:     a.end,
 		}
 		return response, nil
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, errors.Is(err, ErrWithheld):
 	case a.interrupted() && !a.connected.Load():
 		err = fmt.Errorf("%w: %w", ErrNotSent, errInterrupted)
 	case a.interrupted():
@@ -163,7 +172,7 @@
 			closed:     func() {},
 		}
 		return response, nil
-	case errors.As(err, &lost), errors.As(err, &refused):
+	case errors.As(err, &lost), errors.As(err, &refused), errors.Is(err, ErrWithheld):
 		return nil, err
 	case errors.Is(err, ErrNotSent):
 		t.logFailure(ctx, address, w, err)
@@ -211,6 +220,7 @@
 	header := response.Header
 	after := milliseconds(header.Get(headerAfter))
 	unframed := header.Get(headerUnframed) != ""
+	withheld := header.Get(headerWithheld) != ""
 	result := outcome(header.Get(headerOutcome))
 	removeHeaders(header)
 	if result != outcomeAnswered {
@@ -228,6 +238,9 @@
 	case outcomeUnsent:
 		return nil, fmt.Errorf("%w: the other router does not reach the server", ErrNotSent)
 	case outcomeRefused:
+		if withheld {
+			return nil, fmt.Errorf("%w by the other router", ErrWithheld)
+		}
 		return nil, &RefusedError{After: after}
 	}
 	return nil, &LostError{Reset: result == outcomeReset, Err: errors.New("proxy: the other router got no response")}
--- a/internal/routing/busy.go
+++ b/internal/routing/busy.go
@@ -60,11 +60,11 @@
 
 // timeUntilFree returns the time until the first of the servers that are excluded only because they are busy accepts
 // work again, or zero if there is none.
-func (p *Picker) timeUntilFree(servers []*server, now time.Time) time.Duration {
+func (p *Picker) timeUntilFree(servers []*server, r *Request, now time.Time) time.Duration {
 	var shortest time.Duration
 	for _, s := range servers {
 		remaining := s.busyUntil.Sub(now)
-		if remaining <= 0 || s.config.Leaving || s.leaving || s.circuit.state != stateClosed {
+		if remaining <= 0 || s.config.Leaving || s.leaving || s.config.Evacuated || !r.allowsPlace(s) || s.circuit.state != stateClosed {
 			continue
 		}
 		if shortest == 0 || remaining < shortest {
--- a/internal/routing/cached.go
+++ b/internal/routing/cached.go
@@ -40,7 +40,7 @@
 	var home *server
 	var maxHash uint64
 	for _, s := range servers {
-		if s.leaving || s.circuit.state != stateClosed || s.config.Leaving {
+		if s.leaving || s.circuit.state != stateClosed || s.config.Leaving || s.config.Evacuated || !r.allowsPlace(s) {
 			continue
 		}
 		hash := rendezvous.Mix(s.nameHash ^ cmp.Or(r.Home, r.Prefix[0]))
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -135,7 +135,7 @@
 		if !anyAllowed {
 			return nil, trace.Wrap(ErrNoServer)
 		}
-		if wait := p.timeUntilFree(group.all, now); wait > 0 {
+		if wait := p.timeUntilFree(group.all, r, now); wait > 0 {
 			return nil, trace.Wrap(&BusyError{After: wait})
 		}
 		return nil, trace.Wrap(ErrUnavailable)
@@ -183,7 +183,7 @@
 	p.pollRound++
 	for _, group := range p.groups {
 		for _, s := range group.subset {
-			if s.pollRound == p.pollRound || s.config.Leaving {
+			if s.pollRound == p.pollRound || s.config.Leaving || s.config.Evacuated {
 				continue
 			}
 			s.pollRound = p.pollRound
@@ -282,8 +282,10 @@
 // exclusionReason returns why the server is no candidate, or an empty string if it is one.
 func (p *Picker) exclusionReason(s *server, r *Request, now time.Time) string {
 	switch {
-	case len(r.Places) > 0 && !slices.Contains(r.Places, s.config.Place):
+	case !r.allowsPlace(s):
 		return placeNotAllowed
+	case s.config.Evacuated:
+		return evacuated
 	case s.config.Leaving || s.leaving:
 		return "leaving"
 	case r.Only != "" && s.config.Name != r.Only:
@@ -303,6 +305,11 @@
 	}
 }
 
+// allowsPlace reports whether the request may be sent to the data centre of a server.
+func (r *Request) allowsPlace(s *server) bool {
+	return len(r.Places) == 0 || slices.Contains(r.Places, s.config.Place)
+}
+
 // recordChoice adds the request to the router's own work at the picked server and returns the choice.
 func (p *Picker) recordChoice(best bestServer, r *Request, now time.Time) *Choice {
 	s := best.server
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -31,6 +31,8 @@
 		Software string
 		// Leaving reports whether the host list marks the server as leaving.
 		Leaving bool
+		// Evacuated reports whether the data centre of the server is evacuated, so that it gets no new requests.
+		Evacuated bool
 		// Observed is the time at which the host list observed the server. A server that announced its leaving in a
 		// response header gets new work again only after a later observation that shows it live.
 		Observed time.Time
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -7,6 +7,8 @@
 	maxPrefixBlocks = 32
 	// placeNotAllowed is the exclusion reason that findBest tells from the others.
 	placeNotAllowed = "place not allowed"
+	// evacuated is the exclusion reason of servers in evacuated data centres.
+	evacuated = "evacuated"
 
 	// defaultHome is the fraction of a prefix that its home server is expected to hold if the index has no entry.
 	defaultHome = 0.9
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -22,6 +22,9 @@
 			s.slowStartBegin = now
 		}
 	}
+	if s.config != nil && s.config.Evacuated && !config.Evacuated {
+		s.slowStartBegin = now
+	}
 	s.config = config
 	s.unlisted = false
 	if s.leaving && !config.Leaving && config.Observed.After(s.leavingAt) {
@@ -52,7 +55,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.servers {
-		allowed := s.config.Service == r.Service && (r.Only == "" || s.config.Name == r.Only)
+		allowed := s.config.Service == r.Service && !s.config.Evacuated && r.allowsPlace(s) && (r.Only == "" || s.config.Name == r.Only)
 		if allowed && s.config.Software == r.Software && !s.config.Leaving && !s.leaving {
 			return true
 		}
@@ -117,13 +120,13 @@
 }
 
 // HasCandidate reports whether a server could be picked for the request if it accepted new work: one of its service and
-// software version that is not leaving and was not tried.
+// software version and in an allowed data centre that is not evacuated, that is not leaving and was not tried.
 func (p *Picker) HasCandidate(r *Request) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.servers {
 		fits := s.config.Service == r.Service && (r.Software == "" || s.config.Software == r.Software)
-		if fits && !s.config.Leaving && !s.leaving && !slices.Contains(r.Tried, s.config.Name) {
+		if fits && !s.config.Evacuated && r.allowsPlace(s) && !s.config.Leaving && !s.leaving && !slices.Contains(r.Tried, s.config.Name) {
 			return true
 		}
 	}
--- a/internal/routing/subset.go
+++ b/internal/routing/subset.go
@@ -78,7 +78,7 @@
 	}
 	var ranks []ranked
 	for _, s := range all {
-		if s.config.Leaving || s.leaving {
+		if s.config.Leaving || s.leaving || s.config.Evacuated {
 			continue
 		}
 		ranks = append(ranks, ranked{xxhash.Sum64String(p.Router + "\x00" + s.config.Name), s})
--- a/pkg/inventory/directory.go
+++ b/pkg/inventory/directory.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -55,8 +56,12 @@
 		Attempts int           // Maximum number of backend servers that one call is sent to.
 		Public   bool          // Whether calls need no API key.
 		Shares   []WeightedService
+		Homes    HomeRegions // Regions to which calls may be sent.
 	}
 
+	// HomeRegions lists the regions to whose data centres calls may be sent. The empty list allows all.
+	HomeRegions []string
+
 	// WeightedService is the weight of a service on a route.
 	WeightedService struct {
 		Service string
@@ -151,6 +156,23 @@
 	return r.Shares[len(r.Shares)-1].Service
 }
 
+// HomePlaces returns the data centres that are in home regions of each of the lists, in order, by the region of each data
+// centre. It returns nil if no list has a region, and an empty list if no data centre is allowed.
+func HomePlaces(regions map[string]string, lists ...HomeRegions) []string {
+	if !slices.ContainsFunc(lists, func(homes HomeRegions) bool { return len(homes) > 0 }) {
+		return nil
+	}
+	places := []string{}
+	for place, region := range regions {
+		excluded := slices.ContainsFunc(lists, func(homes HomeRegions) bool { return len(homes) > 0 && !slices.Contains(homes, region) })
+		if !excluded {
+			places = append(places, place)
+		}
+	}
+	slices.Sort(places)
+	return places
+}
+
 // Digest returns the digest of an API key in the format of ClientAccount.Keys.
 func Digest(key string) string {
 	sum := sha256.Sum256([]byte(key))
--- a/pkg/inventory/inventory.go
+++ b/pkg/inventory/inventory.go
@@ -121,6 +121,8 @@
 		WorseOutcome WorseOutcome `toml:"weigh" json:"weigh,omitempty"`
 		// Overrides the priority of the route unless nil; 0 is the most urgent.
 		Rank *int `toml:"-" json:"-"`
+		// Regions to which calls of the account may be sent on entry hosts.
+		Homes HomeRegions `toml:"-" json:"-"`
 	}
 
 	// Budget is an amount of tokens that an account has prepaid.
