Take routers out of the balancer that no evacuation can reach

A router to which neither the store nor another router has answered for 4 s is not ready, in deployments with evacuations. It serves the callers that still come to it.

--- a/internal/entry/evacuation.go
+++ b/internal/entry/evacuation.go
@@ -14,6 +14,9 @@
 	// fetched from other routers, although the store answers other calls. It is above the longest time between two answers
 	// without changes, for which the store holds a call.
 	maxOperatorAge = 5 * time.Second
+	// maxIsolation is the time without an answer of the store or another router from which on a router is not ready, since it
+	// learns of no evacuation. Routers are asked from minFetchStoreAge on, in at least two rounds until then.
+	maxIsolation = 4 * time.Second
 )
 
 // buildEvacuations builds the tracker of evacuated data centres if the deployment has evacuations.
@@ -95,3 +98,13 @@
 	}
 	r.evacuated.Apply(change)
 }
+
+// isolated reports whether neither the store nor another router answers, although others are known. Such a router learns of no
+// evacuation, so that the balancer should use others. If most are isolated, it uses all of them.
+func (r *Router) isolated() bool {
+	if r.evacuated == nil || r.relayCache.storeAge() < maxIsolation || len(r.ledger.PeerAddresses()) == 0 {
+		return false
+	}
+	answered := r.peerAnsweredAt.Load()
+	return answered == nil || time.Since(*answered) >= maxIsolation
+}
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -98,7 +98,8 @@
 		bodies         *dispatch.BodyReader
 		carrier        *proxy.Handler
 		relayCache     relayCache
-		fetching       sync.Mutex // Held while the rows of another router are applied.
+		fetching       sync.Mutex                // Held while the rows of another router are applied.
+		peerAnsweredAt atomic.Pointer[time.Time] // When another router last answered a call for rows; nil before the first.
 		peers          *peer.Client
 		started        time.Time
 		listening      atomic.Bool // Whether connections of callers are accepted.
@@ -307,14 +308,14 @@
 	})
 }
 
-// ready reports whether the router accepts connections, knows a configuration, the evacuations and the servers, is not stopping, and has
-// bandwidth left on its host's link.
+// ready reports whether the router accepts connections, knows a configuration, the evacuations and the servers, is not stopping, has
+// bandwidth left on its host's link, and is not isolated.
 func (r *Router) ready() bool {
-	full := r.Meter.RecentlyCongested()
-	ready := r.listening.Load() && r.directory.Load() != nil && r.knowsEvacuations() && r.serverRegistry.Synced() && !r.stopping.Load() && !full
+	full, isolated := r.Meter.RecentlyCongested(), r.isolated()
+	ready := r.listening.Load() && r.directory.Load() != nil && r.knowsEvacuations() && r.serverRegistry.Synced() && !r.stopping.Load() && !full && !isolated
 	if r.wasReady.Swap(ready) != ready {
 		in, out := r.Meter.Rates()
-		event.ReadinessChanged.Log(r.Logger).Bool("ready", ready).Bool("stopping", r.stopping.Load()).Bool("full", full).
+		event.ReadinessChanged.Log(r.Logger).Bool("ready", ready).Bool("stopping", r.stopping.Load()).Bool("full", full).Bool("isolated", isolated).
 			Float64("in", in).Float64("out", out).Send()
 	}
 	return ready
