--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -12,6 +12,7 @@
 
 	"citronslip/internal/board"
 	"citronslip/internal/crash"
+	"citronslip/internal/evacuation"
 	"citronslip/internal/event"
 	"citronslip/internal/ratelimit"
 	"citronslip/internal/resume"
@@ -48,8 +49,10 @@
 		Closing func() time.Time
 		// Regions returns the region of each data centre. Nil if the configuration's home regions do not apply.
 		Regions func() map[string]string
-		Logger  *zerolog.Logger
-		Metrics tally.Scope
+		// Standstill makes attempts wait for news of evacuations after the process has stood still; nil if none are evacuated.
+		Standstill *evacuation.Standstill
+		Logger     *zerolog.Logger
+		Metrics    tally.Scope
 	}
 
 	// call is the state of a request in progress.
@@ -214,6 +217,7 @@
 			c.fail(ctx, LinkFull)
 			return
 		}
+		c.Standstill.Wait(ctx)
 		evacuations := c.Pool.evacuations()
 		server, choice, err := c.selectServer(ctx)
 		if err == nil && c.Pool.evacuations().Contains(server.Place) {
--- a/internal/dispatch/carry.go
+++ b/internal/dispatch/carry.go
@@ -55,7 +55,11 @@
 	if server == nil || leaving {
 		return nil, fmt.Errorf("%w: no server at %s, or it is leaving", ErrNotCarried, address)
 	}
-	if d.Pool.Withholds(address) {
+	d.Standstill.Wait(ctx)
+	switch {
+	case !d.Pool.knowsEvacuations():
+		return nil, fmt.Errorf("%w: %s", ErrNotCarried, NotReady) // Another router may send it.
+	case d.Pool.Withholds(address):
 		return nil, ErrWithheld
 	}
 	if wait := d.Pool.Picker.BusyTime(server.Name); wait > 0 {
--- a/internal/entry/evacuation.go
+++ b/internal/entry/evacuation.go
@@ -33,6 +33,13 @@
 		Logger:  r.Logger,
 		Metrics: r.scope.SubScope("evacuation"),
 	}
+	r.standstill = &evacuation.Standstill{Now: time.Now, Age: func() time.Duration {
+		age := r.operator.Age()
+		if answered := r.peerAnsweredAt.Load(); answered != nil {
+			age = min(age, time.Since(*answered))
+		}
+		return age
+	}}
 }
 
 // applyOperator applies changed rows of the operator.
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -202,11 +202,11 @@
 		event.RelayFailed.Log(r.Logger).Str("peer", address).Err(err).Send()
 		return false
 	}
-	now := time.Now()
-	r.peerAnsweredAt.Store(&now)
 	r.fetching.Lock() // One answer after the other takes effect in all parts.
 	defer r.fetching.Unlock()
 	r.applyRelayedEvacuations(answer.Evacuations, address)
+	now := time.Now()
+	r.peerAnsweredAt.Store(&now)
 	if answer.Directory != nil {
 		r.applyRelayedDirectory(*answer.Directory, address)
 	}
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -82,8 +82,9 @@
 		scope          tally.Scope
 		directory      board.Cell[inventory.Directory]
 		evacuations    board.Cell[evacuation.Places]
-		evacuated      *evacuation.Tracker // Nil if no data centres are evacuated in this deployment.
-		operator       *store.Follower     // Of the configuration and the evacuations.
+		evacuated      *evacuation.Tracker    // Nil if no data centres are evacuated in this deployment.
+		standstill     *evacuation.Standstill // Nil as well then.
+		operator       *store.Follower        // Of the configuration and the evacuations.
 		pool           *dispatch.Pool
 		serverRegistry *dispatch.ServerRegistry
 		dispatcher     *dispatch.Dispatcher
@@ -211,6 +212,8 @@
 		Behind:    r.linkMonitor.ShouldHoldSends,
 		Closing:   r.closingTime,
 		Regions:   r.regions(),
+
+		Standstill: r.standstill,
 		Repeats: &dispatch.RetryBudget{
 			Ratio:   r.Settings.RetryRatio,
 			Slack:   r.Settings.RetrySlack,
@@ -255,7 +258,7 @@
 		list = append(list, controller{"carry", r.carry})
 	}
 	if r.evacuated != nil {
-		list = append(list, controller{"evacuations", r.evacuated.Run})
+		list = append(list, controller{"evacuations", r.evacuated.Run}, controller{"standstill", r.standstill.Run})
 	}
 	if r.Usage != nil {
 		list = append(list, controller{"usage", r.Usage.Run})
