--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"reflect"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -21,6 +22,7 @@
 	"citronslip/internal/crash"
 	"citronslip/internal/dial"
 	"citronslip/internal/dispatch"
+	"citronslip/internal/evacuation"
 	"citronslip/internal/event"
 	"citronslip/internal/metrics"
 	"citronslip/internal/peer"
@@ -64,7 +66,9 @@
 		DecodeDirectory func(data []byte) (*inventory.Directory, error)
 		DecodeServer    func(name string, data []byte) (dispatch.Server, error)
 		DirectoryKey    store.Key
-		ServerTable     string
+		// Evacuation returns the data centre that a row of DirectoryKey's table evacuates, and false if the row is another one.
+		Evacuation  func(key store.Key) (place string, ok bool)
+		ServerTable string
 		// Callers returns the HTTP handler for callers, Readiness the one for readiness checks.
 		Callers   func(d *dispatch.Dispatcher, bodies *dispatch.BodyReader, monitor *dispatch.LinkMonitor) http.Handler
 		Readiness func(ready func() bool) http.Handler
@@ -78,6 +82,10 @@
 		activeSettings board.Cell[Settings] // Settings in force.
 		scope          tally.Scope
 		directory      board.Cell[inventory.Directory]
+		evacuations    board.Cell[evacuation.Places]
+		evacuated      *evacuation.Tracker    // Nil if no data centres are evacuated in this deployment.
+		standstill     *evacuation.Standstill // Nil as well then.
+		operator       *store.Follower        // Of the configuration and the evacuations.
 		pool           *dispatch.Pool
 		serverRegistry *dispatch.ServerRegistry
 		dispatcher     *dispatch.Dispatcher
@@ -93,6 +101,8 @@
 		bodies         *dispatch.BodyReader
 		carrier        *proxy.Handler
 		relayCache     relayCache
+		fetching       sync.Mutex                // Held while the rows of another router are applied.
+		peerAnsweredAt atomic.Pointer[time.Time] // When another router last answered a call for rows; nil before the first.
 		peers          *peer.Client
 		started        time.Time
 		listening      atomic.Bool // Whether connections of callers are accepted.
@@ -145,6 +155,7 @@
 		Metrics: r.scope.SubScope("routing"),
 		Logger:  r.Logger,
 	}}
+	r.buildEvacuations()
 	r.buildCrashes()
 	r.serverRegistry = &dispatch.ServerRegistry{
 		Pool:   r.pool,
@@ -174,6 +185,9 @@
 		Snapshot: &store.Snapshot{Store: r.Store, Table: r.ServerTable},
 		Logger:   r.Logger,
 	}
+	r.operator = &store.Follower{
+		Store: r.Store, Table: r.DirectoryKey.Table, Part: r.DirectoryKey.Part, Apply: r.applyOperator, Newest: true, Logger: r.Logger,
+	}
 	r.buildLimiter()
 	r.buildCold()
 	r.buildStreams()
@@ -201,6 +215,9 @@
 		Streams:   r.streams,
 		Behind:    r.linkMonitor.ShouldHoldSends,
 		Closing:   r.closingTime,
+		Regions:   r.regions(),
+
+		Standstill: r.standstill,
 		Repeats: &dispatch.RetryBudget{
 			Ratio:   r.Settings.RetryRatio,
 			Slack:   r.Settings.RetrySlack,
@@ -217,16 +234,13 @@
 
 // controllers returns the background tasks of the router.
 func (r *Router) controllers(scrape http.Handler) []controller {
-	directory := &store.Follower{
-		Store: r.Store, Table: r.DirectoryKey.Table, Part: r.DirectoryKey.Part, Apply: r.applyDirectory, Newest: true, Logger: r.Logger,
-	}
 	r.relayCache.storeAge = r.ledger.StoreAge
 	r.relayCache.readable = func(row store.Row) bool {
 		_, err := r.DecodeServer(row.Name, row.Value)
 		return err == nil
 	}
 	list := []controller{
-		{"directory", directory.Run},
+		{"directory", r.operator.Run},
 		{"servers", r.serverFollower.Run},
 		{"snapshot", r.saveSnapshots},
 		{"crashes", r.crashFollower.Run},
@@ -248,6 +262,9 @@
 	if r.Settings.Proxy != "" {
 		list = append(list, controller{"carry", r.carry})
 	}
+	if r.evacuated != nil {
+		list = append(list, controller{"evacuations", r.evacuated.Run}, controller{"standstill", r.standstill.Run})
+	}
 	if r.Usage != nil {
 		list = append(list, controller{"usage", r.Usage.Run})
 	}
@@ -299,14 +316,14 @@
 	})
 }
 
-// ready reports whether the router accepts connections, knows a configuration and the servers, is not stopping, and has
-// bandwidth left on its host's link.
+// ready reports whether the router accepts connections, knows a configuration, the evacuations and the servers, is not stopping, has
+// bandwidth left on its host's link, and is not isolated.
 func (r *Router) ready() bool {
-	full := r.Meter.RecentlyCongested()
-	ready := r.listening.Load() && r.directory.Load() != nil && r.serverRegistry.Synced() && !r.stopping.Load() && !full
+	full, isolated := r.Meter.RecentlyCongested(), r.isolated()
+	ready := r.listening.Load() && r.directory.Load() != nil && r.knowsEvacuations() && r.serverRegistry.Synced() && !r.stopping.Load() && !full && !isolated
 	if r.wasReady.Swap(ready) != ready {
 		in, out := r.Meter.Rates()
-		event.ReadinessChanged.Log(r.Logger).Bool("ready", ready).Bool("stopping", r.stopping.Load()).Bool("full", full).
+		event.ReadinessChanged.Log(r.Logger).Bool("ready", ready).Bool("stopping", r.stopping.Load()).Bool("full", full).Bool("isolated", isolated).
 			Float64("in", in).Float64("out", out).Send()
 	}
 	return ready
@@ -349,6 +366,9 @@
 	r.Meter.SetBandwidth(settings.Bandwidth)
 	next := r.Settings
 	next.Bandwidth, next.Grace, next.Drain = settings.Bandwidth, settings.Grace, settings.Drain
+	if next.Regions != nil && settings.Regions != nil {
+		next.Regions = settings.Regions
+	}
 	next.RetryRatio, next.RetrySlack, next.RetrySpan = settings.RetryRatio, settings.RetrySlack, settings.RetrySpan
 	next.ColdBound = settings.ColdBound
 	r.activeSettings.Store(&next)
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -30,5 +30,9 @@
 		RetrySpan  time.Duration // Window of the ratio and the slack.
 		// ColdBound bounds the requests to a cold server in any second, for all routers together; zero if unlimited.
 		ColdBound coldstart.Bound
+		// Evacuations is whether the operator may evacuate data centres, Regions the region of each data centre; nil if home
+		// regions do not apply.
+		Evacuations bool
+		Regions     map[string]string
 	}
 )
