Keep a graceful shutdown through further signals

Main gave SIGTERM its default action back after the first one, so that a second one ended the process with requests in flight. Now only a second SIGINT ends it.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -7,8 +7,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"os/signal"
-	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -39,12 +37,10 @@
 )
 
 // Main runs the command that the arguments name and returns the exit status. The arguments do not include the program
-// name. SIGINT and SIGTERM cancel the command's context. Errors are printed to stderr.
+// name. SIGINT and SIGTERM cancel the command's context; a second SIGINT ends the process. Errors are printed to stderr.
 func Main(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	ctx, stop := notifyStop()
 	defer stop()
-	// Restore the default signal handling, so that a second signal ends the process immediately.
-	context.AfterFunc(ctx, stop)
 	std := &streams{in: stdin, out: stdout, err: stderr}
 	err := execute(ctx, newRootCommand(std), args)
 	var usage usageError
--- a/internal/command/route.go
+++ b/internal/command/route.go
@@ -22,7 +22,8 @@
 	maxQueuedLogLines = 4096
 
 	// routeHelp is the long help of the route command.
-	routeHelp = `Runs one router until SIGINT or SIGTERM starts its graceful shutdown. A second signal ends it immediately.
+	routeHelp = `Runs one router until SIGINT or SIGTERM starts its graceful shutdown. Further SIGTERMs have no effect;
+a second SIGINT ends it immediately.
 
 A setting is taken from its flag, else from the environment variable CITRONSLIP_ and the flag's name in capitals, else
 from the TOML file named by -config.
@@ -108,6 +109,7 @@
 // runPlatformRouter runs a router with the settings file of the users' platform until the context is done, and logs to
 // the output stream. If the reader of the log falls behind, lines are dropped so that requests are not delayed.
 func runPlatformRouter(ctx context.Context, std *streams, path string) error {
+	defer ignoreHangup()()
 	logBuffer := &event.Buffer{Out: std.out}
 	logQueue := diode.NewWriter(logBuffer, maxQueuedLogLines, 0, func(dropped int) {
 		fmt.Fprintf(logBuffer, "{\"level\":\"warn\",\"event\":%d,\"message\":%q,\"missed\":%d}\n",
