Let servers return without an idempotent request

Only requests that may run more than once probed an open circuit, so that a service of requests that may run once lost its servers for good.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -140,6 +140,13 @@
 	return server, choice, nil
 }
 
+// named returns the server with a name, or nil if there is none.
+func (p *Pool) named(name string) *Server {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.byName[name]
+}
+
 // at returns the server at an address and whether it is leaving, or nil if there is none.
 func (p *Pool) at(address string) (server *Server, leaving bool) {
 	p.mu.Lock()
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -60,6 +60,7 @@
 		Store           store.Store
 		Usage           *store.Usage // Counts the calls to the store; optional.
 		Backend         dispatch.Backend
+		Health          dispatch.HealthChecker // Checks the health of backend servers; no checks if nil.
 		DecodeDirectory func(data []byte) (*inventory.Directory, error)
 		DecodeServer    func(name string, data []byte) (dispatch.Server, error)
 		DirectoryKey    store.Key
@@ -140,6 +141,8 @@
 		Subset:  unlimitedSubset,
 		Reading: prefillWeight,
 		Noise:   scoreNoise,
+		Trials:  true,
+		Routers: func() int { return r.ledger.RouterCount() },
 		Metrics: r.scope.SubScope("routing"),
 		Logger:  r.Logger,
 	}}
@@ -240,6 +243,12 @@
 			return serveHTTP(ctx, r.Settings.Ready, &http.Server{Handler: r.Readiness(r.ready)})
 		}},
 	}
+	if r.Health != nil {
+		prober := &dispatch.HealthProber{
+			Dispatcher: r.dispatcher, Checker: r.Health, Directory: &r.directory, Logger: r.Logger, Metrics: r.scope.SubScope("routing"),
+		}
+		list = append(list, controller{"health", prober.Run})
+	}
 	if r.Settings.Proxy != "" {
 		list = append(list, controller{"carry", r.carry})
 	}
--- a/internal/event/routing.go
+++ b/internal/event/routing.go
@@ -22,6 +22,8 @@
 	ProxyFailed           = register(424, zerolog.InfoLevel, "request not carried by another router", "Check the named router if it repeats.")
 	RequestCarried        = register(425, zerolog.InfoLevel, "request of another router sent to its backend server or refused", "None.")
 	ReachQueryFailed      = register(426, zerolog.InfoLevel, "router asked for the backend servers that it reaches did not answer", "Check the named router if it repeats.")
+	HealthChecked         = register(427, zerolog.InfoLevel, "health of a backend server with an open circuit checked", "None. If it stays unhealthy, check the named server and its health path.")
+	CircuitTrial          = register(428, zerolog.InfoLevel, "request that may run only once probes a backend server", "None. If it fails although the server seemed healthy, check the health path of the service.")
 	ServerBrittle         = register(413, zerolog.WarnLevel, "backend server said how many rejections in a second it can stand", "Add capacity to its service, or reduce the load. Routers hold requests back that the server has no room for.")
 	LimitLowered          = register(410, zerolog.WarnLevel, "concurrency limit lowered, backend servers exceed the latency target", "Check for lost or slow backend servers. Add capacity if it persists.")
 	QueuedRequestsRefused = register(411, zerolog.WarnLevel, "queued requests refused because they would miss their deadlines", "Add capacity, or reduce the load of the accounts with the longest queues.")
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -22,6 +22,8 @@
 		picker        *Picker
 		server        *server
 		probe         bool // Whether the request probes a server whose circuit is not closed.
+		trial         bool // Whether the probe may run only once.
+		started       bool // Whether the request was sent.
 		urgent        bool // Whether the request's priority is above zero.
 		done          bool
 		firstByte     bool      // Whether the first byte of the response has arrived.
@@ -49,6 +51,10 @@
 	c.picker.mu.Lock()
 	defer c.picker.mu.Unlock()
 	c.sentAt = c.picker.now()
+	c.started = true
+	if c.trial {
+		c.picker.logTrial(c.server)
+	}
 }
 
 // FirstByte records the first byte of the response, and that the server now holds the prompt's prefix.
@@ -118,6 +124,11 @@
 		}
 		c.recordFailure(threshold, now)
 	default:
+		if c.trial && c.started {
+			// A server that answers nothing until callers give up must not get one request after the other.
+			c.recordFailure(1, now)
+			return
+		}
 		s.circuit.releaseProbe(c.probe)
 	}
 }
@@ -181,6 +192,7 @@
 	if !s.circuit.recordFailure(probe, threshold, now, backoff, p.LongOpen) {
 		return
 	}
+	p.scheduleProbes(&s.circuit, now)
 	p.lastOpened = now
 	p.counters.opened.Inc(1)
 	event.CircuitOpened.Log(p.Logger).Str("server", s.config.Name).Dur("wait", s.circuit.backoff).Send()
--- a/internal/routing/circuit.go
+++ b/internal/routing/circuit.go
@@ -13,7 +13,8 @@
 
 	// circuit is the circuit breaker of one server. An open circuit becomes half-open after a successful poll, or by a
 	// request some time after the backoff if no poll probes it. A half-open circuit lets one request through at a time;
-	// its success closes the circuit, its failure opens it with twice the backoff.
+	// its success closes the circuit, its failure opens it with twice the backoff. Requests that may run only once probe
+	// as well, if Picker.Trials is set, after a successful health check or after trialAt.
 	circuit struct {
 		state           circuitState
 		failures        int           // Consecutive failures.
@@ -21,6 +22,9 @@
 		probeAt         time.Time     // Earliest time of the next probe.
 		requestInFlight bool          // Whether a request is probing the half-open circuit.
 		pollInFlight    bool          // Whether a poll is probing the open circuit.
+		failedProbes    int           // Failed requests that probed since the circuit opened.
+		trialAt         time.Time     // Earliest time of a trial without a successful health check.
+		health          healthState
 	}
 )
 
@@ -36,15 +40,17 @@
 	}
 }
 
-// allows reports whether a request may be sent to the server. Only idempotent requests may probe.
-func (c *circuit) allows(now time.Time, idempotent bool, probeGrace time.Duration) bool {
+// allows reports whether a request may be sent to the server. Idempotent requests may probe, and trials if the server
+// seems healthy or enough time has passed; other requests may not.
+func (c *circuit) allows(now time.Time, idempotent, trial bool, probeGrace time.Duration) bool {
+	trial = trial && !c.requestInFlight && (c.health.healthy || !now.Before(c.trialAt))
 	switch c.state {
 	case stateClosed:
 		return true
 	case stateOpen:
-		return idempotent && !now.Before(c.probeAt.Add(probeGrace))
+		return idempotent && !now.Before(c.probeAt.Add(probeGrace)) || trial
 	default:
-		return idempotent && !c.requestInFlight
+		return idempotent && !c.requestInFlight || trial
 	}
 }
 
@@ -110,6 +116,7 @@
 		c.backoff = initialBackoff
 	case probe:
 		c.backoff = min(2*c.backoff, maxBackoff)
+		c.failedProbes++
 	default:
 		return false
 	}
--- a/internal/routing/initialize.go
+++ b/internal/routing/initialize.go
@@ -38,6 +38,7 @@
 		failed: scope.Counter("failed"),
 		opened: scope.Counter("opened"),
 		closed: scope.Counter("closed"),
+		trials: scope.Counter("trials"),
 	}
 }
 
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -27,6 +27,8 @@
 		Home      float64          // Fraction of a prefix expected at a home server that is not indexed; 0.9 if zero.
 		Reading   float64          // Weight of the uncached prompt, as its prefill delays other streams; none if zero.
 		Noise     float64          // Random part of a score, relative to it, which spreads the load; 0.05 if zero.
+		Trials    bool             // Whether requests that may run only once may probe a circuit, if no server has received them.
+		Routers   func() int       // Routers of the fleet, which bounds their probes together; one if nil.
 		Reports   float64          // Load reports per second to ask for with requests; 8 if zero.
 		Now       func() time.Time // time.Now if nil.
 		Rand      func() float64   // Random numbers in [0,1); math/rand/v2 if nil.
@@ -55,6 +57,7 @@
 		failed tally.Counter
 		opened tally.Counter
 		closed tally.Counter
+		trials tally.Counter
 	}
 
 	// server is the picker's state for one backend server.
@@ -67,6 +70,8 @@
 		leavingAt      time.Time // Last time at which the server itself announced that it is leaving.
 		busyUntil      time.Time // No new work before this time, as the server asked.
 		circuit        circuit
+		neededAt       time.Time // Last time at which the circuit excluded a request that may run only once.
+		idempotentAt   time.Time // Last time at which the server was a candidate for an idempotent request.
 		load           Load
 		hasLoad        bool    // Whether load holds a report.
 		ownAtReport    ownWork // The router's own work at the time of the load report.
@@ -296,7 +301,7 @@
 		return "excluded"
 	case now.Before(s.busyUntil):
 		return "busy"
-	case !s.circuit.allows(now, r.Idempotent, p.Grace):
+	case !p.allowed(s, r, now):
 		return s.circuit.state.String()
 	default:
 		return ""
@@ -306,12 +311,14 @@
 // recordChoice adds the request to the router's own work at the picked server and returns the choice.
 func (p *Picker) recordChoice(best bestServer, r *Request, now time.Time) *Choice {
 	s := best.server
+	probe := s.circuit.beginRequest()
 	c := &Choice{
 		Server:        &s.config.BackendServer,
 		Sample:        p.takeReportSlot(now),
 		picker:        p,
 		server:        s,
-		probe:         s.circuit.beginRequest(),
+		probe:         probe,
+		trial:         probe && p.isTrial(r),
 		urgent:        r.Priority > 0,
 		prefixHashes:  r.Prefix,
 		cachedTokens:  best.cachedTokens,
--- a/pkg/inventory/directory.go
+++ b/pkg/inventory/directory.go
@@ -67,6 +67,8 @@
 	EntryService struct {
 		Name   string
 		Engine *Engine // Nil if the service has no model engines.
+		// HealthPath is the path that answers requests for the health of a server; empty if there is none.
+		HealthPath string
 	}
 
 	// Engine describes the model engines of a service.
