--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -88,6 +88,7 @@
 		ledger         *prepaid.Ledger
 		limiter        *ratelimit.Limiter
 		limitFollower  *store.Follower
+		versions       *store.Versions // Store, with the versions that its answers name.
 		streams        *resume.Tracker
 		bodies         *dispatch.BodyReader
 		carrier        *proxy.Handler
@@ -134,6 +135,8 @@
 }
 
 func (r *Router) buildComponents() {
+	r.versions = &store.Versions{Store: r.Store}
+	r.Store = r.versions
 	r.pool = &dispatch.Pool{Picker: &routing.Picker{
 		Router:  r.Settings.Node,
 		Block:   dispatch.PrefixBlockTokens,
@@ -218,6 +221,8 @@
 func (r *Router) controllers(scrape http.Handler) []controller {
 	directory := &store.Follower{
 		Store: r.Store, Table: r.DirectoryKey.Table, Part: r.DirectoryKey.Part, Apply: r.applyDirectory, Newest: true, Logger: r.Logger,
+		Bound: func() time.Duration { return r.activeSettings.Load().ConfigApply },
+		Named: r.versions,
 	}
 	r.relayCache.storeAge = r.ledger.StoreAge
 	r.relayCache.readable = func(row store.Row) bool {
@@ -353,6 +358,7 @@
 	r.Meter.SetBandwidth(settings.Bandwidth)
 	next := r.Settings
 	next.Bandwidth, next.Grace, next.Drain = settings.Bandwidth, settings.Grace, settings.Drain
+	next.ConfigApply = settings.ConfigApply
 	next.RetryRatio, next.RetrySlack, next.RetrySpan = settings.RetryRatio, settings.RetrySlack, settings.RetrySpan
 	r.activeSettings.Store(&next)
 	return reflect.DeepEqual(next, settings)
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -20,9 +20,11 @@
 		Bandwidth float64       // Bytes per second of the host's network link; zero if unknown.
 		Grace     time.Duration // Time from the stop signal to the kill.
 		// Drain is the limit from the announcement that a server is leaving to its last request; zero if unlimited.
-		Drain      time.Duration
-		RetryRatio float64       // Retries per request, for all routers together.
-		RetrySlack float64       // Retries beyond the ratio in a window, for all routers together.
-		RetrySpan  time.Duration // Window of the ratio and the slack.
+		Drain time.Duration
+		// ConfigApply is the limit from the store's confirmation of a configuration until it is in effect; zero if there is none.
+		ConfigApply time.Duration
+		RetryRatio  float64       // Retries per request, for all routers together.
+		RetrySlack  float64       // Retries beyond the ratio in a window, for all routers together.
+		RetrySpan   time.Duration // Window of the ratio and the slack.
 	}
 )
--- a/internal/event/store.go
+++ b/internal/event/store.go
@@ -18,5 +18,6 @@
 	StoreUsage            = register(762, zerolog.InfoLevel, "calls to the store since the start", "None. The byte counts are those of the bodies.")
 	SnapshotFailed        = register(763, zerolog.WarnLevel, "snapshot of a table cannot be read or written, the table itself is read", "Check the store if it repeats.")
 	StoreRestored         = register(764, zerolog.WarnLevel, "store came back from an older copy, writes that it had confirmed are gone", "Find out why the store was restored. See docs/RESTORE.md.")
+	FeedBehind            = register(765, zerolog.WarnLevel, "feed of a table has not told changes that the table itself shows, it is read in full", "Check the store if it repeats.")
 	RelayFailed           = register(760, zerolog.InfoLevel, "another router could not relay its rows of the store", "Check the named router if it repeats.")
 )
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"math"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,17 @@
 	maxBackoff = 400 * time.Millisecond
 	// skipCheckInterval is the time between two calls of Follower.Skip while it returns true.
 	skipCheckInterval = time.Second
+	// boundHoldShare and boundMarginShare are the parts of Follower.Bound for which the store may hold a feed call and for
+	// which its answer may take longer. The rest is left for reading the table after a call without an answer.
+	boundHoldShare   = 0.7
+	boundMarginShare = 0.15
+	// minBound is the shortest bound that is kept, which limits the number of calls.
+	minBound = 500 * time.Millisecond
+	// minBehindPause and maxBehindPause bound the time between two readings of the table because the feed names old
+	// versions, if they find nothing. behindMemory is how long a reading that found changes has all others follow at once.
+	minBehindPause = time.Second
+	maxBehindPause = 30 * time.Second
+	behindMemory   = time.Minute
 	// neverAge is the age of an event that has not happened.
 	neverAge = time.Duration(math.MaxInt64)
 )
@@ -41,7 +53,13 @@
 		Newest bool          // Whether only the current rows matter, so that the table is read anew after an outage.
 		Wait   time.Duration // Time for which the store may hold a feed call; feedWait if zero.
 		Pause  time.Duration // Time to wait after changes before asking for more, which are then delivered together.
-		Skip   func() bool   // Whether to make no calls for now; optional.
+		// Bound returns the time within which changes must be reported, whether a feed call hears of them or not; zero if
+		// there is none. It is optional.
+		Bound func() time.Duration
+		// Named is what the answers to all calls of this router have named, which shows a feed that lags behind. It is used if
+		// there is a bound; optional.
+		Named *Versions
+		Skip  func() bool // Whether to make no calls for now; optional.
 		// Snapshot is read instead of listing the table if there is one that the feed can continue from; optional.
 		Snapshot *Snapshot
 		Logger   *zerolog.Logger
@@ -49,8 +67,18 @@
 		lastAnswer    atomic.Pointer[time.Time] // Time of the last answer of the store.
 		era           atomic.Int64              // Era of the last answer.
 		version       atomic.Int64              // Version of the store up to which the table is known.
-		lastFailure   time.Time                 // Time of the last failed call; zero if none failed.
-		snapshotStale bool                      // Whether to ignore the snapshot because later changes may be gone.
+		behind        behind
+		lastFailure   time.Time // Time of the last failed call; zero if none failed.
+		snapshotStale bool      // Whether to ignore the snapshot because later changes may be gone.
+	}
+
+	// behind is what is known about a feed that names older versions than other answers.
+	behind struct {
+		reading bool          // Whether the table is read because of it.
+		known   int64         // Version of the table before that.
+		foundAt time.Time     // When such a reading last found changes; zero if none has.
+		pause   time.Duration // Least time between two such readings.
+		readAt  time.Time     // When the last one began.
 	}
 
 	// Change holds rows of a table that a follower received.
@@ -124,13 +152,17 @@
 	if version < 0 {
 		return f.readAll(ctx)
 	}
-	wait := cmp.Or(f.Wait, feedWait)
-	ctx, cancel := context.WithTimeout(ctx, wait+feedTimeoutMargin)
+	wait, margin := f.feedTimes()
+	ctx, cancel := context.WithTimeout(ctx, wait+margin)
 	defer cancel()
 	result, err := f.Store.Feed(ctx, f.Table, version, wait)
 	if err != nil {
 		return version, err
 	}
+	if f.feedIsBehind(result) {
+		f.behind.reading, f.behind.known, f.behind.readAt = true, version, time.Now()
+		return -1, nil
+	}
 	if f.recordEra(result.Era, result.Version) {
 		// The feed goes on after a version that the store has passed again, so that changes may be missing.
 		f.snapshotStale = true
@@ -140,6 +172,49 @@
 	return max(result.Version, version), nil
 }
 
+// feedTimes returns for how long the store may hold a feed call, and how much longer its answer may take.
+func (f *Follower) feedTimes() (wait, margin time.Duration) {
+	wait, margin = cmp.Or(f.Wait, feedWait), feedTimeoutMargin
+	bound := f.bound()
+	if bound <= 0 {
+		return wait, margin
+	}
+	bound = max(bound, minBound)
+	return min(wait, time.Duration(boundHoldShare*float64(bound))), min(margin, time.Duration(boundMarginShare*float64(bound)))
+}
+
+// bound returns the time within which changes must be reported, or zero.
+func (f *Follower) bound() time.Duration {
+	if f.Bound == nil {
+		return 0
+	}
+	return f.Bound()
+}
+
+// feedIsBehind reports whether an answer without changes names an older version than other answers did before, so that
+// the table is to be read. Where such readings find nothing, as with a store whose feed always names the version at
+// which the call began, there are few of them.
+func (f *Follower) feedIsBehind(result Result) bool {
+	if f.Named == nil || f.bound() <= 0 || len(result.Rows) > 0 || result.Era != f.era.Load() || result.Version >= f.Named.Settled(result.Era) {
+		return false
+	}
+	return time.Since(f.behind.foundAt) < behindMemory || time.Since(f.behind.readAt) >= f.behind.pause
+}
+
+// endBehind records what a reading of the table has found that the feed did not tell.
+func (f *Follower) endBehind(result Result) {
+	if !f.behind.reading {
+		return
+	}
+	f.behind.reading = false
+	if !slices.ContainsFunc(result.Rows, func(row Row) bool { return row.Version > f.behind.known }) {
+		f.behind.pause = min(max(2*f.behind.pause, minBehindPause), maxBehindPause)
+		return
+	}
+	f.behind.foundAt, f.behind.pause = time.Now(), 0
+	event.FeedBehind.Log(f.Logger).Str("table", f.Table).Int64("before", f.behind.known).Int64("version", result.Version).Send()
+}
+
 // readAll reads all rows, from the snapshot if there is one that the feed can continue from.
 func (f *Follower) readAll(ctx context.Context) (int64, error) {
 	if version, ok := f.readSnapshot(ctx); ok {
@@ -152,6 +227,7 @@
 		return -1, err
 	}
 	f.snapshotStale = false
+	f.endBehind(result)
 	f.applyResult(result, true, "store")
 	return result.Version, nil
 }
