--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -63,6 +63,7 @@
 		Store           store.Store
 		Usage           *store.Usage // Counts the calls to the store; optional.
 		Backend         dispatch.Backend
+		Health          dispatch.HealthChecker // Checks the health of backend servers; no checks if nil.
 		DecodeDirectory func(data []byte) (*inventory.Directory, error)
 		DecodeServer    func(name string, data []byte) (dispatch.Server, error)
 		DirectoryKey    store.Key
@@ -97,6 +98,7 @@
 		limiter        *ratelimit.Limiter
 		limitFollower  *store.Follower
 		cold           *coldstart.Limiter
+		versions       *store.Versions // Store, with the versions that its answers name.
 		streams        *resume.Tracker
 		bodies         *dispatch.BodyReader
 		carrier        *proxy.Handler
@@ -145,6 +147,8 @@
 }
 
 func (r *Router) buildComponents() {
+	r.versions = &store.Versions{Store: r.Store}
+	r.Store = r.versions
 	r.pool = &dispatch.Pool{Picker: &routing.Picker{
 		Router:  r.Settings.Node,
 		Block:   dispatch.PrefixBlockTokens,
@@ -152,6 +156,8 @@
 		Subset:  unlimitedSubset,
 		Reading: prefillWeight,
 		Noise:   scoreNoise,
+		Trials:  true,
+		Routers: func() int { return r.ledger.RouterCount() },
 		Metrics: r.scope.SubScope("routing"),
 		Logger:  r.Logger,
 	}}
@@ -187,6 +193,8 @@
 	}
 	r.operator = &store.Follower{
 		Store: r.Store, Table: r.DirectoryKey.Table, Part: r.DirectoryKey.Part, Apply: r.applyOperator, Newest: true, Logger: r.Logger,
+		Bound: func() time.Duration { return r.activeSettings.Load().ConfigApply },
+		Named: r.versions,
 	}
 	r.buildLimiter()
 	r.buildCold()
@@ -259,6 +267,12 @@
 			return serveHTTP(ctx, r.Settings.Ready, &http.Server{Handler: r.Readiness(r.ready)})
 		}},
 	}
+	if r.Health != nil {
+		prober := &dispatch.HealthProber{
+			Dispatcher: r.dispatcher, Checker: r.Health, Directory: &r.directory, Logger: r.Logger, Metrics: r.scope.SubScope("routing"),
+		}
+		list = append(list, controller{"health", prober.Run})
+	}
 	if r.Settings.Proxy != "" {
 		list = append(list, controller{"carry", r.carry})
 	}
@@ -369,6 +383,7 @@
 	if next.Regions != nil && settings.Regions != nil {
 		next.Regions = settings.Regions
 	}
+	next.ConfigApply = settings.ConfigApply
 	next.RetryRatio, next.RetrySlack, next.RetrySpan = settings.RetryRatio, settings.RetrySlack, settings.RetrySpan
 	next.ColdBound = settings.ColdBound
 	r.activeSettings.Store(&next)
--- a/internal/event/routing.go
+++ b/internal/event/routing.go
@@ -25,6 +25,8 @@
 	EvacuationBegun       = register(427, zerolog.WarnLevel, "data centre evacuated, its backend servers get no new requests", "None if planned. It ends when the operator removes the row.")
 	EvacuationEnded       = register(428, zerolog.InfoLevel, "evacuation of a data centre ended, its backend servers get requests again", "None.")
 	AttemptWithheld       = register(429, zerolog.InfoLevel, "request not sent to the picked backend server, another one is picked", "None. The data centre is evacuated, or no router in a home region reaches the server.")
+	HealthChecked         = register(430, zerolog.InfoLevel, "health of a backend server with an open circuit checked", "None. If it stays unhealthy, check the named server and its health path.")
+	CircuitTrial          = register(431, zerolog.InfoLevel, "request that may run only once probes a backend server", "None. If it fails although the server seemed healthy, check the health path of the service.")
 	ServerBrittle         = register(413, zerolog.WarnLevel, "backend server said how many rejections in a second it can stand", "Add capacity to its service, or reduce the load. Routers hold requests back that the server has no room for.")
 	ServerCold            = register(414, zerolog.InfoLevel, "backend server counts as cold, it gets few requests for some seconds", "None. Check the server if it repeats.")
 	PlaceCold             = register(415, zerolog.InfoLevel, "backend servers of a data centre count as cold, they get few requests for some seconds", "None.")
--- a/pkg/inventory/directory.go
+++ b/pkg/inventory/directory.go
@@ -76,6 +76,8 @@
 		// from all routers together. If one of them is zero, no server is cold.
 		ColdStart time.Duration
 		ColdRate  float64
+		// HealthPath is the path that answers requests for the health of a server; empty if there is none.
+		HealthPath string
 	}
 
 	// Engine describes the model engines of a service.
