Discard a response on a connection that was closed before its request

net/http may give a request a kept connection that BackendClient has just closed because the response on it belonged to another request. If the next response is already in the read buffer, net/http returns that one without an error although nothing of the request was sent. The request counted as possibly executed. proxy.send now sends such a request on another connection.

--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -36,15 +37,20 @@
 	}
 }
 
-// send sends a request, again as long as it gets only connections that were closed before.
+// send sends a request, again as long as it gets only connections that were closed before. A response on such a connection
+// is a rest in the read buffer of net/http, which belongs to an earlier request.
 func send(transport http.RoundTripper, request *http.Request) (*http.Response, *ConnTrace, error) {
 	ctx := request.Context()
 	for {
 		var conn ConnTrace
 		response, err := transport.RoundTrip(request.WithContext(conn.Context(ctx)))
-		if err == nil || !conn.onlyClosed || ctx.Err() != nil {
+		if !conn.onlyClosed || ctx.Err() != nil {
 			return response, &conn, err
 		}
+		if err == nil {
+			_ = response.Body.Close()
+			err = fmt.Errorf("%w: connection was closed before", ErrNotSent)
+		}
 		repeated, bodyErr := again(request)
 		if bodyErr != nil {
 			return nil, &conn, err
