Discard a response that follows a refusal on an engine's connection

If an engine writes a second response after a refusal, it may already be in the read buffer when net/http gives the connection to the next request. The request is now sent on another connection.

--- a/internal/engine/refusal_test.go
+++ b/internal/engine/refusal_test.go
@@ -111,3 +111,19 @@
 	group.Wait()
 	is.New(t).Equal(lost.Load(), int64(0))
 }
+
+// Guards against a response that follows a refusal, and that is already in the read buffer when net/http gives the
+// connection to the next request, being taken for the response to that request, of which nothing was sent.
+func TestResponseAfterRefusalIsNotThatOfTheNextRequest(t *testing.T) {
+	base := startEngine(t, func(int) string {
+		return "HTTP/1.1 429 Refused\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	})
+	client := &engine.Client{HTTP: engine.NewEngineHTTPClient()}
+	for i := range 3000 {
+		_, err := client.Chat(t.Context(), base, fmt.Sprintf("a-%d", i), "", []byte("{}"))
+		var refused *engine.RefusedError
+		if !errors.As(err, &refused) {
+			t.Fatalf("request %d, which was refused, ended with error %v", i, err)
+		}
+	}
+}
--- a/internal/engine/transport.go
+++ b/internal/engine/transport.go
@@ -42,17 +42,49 @@
 	})}
 }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. A response on a connection after a refusal may be a rest in the read buffer of
+// net/http that belongs to an earlier request, and is discarded.
 func (t refusalTransport) RoundTrip(request *http.Request) (*http.Response, error) {
-	var conn *refusalConn
-	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { conn, _ = info.Conn.(*refusalConn) },
-	})
-	response, err := t.RoundTripper.RoundTrip(request.WithContext(ctx))
-	if err == nil && conn != nil && response.StatusCode >= http.StatusBadRequest {
-		conn.refused.Store(true)
+	for {
+		var conn *refusalConn
+		refusedBefore := false
+		ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+			GotConn: func(info httptrace.GotConnInfo) {
+				conn, _ = info.Conn.(*refusalConn)
+				refusedBefore = wasRefused(info.Conn)
+			},
+		})
+		response, err := t.RoundTripper.RoundTrip(request.WithContext(ctx))
+		if err != nil || !refusedBefore {
+			if err == nil && conn != nil && response.StatusCode >= http.StatusBadRequest {
+				conn.refused.Store(true)
+			}
+			return response, err
+		}
+		_ = response.Body.Close()
+		_ = conn.Close()
+		if !renewBody(&request) {
+			return nil, errRefusedBefore
+		}
+	}
+}
+
+// renewBody replaces a request by one that can be sent again, and reports false if its body cannot be read again.
+func renewBody(request **http.Request) bool {
+	if (*request).Body == nil || (*request).Body == http.NoBody {
+		return true
+	}
+	if (*request).GetBody == nil {
+		return false
+	}
+	body, err := (*request).GetBody()
+	if err != nil {
+		return false
 	}
-	return response, err
+	renewed := (*request).Clone((*request).Context())
+	renewed.Body = body
+	*request = renewed
+	return true
 }
 
 // Write implements net.Conn. If it fails because of an earlier refusal, no part of the request was sent, and net/http
