Treat a response with an invalid status as none

net/http passes on all statuses of three digits. A status below 100 made the router close its caller's connection, one above 599 and 101 reached callers, and another router ended its connection, which counted as a failure of the way. Such a response now counts as lost: 502 for a request that may have run, a retry for an idempotent one, on the direct way, through another router and in the product's own front end.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -207,6 +207,11 @@
 	})
 	ctx = proxy.WithCall(ctx, proxy.Call{Request: request.Header.Get(HeaderAttempt), Permit: true})
 	response, err := c.HTTP.Do(request.WithContext(ctx))
+	if err == nil {
+		if err = proxy.CheckStatus(response); err != nil {
+			_ = response.Body.Close()
+		}
+	}
 	var refused *proxy.RefusedError
 	var lost *proxy.LostError
 	switch {
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -9,6 +10,16 @@
 	"time"
 )
 
+const (
+	// minFinalStatus and maxStatus bound the statuses of responses that end a request.
+	minFinalStatus = 200
+	maxStatus      = 599
+)
+
+var (
+	errInvalidStatus = errors.New("proxy: response has an invalid status")
+)
+
 type (
 	// ConnTrace records the connections that net/http uses for one request. net/http may give a request a connection that
 	// its peer has closed already, so that nothing can have been sent on it.
@@ -45,6 +56,12 @@
 		var conn ConnTrace
 		response, err := transport.RoundTrip(request.WithContext(conn.Context(ctx)))
 		if !conn.onlyClosed || ctx.Err() != nil {
+			if err == nil {
+				err = checkStatus(response, &conn)
+			}
+			if err != nil {
+				response = nil
+			}
 			return response, &conn, err
 		}
 		if err == nil {
@@ -58,3 +75,22 @@
 		request = repeated
 	}
 }
+
+// checkStatus returns an error for a response whose status is invalid, and closes its connection.
+func checkStatus(response *http.Response, conn *ConnTrace) error {
+	err := CheckStatus(response)
+	if err != nil {
+		_ = response.Body.Close()
+		conn.Close()
+	}
+	return err
+}
+
+// CheckStatus returns an error if the status of a response is none of a final HTTP response. net/http accepts all statuses
+// of three digits, and 101 although no request asks for another protocol.
+func CheckStatus(response *http.Response) error {
+	if response.StatusCode < minFinalStatus || response.StatusCode > maxStatus {
+		return fmt.Errorf("%w: %03d", errInvalidStatus, response.StatusCode)
+	}
+	return nil
+}
