Take no end of a connection during the upload for the end of a response

A response without a length ends with its connection. A server that fails while it receives the request may end the connection regularly first and reset it when more of the request arrives. The part then counted as a complete response, on the direct way and through another router. Its end is now an error unless the whole request was sent. Both front ends send all requests by proxy.Transport.

A response that a server deliberately sends without a length before it has read the request can't be told from a cut one and is lost, too.

--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -54,15 +54,17 @@
 	ctx := request.Context()
 	for {
 		var conn ConnTrace
-		response, err := transport.RoundTrip(request.WithContext(conn.Context(ctx)))
+		var sent upload
+		response, err := transport.RoundTrip(request.WithContext(conn.Context(sent.context(ctx))))
 		if !conn.onlyClosed || ctx.Err() != nil {
 			if err == nil {
 				err = checkStatus(response, &conn)
 			}
 			if err != nil {
-				response = nil
+				return nil, &conn, err
 			}
-			return response, &conn, err
+			sent.guard(request, response)
+			return response, &conn, nil
 		}
 		if err == nil {
 			_ = response.Body.Close()
