--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -50,6 +50,9 @@
 		Waiting int       // Requests waiting to join the batch.
 		Queued  int64     // Prompt tokens not yet processed.
 		Urgent  int64     // Part of Queued that belongs to requests with a priority above zero.
+		// WorkTime is the present time of a piece of work relative to the usual one, 1.0 if as usual. It is above that while
+		// neighbours on its machine slow the server down, and zero if the server does not report it.
+		WorkTime float64
 	}
 
 	// Request describes an attempt to the picker.
