Choose servers by the relative work times that they report

The estimated times of a server are multiplied by the mean of its recent reports, and measured times are divided by it before they are learned. Without reports decisions are as before.

--- a/internal/dispatch/log.go
+++ b/internal/dispatch/log.go
@@ -37,7 +37,7 @@
 func (c *call) logSent(server *Server, choice *routing.Choice) {
 	estimate := choice.Expected
 	c.logEvent(event.AttemptSent).Str("server", server.Name).Str("software", server.Software).Int64("cached", estimate.Cached).Int64("ahead", estimate.Ahead).
-		Int("batch", estimate.Batch).Dur("load_age", estimate.Age).Dur("left", time.Until(c.deadline())).Send()
+		Int("batch", estimate.Batch).Dur("load_age", estimate.Age).Float64("work", estimate.WorkTime).Dur("left", time.Until(c.deadline())).Send()
 }
 
 // logNoServerAvailable logs why no server accepts the request.
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -41,6 +41,8 @@
 		Ahead  int64         // Prompt tokens to be processed until the first token, including those of the request.
 		Batch  int           // Requests that run at the server, including this one.
 		Age    time.Duration // Age of the load report; zero if there is none.
+		// WorkTime is the relative work time that the estimates count with; one if the server reports none.
+		WorkTime float64
 	}
 )
 
@@ -64,7 +66,7 @@
 	c.lastProgress = now
 	c.clearPending(now)
 	work := (fixedTokens + c.tokensAhead) * (doublingBatch + c.batchSize) / doublingBatch
-	p.learn(&c.server.speed.firstToken, &p.fleetSpeed.firstToken, now.Sub(c.sentAt).Seconds(), work, now)
+	p.learnFrom(c.server, &c.server.speed.firstToken, &p.fleetSpeed.firstToken, now.Sub(c.sentAt).Seconds(), work, now)
 	for _, prefix := range c.prefixHashes[:min(len(c.prefixHashes), maxPrefixBlocks)] {
 		p.addPrefix(prefix, c.server)
 	}
@@ -130,7 +132,7 @@
 		c.learnTokenGap(o.Output, now)
 	case o.First > 0:
 		work := (fixedTokens + c.tokensAhead) * (doublingBatch + c.batchSize) / doublingBatch
-		p.learn(&s.speed.firstToken, &p.fleetSpeed.firstToken, o.First.Seconds(), work, now)
+		p.learnFrom(s, &s.speed.firstToken, &p.fleetSpeed.firstToken, o.First.Seconds(), work, now)
 	}
 	if c.cachedTokens <= 0 || o.Cached < 0 {
 		return
@@ -147,7 +149,7 @@
 	}
 	batchSize, _ := p.expectedWork(s, p.workShare.scale(), now, false)
 	work := float64(newTokens) * (doublingBatch + (batchSize+c.batchSize)/2)
-	p.learn(&s.speed.tokenGap, &p.fleetSpeed.tokenGap, now.Sub(c.lastProgress).Seconds(), work, now)
+	p.learnFrom(s, &s.speed.tokenGap, &p.fleetSpeed.tokenGap, now.Sub(c.lastProgress).Seconds(), work, now)
 	c.lastProgress = now
 	c.outputTokens = tokens
 	c.batchSize = batchSize
--- a/internal/routing/initialize.go
+++ b/internal/routing/initialize.go
@@ -38,6 +38,8 @@
 		failed: scope.Counter("failed"),
 		opened: scope.Counter("opened"),
 		closed: scope.Counter("closed"),
+
+		workTimes: scope.Counter("worktimes"),
 	}
 }
 
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -55,6 +55,8 @@
 		failed tally.Counter
 		opened tally.Counter
 		closed tally.Counter
+		// workTimes counts load reports with a relative work time.
+		workTimes tally.Counter
 	}
 
 	// server is the picker's state for one backend server.
@@ -73,6 +75,7 @@
 		ownWork        ownWork
 		history        *history
 		speed          speed
+		workTime       workTime
 		nameHash       uint64    // Hash of the name, for selecting the home server of a prefix.
 		minHintExpiry  int64     // Least expiry of its entries in the prefix index; older ones are of another server.
 		cacheHitRatio  float64   // Mean fraction of the expected cached tokens that the server found in its cache.
@@ -163,6 +166,10 @@
 	}
 	s.load = load
 	s.hasLoad = true
+	if load.WorkTime > 0 {
+		p.counters.workTimes.Inc(1)
+		s.workTime.add(load.WorkTime, load.Time)
+	}
 	s.ownAtReport = ownWork{}
 	if s.history != nil {
 		s.ownAtReport = s.history.at(load.Time)
@@ -325,7 +332,7 @@
 	}
 	c.batchSize, c.tokensAhead = p.expectedWork(s, p.workShare.scale(), now, c.urgent)
 	s.recordOwnWork(now)
-	c.Expected = Expectation{Cached: c.cachedTokens, Ahead: int64(c.tokensAhead), Batch: int(c.batchSize)}
+	c.Expected = Expectation{Cached: c.cachedTokens, Ahead: int64(c.tokensAhead), Batch: int(c.batchSize), WorkTime: s.workTime.factor(now)}
 	if s.hasLoad {
 		c.Expected.Age = now.Sub(s.load.Time)
 	}
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -80,6 +80,9 @@
 	firstToken := s.speed.firstToken.at(now, p.fleetSpeed.firstToken, defaultFirstTokenUnit) * work * (doublingBatch + batchSize) / doublingBatch
 	tokenGap := s.speed.tokenGap.at(now, p.fleetSpeed.tokenGap, defaultTokenGapUnit) * (doublingBatch + batchSize + 1)
 	promptCost := p.Reading * p.fleetSpeed.firstToken.at(now, p.fleetSpeed.firstToken, defaultFirstTokenUnit) * float64(r.Prompt-cachedTokens)
+	factor := s.workTime.factor(now)
+	firstToken *= factor
+	tokenGap *= factor
 	score := (firstToken + tokenGapWeight*tokenGap + promptCost) / p.slowStartShare(s, now)
 	return estimate{score: score, firstToken: firstToken, tokenGap: tokenGap, cachedTokens: cachedTokens, batchSize: batchSize}
 }
@@ -124,6 +127,12 @@
 	return max(minSlowStartShare, float64(age)/float64(rampTime))
 }
 
+// learnFrom adds a time that the server took, as learn does, without the part that its work time explains: estimate adds that
+// part again by the work time at the time of a decision. If it were learned too, it would count twice.
+func (p *Picker) learnFrom(s *server, own, fleet *unitTime, seconds, work float64, now time.Time) {
+	p.learn(own, fleet, seconds/s.workTime.factor(now), work, now)
+}
+
 // learn adds a sample, the time in seconds that an amount of work took, to the speeds of the server and of the fleet.
 func (p *Picker) learn(server, fleet *unitTime, seconds, work float64, now time.Time) {
 	if seconds <= 0 || work <= 0 {
