Reset the connection of a caller of HTTP/1.0 whose response is cut short

A response without a length over HTTP/1.0 ends with its connection, so that the regular close of an aborted one made the part look complete. Both front ends now reset such a connection.

--- a/internal/caller/watchdog.go
+++ b/internal/caller/watchdog.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"citronslip/internal/dial"
 )
 
 const (
@@ -61,6 +63,12 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		watchdog := f.newWatchdog(w, r)
 		defer watchdog.stop()
+		defer func() {
+			if cause := recover(); cause != nil {
+				dial.AbortHTTP10(w, r)
+				panic(cause)
+			}
+		}()
 		r.Body = watchedBody{watchdog}
 		next.ServeHTTP(watchdog, r)
 	})
--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -192,3 +192,11 @@
 	encrypted, ok := c.(*tls.Conn)
 	return ok && encrypted.ConnectionState().NegotiatedProtocol == "h2"
 }
+
+// SetLinger sets the linger time if the connection supports that.
+func (c *conn) SetLinger(seconds int) error {
+	if l, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return l.SetLinger(seconds)
+	}
+	return nil
+}
--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"citronslip/internal/dial"
 	"citronslip/internal/event"
 )
 
@@ -81,7 +82,16 @@
 		if value != http.ErrAbortHandler {
 			event.CallerHandlerPanicked.Log(logger).Str("peer", r.RemoteAddr).Any("cause", value).Bytes("stack", debug.Stack()).Send()
 		}
+		dial.AbortHTTP10(w, r)
 		panic(http.ErrAbortHandler)
 	}()
 	handler.ServeHTTP(w, r)
 }
+
+// SetLinger sets the linger time if the connection below supports that.
+func (c *callerConn) SetLinger(seconds int) error {
+	if l, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return l.SetLinger(seconds)
+	}
+	return nil
+}
