--- a/internal/routing/initialize.go
+++ b/internal/routing/initialize.go
@@ -39,6 +39,8 @@
 		opened: scope.Counter("opened"),
 		closed: scope.Counter("closed"),
 		trials: scope.Counter("trials"),
+
+		workTimes: scope.Counter("worktimes"),
 	}
 }
 
