Limit spending after an unanswered return until a row has changed

After a lost answer the rows were read again, and unchanged rows lifted the limit of spending, although the write could still be applied. Tokens were then spent twice. The limit now stays until a row in the conditions of the write has changed; a write of the grant row alone brings that about.

--- a/internal/prepaid/heartbeat.go
+++ b/internal/prepaid/heartbeat.go
@@ -332,7 +332,7 @@
 			}
 			continue
 		}
-		next := plannedRows{budget: a.budget, era: a.era, capBefore: a.spendCap, unansweredBefore: a.unanswered}
+		next := plannedRows{budget: a.budget, era: a.era, unansweredBefore: a.unanswered}
 		l.countWrite(&next.budget, int(min(a.used(), int64(a.grant.Amount))), -a.grant.Amount)
 		grantRow, budgetRow := grantKey(a.name, l.Node), budgetKey(a.name)
 		w := store.Write{
@@ -341,6 +341,7 @@
 			Remove: []store.Key{grantRow},
 		}
 		l.lowerSpendCap(a, a.used())
+		next.unanswered = a.unanswered
 		l.mu.Unlock()
 		err := l.commit(a, w, next)
 		if err == nil {
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -11,7 +11,6 @@
 	"citronslip/internal/dispatch"
 	"citronslip/internal/event"
 	"citronslip/internal/store"
-	"citronslip/internal/wire"
 	"citronslip/pkg/inventory"
 )
 
@@ -63,20 +62,19 @@
 		total         inventory.Tokens
 		totalVersion  int64 // Configuration version of the total.
 		budget        budgetState
-		told          budgetState      // Changes in budget rows of which other routers have told; its sums do not count.
-		grant         grantState       // Row of this router's grant.
-		loaded        bool             // Whether the budget row and the grant row were read.
-		era           int64            // Era of the store whose rows budget and grant are.
-		restored      *accountRows     // Rows in a later era, with which budget and grant are to be reconciled; nil before they were read.
-		grownAt       time.Time        // When the grant last grew after it had not for maturityTime.
-		matureAmount  int64            // Amount of the grant before that.
-		inherited     bool             // Whether an earlier process of this router may have left a grant.
-		spent         int64            // Tokens that were settled by this instance.
-		reserved      int64            // Tokens that are reserved by requests in progress.
-		spendCap      int64            // Limit of spending while a write that shrinks the grant is unanswered; -1 if none.
-		unanswered    *wire.PrepaidEra // Era and number of the earliest unanswered write that shrinks the grant; nil if none.
-		grantDemand   rateMeter        // Demand on this router's grant, by its own callers and other routers.
-		callerDemand  rateMeter        // Demand by this router's own callers only.
+		told          budgetState       // Changes in budget rows of which other routers have told; its sums do not count.
+		grant         grantState        // Row of this router's grant.
+		loaded        bool              // Whether the budget row and the grant row were read.
+		era           int64             // Era of the store whose rows budget and grant are.
+		restored      *accountRows      // Rows in a later era, with which budget and grant are to be reconciled; nil before they were read.
+		grownAt       time.Time         // When the grant last grew after it had not for maturityTime.
+		matureAmount  int64             // Amount of the grant before that.
+		inherited     bool              // Whether an earlier process of this router may have left a grant.
+		spent         int64             // Tokens that were settled by this instance.
+		reserved      int64             // Tokens that are reserved by requests in progress.
+		unanswered    *unansweredShrink // Unanswered writes that shrink the grant, which limit spending; nil if none.
+		grantDemand   rateMeter         // Demand on this router's grant, by its own callers and other routers.
+		callerDemand  rateMeter         // Demand by this router's own callers only.
 		ranking       *ranking
 		waiters       []*waiter // In the order of arrival.
 		writerRunning bool      // Whether the account's writer goroutine runs.
@@ -264,7 +262,7 @@
 	}
 	a := l.accounts[name]
 	if a == nil {
-		a = &account{name: name, spendCap: -1}
+		a = &account{name: name}
 		l.accounts[name] = a
 	}
 	return a
@@ -300,8 +298,8 @@
 	if !l.stopped {
 		limit = Spendable(int64(a.grant.Opened), l.autonomousAmount(a), l.storeStatus.age(l.Now()))
 	}
-	if a.spendCap >= 0 {
-		limit = min(limit, a.spendCap)
+	if a.unanswered != nil {
+		limit = min(limit, a.unanswered.limit)
 	}
 	return limit
 }
--- a/internal/prepaid/plan.go
+++ b/internal/prepaid/plan.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"citronslip/internal/store"
-	"citronslip/internal/wire"
 )
 
 const (
@@ -35,10 +34,9 @@
 		budget budgetState
 		grant  grantState
 		era    int64 // Era of the store in which the write was planned.
-		// capBefore and unansweredBefore are the values of the account before a write that makes the grant smaller.
-		capBefore        int64
-		unansweredBefore *wire.PrepaidEra
-		resolves         bool // Whether the write settles what became of an unanswered one before the current era.
+		// unansweredBefore and unanswered are the values of the account before and after the write was planned.
+		unansweredBefore, unanswered *unansweredShrink
+		resolves                     bool // Whether the write settles what became of an unanswered one before the current era.
 	}
 )
 
@@ -69,6 +67,9 @@
 		}
 		return l.planTakeover(a)
 	}
+	if a.unanswered != nil {
+		return l.planSettle(a)
+	}
 	target := l.targetSize(a)
 	waitingTokens := int64(0)
 	for _, w := range a.waiters {
@@ -111,19 +112,6 @@
 	return l.planGrantAndBudgetWrite(a, next, 0, next.grant.Amount-a.grant.Amount)
 }
 
-// lowerSpendCap limits spending until a write that shrinks the grant is answered. Any one of several unanswered writes
-// may have taken effect, so the smallest limit applies.
-func (l *Ledger) lowerSpendCap(a *account, limit int64) {
-	if a.unanswered == nil {
-		changes := a.budget.changesIn(int(l.storeStatus.era))
-		changes.Sequence++
-		a.unanswered = &changes
-	}
-	if a.spendCap < 0 || limit < a.spendCap {
-		a.spendCap = limit
-	}
-}
-
 // refuseOrReread refuses the waiting requests that the budget does not cover. If the budget row is older than
 // maxRefusalRowAge, it reads the row again first.
 func (l *Ledger) refuseOrReread(a *account) (store.Write, plannedRows, bool) {
--- a/internal/prepaid/prepaid_test.go
+++ b/internal/prepaid/prepaid_test.go
@@ -54,6 +54,8 @@
 		writeSlot        chan struct{} // Limits concurrent writes of grants to its capacity; nil for no limit.
 		// unavailable reports whether the store resets the connections of calls for a row; nil if it does for none.
 		unavailable atomic.Pointer[func(store.Key) bool]
+		// lateBy returns after which time a write is applied whose answer is lost, or zero for other writes; nil if no answer is lost.
+		lateBy atomic.Pointer[func(store.Write) time.Duration]
 	}
 
 	// syncBuffer is a buffer for concurrent use.
@@ -143,6 +145,13 @@
 	if len(w.Expect) > 0 {
 		c.router.fleet.writes.Add(1)
 	}
+	if lateBy := c.router.fleet.lateBy.Load(); lateBy != nil {
+		if late := (*lateBy)(w); late > 0 {
+			time.AfterFunc(late, func() { _ = c.router.fleet.store.WriteDirect(w) })
+			<-ctx.Done()
+			return store.Result{}, store.ErrUnknown
+		}
+	}
 	time.Sleep(c.router.fleet.roundTrip / 2)
 	defer time.Sleep(c.router.fleet.roundTrip / 2)
 	if slot := c.router.fleet.writeSlot; slot != nil && len(w.Expect) > 0 {
--- a/internal/prepaid/restore.go
+++ b/internal/prepaid/restore.go
@@ -249,17 +249,18 @@
 // hasUnansweredBefore reports whether a write that makes the grant smaller was not answered before the given era. Answers of
 // a later era do not tell whether it was applied.
 func (a *account) hasUnansweredBefore(era int64) bool {
-	return a.unanswered != nil && int64(a.unanswered.Era) < era
+	return a.unanswered != nil && int64(a.unanswered.first.Era) < era
 }
 
 // planResolve decides about a write before the new era that would have made the grant smaller and was not answered. If the
 // budget row has changes of that era that may include it, the tokens are another's and the grant is written as smaller.
 // Otherwise they are still counted as this router's.
 func (l *Ledger) planResolve(a *account) (store.Write, plannedRows, bool) {
-	included := a.budget.changesIn(a.unanswered.Era).Sequence >= a.unanswered.Sequence || a.unanswered.Era < a.budget.oldestEra()
-	smaller := max(a.spendCap, a.used())
+	first := a.unanswered.first
+	included := a.budget.changesIn(first.Era).Sequence >= first.Sequence || first.Era < a.budget.oldestEra()
+	smaller := max(a.unanswered.limit, a.used())
 	if !included || a.grant.Holder != l.Instance || smaller >= int64(a.grant.Amount) {
-		a.spendCap, a.unanswered = -1, nil
+		l.endUnanswered(a)
 		return l.planWrite(a)
 	}
 	next := plannedRows{budget: a.budget, grant: a.grant, resolves: true}
@@ -301,12 +302,11 @@
 // reconcileNow makes the next step towards the rows of a new era for an account whose grant is to be closed. The caller
 // holds the lock, which is released.
 func (l *Ledger) reconcileNow(ctx context.Context, a *account) error {
-	capBefore, unansweredBefore := a.spendCap, a.unanswered
 	w, next, ok := l.planReconcile(a)
 	if ok && len(w.Puts) > 0 && l.storeStatus.mayBeRestored(l.Now()) {
 		w, next, _ = l.planReread(a)
 	}
-	next.era, next.capBefore, next.unansweredBefore = l.storeStatus.era, capBefore, unansweredBefore
+	next.era, next.unansweredBefore, next.unanswered = l.storeStatus.era, a.unanswered, a.unanswered
 	l.mu.Unlock()
 	if !ok {
 		return nil
--- a/internal/prepaid/write.go
+++ b/internal/prepaid/write.go
@@ -72,14 +72,14 @@
 			delay.Sleep(context.Background(), wait)
 		}
 		l.mu.Lock()
-		capBefore, unansweredBefore := a.spendCap, a.unanswered
+		before := a.unanswered
 		w, next, ok := l.planWrite(a)
 		if ok && len(w.Puts) > 0 && l.storeStatus.mayBeRestored(l.Now()) {
 			// In a new era the conditions of the write might hold by chance.
-			a.spendCap, a.unanswered = capBefore, unansweredBefore
+			a.unanswered = before
 			w, next, _ = l.planReread(a)
 		}
-		next.era, next.capBefore, next.unansweredBefore = l.storeStatus.era, capBefore, unansweredBefore
+		next.era, next.unansweredBefore, next.unanswered = l.storeStatus.era, before, a.unanswered
 		if !ok {
 			a.writerRunning = false
 			l.mu.Unlock()
@@ -136,9 +136,9 @@
 // remaining returns the time until the next write is allowed, or 0.
 func (b *writeBackoff) remaining(now time.Time) time.Duration { return max(0, b.until.Sub(now)) }
 
-// commit executes a planned write and updates the account from the result. An unanswered write may still take effect;
-// the next write has the same conditions, so at most one of the two does. The error wraps an error of the store, or
-// errUnreadableRow.
+// commit executes a planned write and updates the account from the result. An unanswered write may still take effect, until
+// a row in its conditions has changed; while the rows stay unchanged, the next write has the same conditions, so at most one
+// of the two does. The error wraps an error of the store, or errUnreadableRow.
 func (l *Ledger) commit(a *account, w store.Write, next plannedRows) error {
 	ctx, cancel := context.WithTimeout(context.Background(), storeCallTimeout)
 	defer cancel()
@@ -164,8 +164,8 @@
 			return unreadable
 		}
 	default:
-		if errors.Is(err, store.ErrUnavailable) {
-			a.spendCap, a.unanswered = next.capBefore, next.unansweredBefore // Nothing was written.
+		if errors.Is(err, store.ErrUnavailable) && a.unanswered == next.unanswered {
+			a.unanswered = next.unansweredBefore // Nothing was written.
 		}
 		l.storeStatus.failedAt = l.Now()
 		a.provedAt, a.proofDue = time.Time{}, false
@@ -193,7 +193,7 @@
 		}
 	}
 	if next.resolves || !a.hasUnansweredBefore(next.era) {
-		a.spendCap, a.unanswered = -1, nil
+		l.endUnanswered(a) // A row in the conditions of the unanswered writes has changed.
 	}
 	a.era, a.restored, a.loaded = next.era, nil, true
 	if a.grant.Holder == l.Instance && previous.Holder != l.Instance {
@@ -239,14 +239,16 @@
 		return nil
 	}
 	a.grant = grant
+	var readBudget *budgetState
 	if len(w.Expect) > 1 {
 		a.stale = false
 		a.budget = budget
 		a.budgetReadAt = l.Now()
 		a.loaded = true
+		readBudget = &budget
 	}
-	if !a.hasUnansweredBefore(a.era) {
-		a.spendCap, a.unanswered = -1, nil
+	if u := a.unanswered; u != nil && !a.hasUnansweredBefore(a.era) && u.isSettledBy(&grant, readBudget) {
+		l.endUnanswered(a)
 	}
 	event.PrepaidWriteConflict.Log(l.Logger).Str("account", a.name).Int64("own", grant.version).Int64("sum", a.budget.version).Send()
 	return nil
