Write the rows of software versions on condition of their versions

A write that got no answer could be applied after a later one and replace it, so that a router which started then did not know that several versions served.

--- a/internal/resume/fleet_test.go
+++ b/internal/resume/fleet_test.go
@@ -23,6 +23,8 @@
 	hop = time.Millisecond
 	// streamWindow is the time in which a caller may take a stream up.
 	streamWindow = 30 * time.Second
+	// lateWriteTime is the time after which a write whose answer was lost is applied.
+	lateWriteTime = 4 * time.Second
 	// startTime is the time in which a router reads the rows after its start.
 	startTime = 50 * time.Millisecond
 )
@@ -39,6 +41,7 @@
 		stop    context.CancelFunc
 		store   *store.Memory
 		down    atomic.Bool // Whether the store refuses all calls.
+		late    atomic.Bool // Whether the next write is applied late and its answer is lost.
 		begin   time.Time
 		routers []*router
 		byName  map[string]*router
@@ -70,9 +73,12 @@
 func newFleet(t testing.TB, routers int, versions ...string) *fleet {
 	f := &fleet{t: t, begin: time.Now(), versions: versions, byName: make(map[string]*router)}
 	f.ctx, f.stop = context.WithCancel(context.Background())
-	f.store = &store.Memory{Fault: func(bool) store.Fault {
-		if f.down.Load() {
+	f.store = &store.Memory{Delay: lateWriteTime, Fault: func(write bool) store.Fault {
+		switch {
+		case f.down.Load():
 			return store.RefuseCall
+		case write && f.late.CompareAndSwap(true, false):
+			return store.DelayCall
 		}
 		return store.NoFault
 	}}
--- a/internal/resume/resume_test.go
+++ b/internal/resume/resume_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
@@ -153,6 +154,28 @@
 	}
 }
 
+// Guards against a row that hides from routers which start that several versions serve: a write that said so before got no
+// answer, a later one was answered, and then the earlier one was applied.
+func TestLateWriteDoesNotReplaceLaterRow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 2, "v1")
+		defer f.close()
+		time.Sleep(2 * time.Second)
+		f.late.Store(true)
+		f.serve("v2")
+		time.Sleep(500 * time.Millisecond) // The write is under way.
+		is.True(!f.late.Load())
+		f.serve("v2", "v3")
+		time.Sleep(lateWriteTime)
+		result, err := f.store.List(t.Context(), resume.Table, "")
+		is.NoErr(err)
+		var row wire.ResumeRow
+		is.NoErr(json.Unmarshal(result.Rows[0].Value, &row))
+		is.True(row.Several)
+	})
+}
+
 // Guards against refusing all streams while the store is away, and against trusting a router that reaches nobody.
 func TestStreamsAreTakenUpWhileStoreIsAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/resume/row.go
+++ b/internal/resume/row.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
+	"errors"
 	"time"
 
 	"citronslip/internal/delay"
@@ -41,6 +41,7 @@
 		several   bool      // Whether several versions serve.
 		software  string    // One of the versions that served last.
 		severalAt time.Time // When several versions served last, or a later time; zero if that is not known.
+		version   int64     // Version of the row; zero if there is none.
 	}
 )
 
@@ -89,7 +90,7 @@
 			event.SoftwareRowInvalid.Log(t.Logger).Str("service", row.Name).Err(err).Send()
 			value.Several = true // The careful reading; the row is written again.
 		}
-		known := service{several: value.Several, software: value.Software}
+		known := service{several: value.Several, software: value.Software, version: row.Version}
 		switch {
 		case value.Several:
 			known.severalAt = now
@@ -125,7 +126,8 @@
 	}
 }
 
-// writeRows writes the rows of the services whose versions have changed.
+// writeRows writes the rows of the services whose versions have changed, provided that they are as they were read or written
+// last: an earlier write that got no answer may still be applied, and must not replace a later one.
 func (t *Tracker) writeRows(ctx context.Context) {
 	t.mu.Lock()
 	changed := t.changedRows()
@@ -144,15 +146,24 @@
 		if err != nil {
 			panic(err) // A struct of texts and numbers can always be encoded.
 		}
-		write.Puts = append(write.Puts, store.Put{Key: store.Key{Table: Table, Name: name}, Value: value})
+		key := store.Key{Table: Table, Name: name}
+		write.Expect = append(write.Expect, store.Condition{Key: key, Version: t.rows.byService[name].version})
+		write.Puts = append(write.Puts, store.Put{Key: key, Value: value})
 	}
 	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
 	defer cancel()
-	_, err := t.Store.Write(ctx, write)
+	result, err := t.Store.Write(ctx, write)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if errors.Is(err, store.ErrConflict) {
+		t.rows.nextRead = time.Time{} // Read the rows before the next write.
+		return
+	}
 	if t.recordOutcome(err) == nil {
-		maps.Copy(t.rows.byService, changed)
+		for name, next := range changed {
+			next.version = result.Version
+			t.rows.byService[name] = next
+		}
 	}
 }
 
