Keep the row of a rate limit that was named again during its removal

A removal without an answer could be applied after the server had named the limit again. A successor of an issuer that was cut off then found no row and issued permits at the full rate beside it.

--- a/internal/ratelimit/fleet_test.go
+++ b/internal/ratelimit/fleet_test.go
@@ -34,6 +34,8 @@
 	window          = 4 * time.Second
 	windowFactor    = 1.5
 	windowTolerance = 5
+	// lateWriteTime is the time after which a write whose answer was lost is applied.
+	lateWriteTime = 4 * time.Second
 	// informTime is how long after a response has told a router the limit its requests count.
 	informTime = 500 * time.Millisecond
 )
@@ -50,6 +52,7 @@
 		t       testing.TB
 		store   *store.Memory
 		down    atomic.Bool // Whether the store refuses all calls.
+		late    atomic.Bool // Whether the next write is applied late and its answer is lost.
 		server  server
 		routers []*router // Only for the goroutine of the test.
 		mu      sync.Mutex
@@ -89,9 +92,12 @@
 // newFleet starts routers, each of which sends the given number of requests per second.
 func newFleet(t testing.TB, routers int, rate float64) *fleet {
 	f := &fleet{t: t, logger: zerolog.Nop(), byName: make(map[string]*router)}
-	f.store = &store.Memory{Fault: func(bool) store.Fault {
-		if f.down.Load() {
+	f.store = &store.Memory{Delay: lateWriteTime, Fault: func(write bool) store.Fault {
+		switch {
+		case f.down.Load():
 			return store.RefuseCall
+		case write && f.late.CompareAndSwap(true, false):
+			return store.DelayCall
 		}
 		return store.NoFault
 	}}
--- a/internal/ratelimit/issuer.go
+++ b/internal/ratelimit/issuer.go
@@ -145,7 +145,7 @@
 	switch {
 	case known.row.Issuer != l.Instance:
 		return l.standInShare(p)
-	case now.Before(known.fullRateAt) || l.NewsAge() > Lease:
+	case now.Before(known.fullRateAt), l.NewsAge() > Lease, known.removing:
 		return unconfirmedShare
 	default:
 		return 1
@@ -200,6 +200,7 @@
 	}
 	known := l.learn(p, report.Permit, terms{Rate(report.Rate), Rate(report.Brittle)}, "router")
 	known.ended = known.ended && !isNew
+	l.keepRow(p, known)
 	if known.row.version == 0 && l.isHome(p, append(l.Members(), l.Address)) {
 		l.claim(p, known)
 	}
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -83,6 +83,7 @@
 		wroteAt    time.Time            // When the last write ended.
 		offline    bool                 // Whether it failed because the store did not answer.
 		ended      bool                 // Whether the server no longer names a limit. The row is being removed.
+		removing   bool                 // Whether a removal of the row got no answer and may still be applied.
 
 		// The following fields are those of a router that asks for permits.
 		freeAt    time.Time // Time before which no permit is free, as the issuer said.
--- a/internal/ratelimit/limiter_test.go
+++ b/internal/ratelimit/limiter_test.go
@@ -214,6 +214,28 @@
 	}
 }
 
+// Guards against two issuers that both issue permits at the full rate: the removal of the row got no answer, the server named
+// the limit again, the issuer was cut off, and then the removal was applied, so that its successor found no row.
+func TestLimitNamedAgainOutlivesUnansweredRemoval(t *testing.T) {
+	withFleet(t, 60, 20, func(_ *is.I, f *fleet) {
+		const limit = 100
+		f.setLimit(limit)
+		time.Sleep(20 * time.Second)
+		issuer := f.issuer()
+		f.late.Store(true)
+		f.endLimit()
+		time.Sleep(600 * time.Millisecond)
+		f.setLimit(limit)
+		time.Sleep(lateWriteTime - 650*time.Millisecond)
+		for _, r := range f.routers[:len(f.routers)/2] {
+			r.side.Store(1)
+		}
+		issuer.side.Store(1)
+		time.Sleep(2 * settleTime)
+		t.Logf("%.1f a second", f.checkLimit(limit))
+	})
+}
+
 // Guards against a lower limit that takes effect only when the earlier, higher one would have.
 func TestChangedLimitTakesEffect(t *testing.T) {
 	withFleet(t, 75, 0.8, func(is *is.I, f *fleet) {
--- a/internal/ratelimit/row.go
+++ b/internal/ratelimit/row.go
@@ -59,7 +59,7 @@
 			l.limits[p] = known
 			l.becomeIssuer(p, known, issuerRow{row, result.Version})
 		case errors.Is(err, store.ErrConflict):
-			known.row = issuerRow{} // The row may be gone.
+			known.row, known.removing = issuerRow{}, false // The row may be gone.
 			l.applyRows(result.Rows)
 		}
 	}()
@@ -88,7 +88,7 @@
 // lock.
 func (l *Limiter) becomeIssuer(p Process, known *limit, row issuerRow) {
 	if known.row.Issuer == l.Instance {
-		known.row, known.rowLost = row, false
+		known.row, known.rowLost, known.removing = row, false, false
 		return
 	}
 	now := l.Now()
@@ -96,7 +96,7 @@
 	if known.row.version != 0 || known.rowLost {
 		known.fullRateAt = now.Add(Lease)
 	}
-	known.rowLost = false
+	known.rowLost, known.removing = false, false
 	event.RateIssuerChanged.Log(l.Logger).Str("process", p.String()).Float64("rate", float64(known.rate)).
 		Str("before", known.row.Issuer).Str("issuer", row.Issuer).Int64("version", row.version).Send()
 	known.row = row
@@ -116,6 +116,7 @@
 		defer l.mu.Unlock()
 		l.endWrite(known, err)
 		if err != nil && !errors.Is(err, store.ErrConflict) {
+			known.removing = known.removing || errors.Is(err, store.ErrUnknown)
 			return
 		}
 		if l.limits[p] == known && known.row.version == version {
@@ -125,6 +126,15 @@
 	}()
 }
 
+// keepRow writes the row again if the server has named the limit again while a removal of it is unanswered: a changed row
+// can no longer be removed. Until then this router issues permits at unconfirmedShare, as a successor that finds no row does
+// not know that there is an issuer. The caller holds the lock.
+func (l *Limiter) keepRow(p Process, known *limit) {
+	if known.removing && !known.ended && known.row.Issuer == l.Instance {
+		l.claim(p, known)
+	}
+}
+
 // write writes the row of a process, or removes it if row is nil, provided that it has the given version.
 func (l *Limiter) write(p Process, version int64, row *wire.RatelimitRow) (store.Result, error) {
 	w := store.Write{Expect: []store.Condition{{Key: key(p), Version: version}}}
@@ -241,7 +251,7 @@
 		event.RateIssuerChanged.Log(l.Logger).Str("process", p.String()).Float64("rate", float64(known.rate)).
 			Str("before", l.Instance).Str("issuer", next.Issuer).Int64("version", next.version).Send()
 	}
-	known.row, known.ended = next, false
+	known.row, known.ended, known.removing = next, false, false
 }
 
 // Run removes limits of processes that are gone, and retries to remove those that have ended, until the context ends. It
@@ -264,6 +274,7 @@
 		if known.ended {
 			l.remove(p, known)
 		}
+		l.keepRow(p, known)
 	}
 }
 
