Let routers that are cut off from the store write their grants through others

When most routers were cut off from the store for some seconds and all processes were then lost, the grants of the cut-off ones counted as spent, up to a quarter of a budget, and half of all later requests were refused as exhausted. Such a router now sends its heartbeats and the writes of its grants through a router that reaches the store. Routers open at most 2.6 % of a budget ahead of demand, since that is lost when all are killed, and write earlier when few opened tokens are left. A request that tokens of unreachable routers cover is refused as unreachable rather than as exhausted.

A write that failed although the store has answered a later call after an outage no longer delays the next one.

--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -263,7 +263,8 @@
 		Plain:    true, // The platform lets only routers connect to this address.
 		Methods: &peer.Methods{
 			Relay: r.answerRelay, Reserve: r.reserveForPeer, Settle: r.settleForPeer, Known: r.learnBudget,
-			Take: r.limiter.Take, Limit: r.limiter.Report, Keep: r.keepForPeer, Find: r.findForPeer,
+			Write: r.writeForPeer,
+			Take:  r.limiter.Take, Limit: r.limiter.Report, Keep: r.keepForPeer, Find: r.findForPeer,
 			Reach: r.Paths.Reach,
 		},
 		Timeout: peerTimeout,
@@ -292,6 +293,16 @@
 	return wire.BudgetAnswer{Done: true}, nil
 }
 
+// writeForPeer sends a write of another router, which cannot reach the store.
+func (r *Router) writeForPeer(ctx context.Context, write wire.PrepaidWrite) (wire.PrepaidWritten, error) {
+	return r.ledger.WriteForPeer(ctx, write), nil
+}
+
+// Write sends a write to the store through another router.
+func (b *peerBudgets) Write(ctx context.Context, address string, write wire.PrepaidWrite) (wire.PrepaidWritten, error) {
+	return b.client.WriteBudget(ctx, address, write)
+}
+
 // Tell tells another router of a budget row.
 func (b *peerBudgets) Tell(ctx context.Context, address string, known wire.PrepaidKnown) error {
 	_, err := b.client.TellBudget(ctx, address, known)
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -162,6 +162,7 @@
 		Started:   r.started,
 		Now:       time.Now,
 		Logger:    r.Logger,
+		Metrics:   r.scope.SubScope("prepaid"),
 		Directory: r.directory.Load,
 	}
 	r.serverFollower = &store.Follower{
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -119,6 +119,11 @@
 	return call[wire.BudgetAnswer](ctx, c, address, MethodBudgetKnown, params)
 }
 
+// WriteBudget sends a write of budget rows to the store through the router at the address.
+func (c *Client) WriteBudget(ctx context.Context, address string, params wire.PrepaidWrite) (wire.PrepaidWritten, error) {
+	return call[wire.PrepaidWritten](ctx, c, address, MethodBudgetWrite, params)
+}
+
 // GetRequestState asks for the state of a request.
 func (c *Client) GetRequestState(ctx context.Context, address string, params wire.RequestQuery) (wire.RequestState, error) {
 	return call[wire.RequestState](ctx, c, address, MethodRequestState, params)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -32,6 +32,8 @@
 	MethodBudgetCancel = "budget.cancel"
 	// MethodBudgetKnown tells a router of a budget row in the store.
 	MethodBudgetKnown = "budget.known"
+	// MethodBudgetWrite sends a write of budget rows to the store for a router that cannot reach it.
+	MethodBudgetWrite = "budget.write"
 	// MethodRequestState asks for the state of a request.
 	MethodRequestState = "request.state"
 	// MethodRequestExplain asks what happened to a request.
@@ -100,6 +102,7 @@
 		Settle  Handler[wire.BudgetSettle, wire.BudgetAnswer]         // MethodBudgetSettle.
 		Cancel  Handler[wire.BudgetCancel, wire.BudgetAnswer]         // MethodBudgetCancel.
 		Known   Handler[wire.PrepaidKnown, wire.BudgetAnswer]         // MethodBudgetKnown.
+		Write   Handler[wire.PrepaidWrite, wire.PrepaidWritten]       // MethodBudgetWrite.
 		State   Handler[wire.RequestQuery, wire.RequestState]         // MethodRequestState.
 		Explain Handler[wire.RequestQuery, wire.RequestExplanation]   // MethodRequestExplain.
 		Report  Handler[wire.QuarantineReport, wire.QuarantineAnswer] // MethodQuarantineReport.
@@ -170,6 +173,8 @@
 		return invoke(ctx, m.Cancel, params)
 	case MethodBudgetKnown:
 		return invoke(ctx, m.Known, params)
+	case MethodBudgetWrite:
+		return invoke(ctx, m.Write, params)
 	case MethodRequestState:
 		return invoke(ctx, m.State, params)
 	case MethodRequestExplain:
--- a/internal/prepaid/borrow.go
+++ b/internal/prepaid/borrow.go
@@ -27,6 +27,9 @@
 	earlySettlementTTL = 10 * time.Second
 	// exhaustedTTL is how long the store's confirmation that no tokens are available is relied on.
 	exhaustedTTL = 300 * time.Millisecond
+	// grantRowsTTL is how long the sum of the grant rows of an account is relied on, so that requests of an exhausted account
+	// do not each read them.
+	grantRowsTTL = time.Second
 	// maxLentReservations is the maximum number of reservations for other routers, and also that of remembered early
 	// settlements.
 	maxLentReservations = 4096
@@ -48,6 +51,8 @@
 		Settle(ctx context.Context, address, name, account string, used int64) error
 		// Tell tells the router at the address of a budget row.
 		Tell(ctx context.Context, address string, known wire.PrepaidKnown) error
+		// Write sends a write to the store through the router at the address. After an error it may take effect.
+		Write(ctx context.Context, address string, write wire.PrepaidWrite) (wire.PrepaidWritten, error)
 	}
 
 	// borrowedReservation is a reservation at another router.
@@ -66,6 +71,12 @@
 		failedAt     map[string]time.Time        // When the last call to a router failed, by address.
 	}
 
+	// borrowOutcome tells why no router that was asked lent.
+	borrowOutcome struct {
+		timedOut bool // Whether one received the call and did not answer in time.
+		failed   bool // Whether one did not answer, for any reason.
+	}
+
 	// lentReservation is a reservation in this router's grant for another router.
 	lentReservation struct {
 		reservation *localReservation
@@ -73,12 +84,11 @@
 	}
 )
 
-// borrow reserves tokens at another router. If the reservation is nil, it reports whether a router that was asked did
-// not answer in time. Such a router waits for the store itself, and the routers that ask it must not compete with it
-// for the budget row.
-func (l *Ledger) borrow(ctx context.Context, request dispatch.ReservationRequest) (borrowed *borrowedReservation, timedOut bool) {
+// borrow reserves tokens at another router. If the reservation is nil, it reports why. A router that did not answer in time
+// waits for the store itself, and the routers that ask it must not compete with it for the budget row.
+func (l *Ledger) borrow(ctx context.Context, request dispatch.ReservationRequest) (borrowed *borrowedReservation, outcome borrowOutcome) {
 	if l.Peers == nil {
-		return nil, false
+		return nil, outcome
 	}
 	ctx, cancel := context.WithTimeout(ctx, totalBorrowTimeout)
 	defer cancel()
@@ -96,18 +106,52 @@
 		if reserved {
 			event.PrepaidReservedRemotely.Log(l.Logger).Str("request", request.Request).Str("account", request.Account).Str("peer", address).
 				Int64("tokens", int64(request.Tokens)).Send()
-			return reservation, false
+			return reservation, borrowOutcome{}
 		}
 		if err != nil {
-			timedOut = timedOut || errors.Is(err, ErrPeerTimeout)
+			outcome.failed = true
+			outcome.timedOut = outcome.timedOut || errors.Is(err, ErrPeerTimeout)
 			event.PrepaidRemoteFailed.Log(l.Logger).Str("request", request.Request).Str("account", request.Account).Str("peer", address).Err(err).Send()
 			reservation.Settle(0) // Releases the tokens in case that router reserved them.
 		}
 		if ctx.Err() != nil {
-			return nil, timedOut
+			return nil, outcome
+		}
+	}
+	return nil, outcome
+}
+
+// isCoveredElsewhere reports whether the budget covers the request, although the store has no tokens left to grant and some
+// routers did not answer: by the grant rows the others hold tokens that they have not opened, and so have not spent while the
+// store answers them.
+func (l *Ledger) isCoveredElsewhere(ctx context.Context, request dispatch.ReservationRequest) bool {
+	l.mu.Lock()
+	a := l.accountByName(request.Account)
+	isRecent := !a.elsewhereAt.IsZero() && l.Now().Sub(a.elsewhereAt) < grantRowsTTL
+	unopened := a.unopened
+	l.mu.Unlock()
+	if isRecent {
+		return unopened >= int64(request.Tokens)
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeWaitTimeout)
+	defer cancel()
+	result, err := l.Store.List(ctx, grantTable, request.Account)
+	if err != nil {
+		return true // It is not known that the budget is exhausted.
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	budget := a.budget
+	budget.applyTotal(a.totalVersion, a.total)
+	unopened = int64(budget.Total - budget.Closed)
+	for _, row := range result.Rows {
+		var grant wire.PrepaidGrant
+		if err := decode(row, &grant); err == nil {
+			unopened -= int64(grant.Opened)
 		}
 	}
-	return nil, timedOut
+	a.elsewhereAt, a.unopened = l.Now(), unopened
+	return unopened >= int64(request.Tokens)
 }
 
 // recordPeerResult records whether a call to a router failed, unless the context of all calls for the request has
--- a/internal/prepaid/heartbeat.go
+++ b/internal/prepaid/heartbeat.go
@@ -30,7 +30,8 @@
 type (
 	// storeStatus is the state of the connection to the store. Clock values are those of the store's monotonic clock.
 	storeStatus struct {
-		answeredAt       time.Time                       // When the newest answer arrived.
+		answeredAt       time.Time                       // When the newest answer arrived, also through another router.
+		directAt         time.Time                       // When the newest answer without another router arrived.
 		storeClock       time.Duration                   // Latest store clock in an answer.
 		heartbeatLatency time.Duration                   // How long the last heartbeat took, answered or not.
 		reachedAt        time.Time                       // When the store last answered a heartbeat or rejected it at once.
@@ -74,6 +75,14 @@
 	return now.Sub(s.answeredAt)
 }
 
+// directAge returns the time since the last answer of the store that came without another router.
+func (s *storeStatus) directAge(now time.Time) time.Duration {
+	if s.directAt.IsZero() {
+		return AutonomyDelay
+	}
+	return now.Sub(s.directAt)
+}
+
 // autonomous reports whether this router may spend more than the opened parts of its grants.
 func (s *storeStatus) autonomous(now time.Time) bool {
 	return !s.answeredAt.IsZero() && now.Sub(s.answeredAt) >= AutonomyDelay
@@ -93,6 +102,7 @@
 	}
 	group.Go(func() error { return budgetRows.Run(ctx) })
 	group.Go(func() error { delay.RepeatNow(ctx, budgetReadInterval, func() { l.readBudgetRows(ctx) }); return nil })
+	group.Go(func() error { delay.RepeatNow(ctx, relayProbeInterval, func() { l.probeStore(ctx) }); return nil })
 	return group.Wait()
 }
 
@@ -120,7 +130,7 @@
 	if err != nil {
 		return err
 	}
-	l.recordAnswer(sent, result)
+	l.recordDirectAnswer(sent, result)
 	for _, row := range result.Rows {
 		if err := decode(row, &l.storeStatus.predecessor); err != nil {
 			event.PrepaidRowInvalid.Log(l.Logger).Err(err).Send()
@@ -166,25 +176,21 @@
 		Holder: l.Instance, Address: l.Address, Clock: int(l.storeStatus.provenClock.Milliseconds()), Accounts: l.heldAccounts(),
 		Proof: l.proof(),
 	}
+	wasUnreachable := l.storeStatus.age(l.Now()) > storeUnreachableAge
+	isDirect := l.relay.address == ""
 	l.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-	defer cancel()
-	sent := l.Now()
-	result, err := l.Store.Write(ctx, store.Write{Puts: []store.Put{{Key: heartbeatKey(l.Node), Value: encode(row)}}})
+	w := store.Write{Puts: []store.Put{{Key: heartbeatKey(l.Node), Value: encode(row)}}}
+	err := l.sendHeartbeat(ctx, w, isDirect)
+	if err != nil {
+		err = l.searchRelay(ctx, w)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.storeStatus.heartbeatLatency = l.Now().Sub(sent)
-	if err == nil || l.storeStatus.heartbeatLatency < maxRejectionLatency {
-		l.storeStatus.reachedAt = l.Now()
-	}
-	wasUnreachable := l.storeStatus.age(l.Now()) > storeUnreachableAge
 	if err != nil {
-		l.storeStatus.failedAt = l.Now()
 		l.logAutonomyChange(false)
 		l.renewProof()
 		return
 	}
-	l.recordAnswer(sent, result)
 	l.storeStatus.provedAt = l.Now()
 	l.logAutonomyChange(true)
 	if wasUnreachable {
@@ -193,6 +199,27 @@
 	}
 }
 
+// sendHeartbeat sends the heartbeat, and records how long that took if it went to the store without another router.
+func (l *Ledger) sendHeartbeat(ctx context.Context, w store.Write, isDirect bool) error {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	sent := l.Now()
+	_, err := l.write(ctx, w)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.storeStatus.failedAt = l.Now()
+	}
+	if !isDirect {
+		return err
+	}
+	l.storeStatus.heartbeatLatency = l.Now().Sub(sent)
+	if err == nil || l.storeStatus.heartbeatLatency < maxRejectionLatency {
+		l.storeStatus.reachedAt = l.Now()
+	}
+	return err
+}
+
 // heldAccounts returns the names of the accounts for which this router holds a grant or an earlier process of it may
 // have left one.
 func (l *Ledger) heldAccounts() []string {
@@ -264,11 +291,12 @@
 	}
 }
 
-// StoreAge returns the time since the last answer of the store, or AutonomyDelay before the first answer.
+// StoreAge returns the time since the last answer of the store that came without another router, or AutonomyDelay before the
+// first one.
 func (l *Ledger) StoreAge() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.storeStatus.age(l.Now())
+	return l.storeStatus.directAge(l.Now())
 }
 
 // StoreClock returns an estimate of the store's clock, or zero before the first answer.
@@ -288,9 +316,9 @@
 	defer l.mu.Unlock()
 	now := l.Now()
 	if l.storeStatus.reachedAt.IsZero() {
-		return l.storeStatus.age(now)
+		return l.storeStatus.directAge(now)
 	}
-	return min(l.storeStatus.age(now), now.Sub(l.storeStatus.reachedAt))
+	return min(l.storeStatus.directAge(now), now.Sub(l.storeStatus.reachedAt))
 }
 
 // HeartbeatLatency returns how long the last heartbeat to the store took, whether it was answered or not.
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"citronslip/internal/delay"
 	"citronslip/internal/dispatch"
@@ -42,6 +43,7 @@
 		Started  time.Time   // Start of this process.
 		Now      func() time.Time
 		Logger   *zerolog.Logger
+		Metrics  tally.Scope // Optional.
 		// Directory returns the configuration in force, or nil before the first one.
 		Directory func() *inventory.Directory
 
@@ -50,6 +52,7 @@
 		storeStatus storeStatus
 		membership  membership
 		peerState   peerState
+		relay       relayState
 		backoff     writeBackoff
 
 		loggedAutonomous bool // Whether this router was autonomous, as last logged.
@@ -83,7 +86,11 @@
 		exhaustedAt   time.Time // When the store last confirmed that no tokens are available.
 		resizedAt     time.Time // When mayResize last returned true.
 		shortAt       time.Time // When a request last found no tokens available.
+		elsewhereAt   time.Time // When the grant rows of all routers were last read.
+		unopened      int64     // Tokens of the budget that no grant row showed as opened then.
 		idleRetryAt   time.Time // Earliest time of a write that no request waits for.
+		openAbove     int64     // Used tokens from which on more of the grant is to be opened.
+		openEarlyAt   time.Time // Earliest time of a write that opens more before the next check of the grant.
 		provedAt      time.Time // When the grant row, with its proof, was last written; zero if a write has failed since.
 		proofTriedAt  time.Time // When the grant row was last chosen to be written for its proof.
 		proofDue      bool      // Whether the grant row is to be written for its proof, at once.
@@ -103,17 +110,25 @@
 	}
 )
 
+// count increments a counter.
+func (l *Ledger) count(name string) {
+	if l.Metrics != nil {
+		l.Metrics.Counter(name).Inc(1)
+	}
+}
+
 // Reserve reserves tokens in this router's grant, which may first be enlarged at the store, or at another router. If it
 // cannot, the reservation is nil and the refusal has the reason: dispatch.NoBudget if the store confirms that the
 // budget is exhausted, or else dispatch.BudgetUnreachable with a retry delay.
 func (l *Ledger) Reserve(ctx context.Context, request dispatch.ReservationRequest) (dispatch.Reservation, dispatch.Refusal) {
-	borrowFirst := l.mustBorrow(request)
+	borrowFirst, lenderFailed := l.mustBorrow(request), false
 	if borrowFirst {
-		borrowed, timedOut := l.borrow(ctx, request)
+		borrowed, outcome := l.borrow(ctx, request)
 		if borrowed != nil {
 			return borrowed, dispatch.Refusal{}
 		}
-		if timedOut {
+		lenderFailed = outcome.failed
+		if outcome.timedOut {
 			l.logShortage(request, false)
 			return nil, dispatch.Refusal{Reason: dispatch.BudgetUnreachable, After: l.retryAfter(request)}
 		}
@@ -123,9 +138,11 @@
 		return local, dispatch.Refusal{}
 	}
 	if !borrowFirst {
-		if borrowed, _ := l.borrow(ctx, request); borrowed != nil {
+		borrowed, outcome := l.borrow(ctx, request)
+		if borrowed != nil {
 			return borrowed, dispatch.Refusal{}
 		}
+		lenderFailed = outcome.failed
 	}
 	// The routers that could not lend return their unused tokens to the store, so ask it again.
 	for attempt := 0; exhausted && attempt < maxRecallRetries && delay.Sleep(ctx, recallInterval); attempt++ {
@@ -133,6 +150,9 @@
 			return local, dispatch.Refusal{}
 		}
 	}
+	if exhausted && lenderFailed && l.isCoveredElsewhere(ctx, request) {
+		exhausted = false
+	}
 	l.logShortage(request, exhausted)
 	if exhausted {
 		return nil, dispatch.Refusal{Reason: dispatch.NoBudget}
@@ -158,6 +178,8 @@
 	defer l.mu.Unlock()
 	a, silence := l.accountByName(request.Account), l.storeStatus.age(l.Now())
 	switch {
+	case silence < storeWaitTimeout && l.Now().Sub(a.elsewhereAt) < grantRowsTTL:
+		return minRetryAfter // Routers that cannot be reached hold the tokens.
 	case silence < storeWaitTimeout:
 		return 0
 	case a.used()+int64(request.Tokens) <= int64(a.grant.Amount):
@@ -193,6 +215,7 @@
 	a.grantDemand.add(float64(tokens), l.Now())
 	if a.used()+tokens <= l.spendLimit(a) {
 		a.reserved += tokens
+		l.openEarly(a)
 		l.mu.Unlock()
 		return &localReservation{l, a, tokens}, false
 	}
--- a/internal/prepaid/members.go
+++ b/internal/prepaid/members.go
@@ -115,7 +115,7 @@
 		return err
 	}
 	now := l.Now()
-	l.recordAnswer(sent, result)
+	l.recordDirectAnswer(sent, result)
 	if l.membership.view.restored {
 		l.keepView(result, now)
 		return nil
@@ -261,7 +261,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.recordAnswer(sent, result)
+	l.recordDirectAnswer(sent, result)
 	v := &l.membership.view
 	if v.leader != l.Instance {
 		event.MemberListPublished.Log(l.Logger).Str("before", v.leader).Int64("version", result.Version).Send()
--- a/internal/prepaid/plan.go
+++ b/internal/prepaid/plan.go
@@ -12,6 +12,8 @@
 	// openThreshold is the fraction of the target GrantSize.Open: when fewer opened tokens than that are unused, more
 	// are opened.
 	openThreshold = 0.8
+	// openInterval is the minimum time between two writes that open more of a grant before the next check of all grants.
+	openInterval = 250 * time.Millisecond
 	// growThreshold is the fraction of its target size, spent tokens excluded, below which a grant is enlarged.
 	// shrinkFactor is the multiple of the target size above which it is made smaller.
 	growThreshold = 0.6
@@ -77,6 +79,7 @@
 	}
 	next := plannedRows{budget: a.budget, grant: a.grant}
 	next.budget.applyTotal(a.totalVersion, a.total)
+	a.openAbove = int64(a.grant.Opened) - int64(openThreshold*float64(target.Open))
 	required := a.used() + waitingTokens
 	opened := max(required+target.Open, int64(a.grant.Opened))
 	amount := int64(a.grant.Amount)
@@ -95,7 +98,7 @@
 		amount = required + target.Open + target.Reserve
 		opened = min(opened, required+target.Open)
 		l.lowerSpendCap(a, opened)
-	case a.used()+int64(openThreshold*float64(target.Open)) > int64(a.grant.Opened) && a.grant.Opened < a.grant.Amount:
+	case a.used() > a.openAbove && a.grant.Opened < a.grant.Amount:
 		next.grant.Opened = int(min(opened, amount))
 		return l.planGrantWrite(a, next)
 	case next.budget.Total != a.budget.Total && l.mayResize(a):
@@ -112,6 +115,18 @@
 	return l.planGrantAndBudgetWrite(a, next, 0, next.grant.Amount-a.grant.Amount)
 }
 
+// openEarly starts a write that opens more of the grant when few opened tokens are left. What is opened covers a short time
+// only, most of which would pass until the next check of the grants. The caller holds the lock.
+func (l *Ledger) openEarly(a *account) {
+	now := l.Now()
+	if a.used() <= a.openAbove || a.grant.Opened >= a.grant.Amount || now.Before(a.openEarlyAt) || now.Before(a.idleRetryAt) ||
+		l.storeStatus.age(now) > storeUnreachableAge {
+		return
+	}
+	a.openEarlyAt = now.Add(openInterval)
+	l.startWriter(a)
+}
+
 // refuseOrReread refuses the waiting requests that the budget does not cover. If the budget row is older than
 // maxRefusalRowAge, it reads the row again first.
 func (l *Ledger) refuseOrReread(a *account) (store.Write, plannedRows, bool) {
@@ -179,6 +194,7 @@
 		Rest:    a.budget.available() + int64(a.grant.Amount) - a.used(),
 		Total:   int64(a.budget.Total),
 		Routers: l.membership.holdersPerAccount(),
+		Share:   float64(a.grant.Amount) / float64(max(a.budget.Granted, 1)),
 	}.Size()
 	if l.isShort(a) {
 		size.Open /= shortageDivisor
--- a/internal/prepaid/prepaid_test.go
+++ b/internal/prepaid/prepaid_test.go
@@ -84,7 +84,9 @@
 
 	// peers is a client that calls the other ledgers directly.
 	peers struct {
-		fleet *fleet
+		fleet         *fleet
+		router        *router
+		processNumber int32
 	}
 )
 
@@ -228,6 +230,18 @@
 	return nil
 }
 
+func (p peers) Write(ctx context.Context, address string, write wire.PrepaidWrite) (wire.PrepaidWritten, error) {
+	time.Sleep(p.fleet.roundTrip)
+	for _, r := range p.fleet.routers {
+		l := r.ledger.Load()
+		if r.name != address || l == nil || p.fleet.peersUnreachable.Load() || p.processNumber != p.router.processNumber.Load() {
+			continue
+		}
+		return l.WriteForPeer(ctx, write), nil
+	}
+	return wire.PrepaidWritten{}, context.DeadlineExceeded
+}
+
 func (p peers) Tell(_ context.Context, address string, known wire.PrepaidKnown) error {
 	time.Sleep(p.fleet.roundTrip)
 	if p.fleet.peersUnreachable.Load() {
@@ -252,7 +266,7 @@
 		Instance:  r.instance(),
 		Address:   r.name,
 		Store:     routerStore{r.fleet.store, r, number},
-		Peers:     peers{r.fleet},
+		Peers:     peers{r.fleet, r, number},
 		Started:   time.Now(),
 		Now:       time.Now,
 		Logger:    &logger,
--- a/internal/prepaid/size.go
+++ b/internal/prepaid/size.go
@@ -20,6 +20,15 @@
 	// router.
 	maxOpenShare    = 0.06
 	maxReserveShare = 0.45
+	// maxOpenTotalShare and maxOpenRestShare are the maximum fractions of the total and of the remaining tokens that all routers
+	// together open, divided by their parts of the granted tokens. What they have opened is lost to the account if all are
+	// killed, and at most 3 % of a budget may be lost, of which the requests that run then need some.
+	maxOpenTotalShare = 0.026
+	maxOpenRestShare  = 0.035
+	// maxOpenRouterShare is the fraction of the total that any router may open for the demand of minOpenWindow, whatever its part.
+	// A router that has just begun to serve an account has a small part of the granted tokens.
+	maxOpenRouterShare = 0.0035
+	minOpenWindow      = 2800 * time.Millisecond
 	// minDemand is the demand in tokens a second below which a router holds no grant of an account.
 	minDemand = 1
 	// initialReserveShare is the fraction of the remaining tokens that all routers with any demand reserve together.
@@ -45,6 +54,7 @@
 		Rest    int64   // Tokens that are neither granted nor spent, and the unused ones of this router's grant.
 		Total   int64   // Tokens of the whole budget.
 		Routers int     // Number of routers that hold grants of the account.
+		Share   float64 // Part of all granted tokens that this router's grant has; that of one of Routers if zero.
 	}
 
 	// GrantSize is the number of tokens of a grant beyond those spent and reserved by requests.
@@ -75,7 +85,7 @@
 	}
 	open := min(n.Demand*openWindow, maxOpenShare*remaining)
 	spareOpen := maxOpenShare * (remaining - lowShare*float64(n.Total)) / float64(max(n.Routers, 1))
-	open = max(open, spareOpen)
+	open = min(max(open, spareOpen), n.maxOpen())
 	if open < minOpened {
 		open = 0
 	}
@@ -84,6 +94,16 @@
 	return GrantSize{Open: int64(open), Reserve: int64(reserve)}
 }
 
+// maxOpen returns the maximum number of tokens that the router opens ahead of demand.
+func (n GrantSizeInput) maxOpen() float64 {
+	total, remaining, share := float64(n.Total), float64(n.Rest), n.Share
+	if share == 0 {
+		share = 1 / float64(max(n.Routers, 1))
+	}
+	return max(share*min(maxOpenTotalShare*total, maxOpenRestShare*remaining),
+		min(n.Demand*minOpenWindow.Seconds(), maxOpenRouterShare*total))
+}
+
 // MaxGrowth returns how many of the free tokens a grant with the given number of unspent tokens may take beyond the
 // waiting requests. Half as many as the router then holds unspent stay free for the others.
 func MaxGrowth(free, unspent int64) int64 {
--- a/internal/prepaid/unanswered.go
+++ b/internal/prepaid/unanswered.go
@@ -56,6 +56,7 @@
 		return
 	}
 	if age := l.Now().Sub(a.unanswered.sentAt); age > storeCallTimeout {
+		l.count("returns_settled")
 		event.PrepaidReturnSettled.Log(l.Logger).Str("account", a.name).Int64("limit", a.unanswered.limit).
 			Int("amount", a.grant.Amount).Dur("after", age).Send()
 	}
--- a/internal/prepaid/write.go
+++ b/internal/prepaid/write.go
@@ -142,14 +142,16 @@
 func (l *Ledger) commit(a *account, w store.Write, next plannedRows) error {
 	ctx, cancel := context.WithTimeout(context.Background(), storeCallTimeout)
 	defer cancel()
+	l.mu.Lock()
 	sent := l.Now()
-	result, err := l.Store.Write(ctx, w)
+	wasUnreachable := l.storeStatus.age(sent) > storeUnreachableAge
+	l.mu.Unlock()
+	result, err := l.write(ctx, w)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	conflict := errors.Is(err, store.ErrConflict)
 	if err == nil || conflict {
 		l.backoff.reset()
-		l.recordAnswer(sent, result)
 	}
 	switch {
 	case (err == nil || conflict) && result.Era != next.era:
@@ -167,8 +169,13 @@
 		if errors.Is(err, store.ErrUnavailable) && a.unanswered == next.unanswered {
 			a.unanswered = next.unansweredBefore // Nothing was written.
 		}
-		l.storeStatus.failedAt = l.Now()
 		a.provedAt, a.proofDue = time.Time{}, false
+		if wasUnreachable && l.storeStatus.answeredAt.After(sent) {
+			// The store has answered since. What was spent without it is to be written at once.
+			event.PrepaidWriteFailed.Log(l.Logger).Str("account", a.name).Err(err).Send()
+			return err
+		}
+		l.storeStatus.failedAt = l.Now()
 		l.backoff.recordFailure(l.Now())
 		a.idleRetryAt = l.Now().Add(time.Duration(rand.Int64N(int64(maxIdleRetryDelay))))
 		event.PrepaidWriteFailed.Log(l.Logger).Str("account", a.name).Err(err).Send()
--- a/internal/wire/prepaid.go
+++ b/internal/wire/prepaid.go
@@ -104,6 +104,24 @@
 	Node string `json:"node"`
 }
 
+// PrepaidRow is a row of the store in a write that another router sends.
+type PrepaidRow struct {
+	// Name of the row.
+	Name string `json:"name"`
+
+	// Part of the table; empty if the row has none.
+	Part string `json:"part"`
+
+	// Table of the row.
+	Table string `json:"table"`
+
+	// Content of the row.
+	Value string `json:"value"`
+
+	// Version of the row; 0 if there is no row.
+	Version int `json:"version"`
+}
+
 // PrepaidSum is the row with the totals of the prepaid token budget of one client
 // account. Closed plus Granted never exceeds Total.
 type PrepaidSum struct {
@@ -144,3 +162,38 @@
 	// change.
 	Routers []PrepaidRouter `json:"routers"`
 }
+
+// PrepaidWrite asks another router to send a conditional write of budget, grant
+// and heartbeat rows to the store, which the sender cannot reach.
+type PrepaidWrite struct {
+	// Rows whose versions are the conditions of the write.
+	Expect []PrepaidRow `json:"expect"`
+
+	// Rows to write, with their values.
+	Puts []PrepaidRow `json:"puts"`
+
+	// Rows to remove.
+	Remove []PrepaidRow `json:"remove"`
+}
+
+// PrepaidWritten is the outcome of a PrepaidWrite.
+type PrepaidWritten struct {
+	// Time of the store's clock in microseconds.
+	Clock int `json:"clock"`
+
+	// Era of the store.
+	Era int `json:"era"`
+
+	// Address of the router through which the one that refuses writes itself.
+	Relay string `json:"relay"`
+
+	// Rows of the conditions after a conflict.
+	Rows []PrepaidRow `json:"rows"`
+
+	// One of written, conflict, unavailable (nothing was written) and unknown (the
+	// write may take effect).
+	State string `json:"state"`
+
+	// Version of the store.
+	Version int `json:"version"`
+}
