--- a/internal/prepaid/plan.go
+++ b/internal/prepaid/plan.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"citronslip/internal/store"
-	"citronslip/internal/wire"
 )
 
 const (
@@ -13,6 +12,8 @@
 	// openThreshold is the fraction of the target GrantSize.Open: when fewer opened tokens than that are unused, more
 	// are opened.
 	openThreshold = 0.8
+	// openInterval is the minimum time between two writes that open more of a grant before the next check of all grants.
+	openInterval = 250 * time.Millisecond
 	// growThreshold is the fraction of its target size, spent tokens excluded, below which a grant is enlarged.
 	// shrinkFactor is the multiple of the target size above which it is made smaller.
 	growThreshold = 0.6
@@ -35,10 +36,9 @@
 		budget budgetState
 		grant  grantState
 		era    int64 // Era of the store in which the write was planned.
-		// capBefore and unansweredBefore are the values of the account before a write that makes the grant smaller.
-		capBefore        int64
-		unansweredBefore *wire.PrepaidEra
-		resolves         bool // Whether the write settles what became of an unanswered one before the current era.
+		// unansweredBefore and unanswered are the values of the account before and after the write was planned.
+		unansweredBefore, unanswered *unansweredShrink
+		resolves                     bool // Whether the write settles what became of an unanswered one before the current era.
 	}
 )
 
@@ -69,6 +69,9 @@
 		}
 		return l.planTakeover(a)
 	}
+	if a.unanswered != nil {
+		return l.planSettle(a)
+	}
 	target := l.targetSize(a)
 	waitingTokens := int64(0)
 	for _, w := range a.waiters {
@@ -76,6 +79,7 @@
 	}
 	next := plannedRows{budget: a.budget, grant: a.grant}
 	next.budget.applyTotal(a.totalVersion, a.total)
+	a.openAbove = int64(a.grant.Opened) - int64(openThreshold*float64(target.Open))
 	required := a.used() + waitingTokens
 	opened := max(required+target.Open, int64(a.grant.Opened))
 	amount := int64(a.grant.Amount)
@@ -94,7 +98,7 @@
 		amount = required + target.Open + target.Reserve
 		opened = min(opened, required+target.Open)
 		l.lowerSpendCap(a, opened)
-	case a.used()+int64(openThreshold*float64(target.Open)) > int64(a.grant.Opened) && a.grant.Opened < a.grant.Amount:
+	case a.used() > a.openAbove && a.grant.Opened < a.grant.Amount:
 		next.grant.Opened = int(min(opened, amount))
 		return l.planGrantWrite(a, next)
 	case next.budget.Total != a.budget.Total && l.mayResize(a):
@@ -111,17 +115,16 @@
 	return l.planGrantAndBudgetWrite(a, next, 0, next.grant.Amount-a.grant.Amount)
 }
 
-// lowerSpendCap limits spending until a write that shrinks the grant is answered. Any one of several unanswered writes
-// may have taken effect, so the smallest limit applies.
-func (l *Ledger) lowerSpendCap(a *account, limit int64) {
-	if a.unanswered == nil {
-		changes := a.budget.changesIn(int(l.storeStatus.era))
-		changes.Sequence++
-		a.unanswered = &changes
-	}
-	if a.spendCap < 0 || limit < a.spendCap {
-		a.spendCap = limit
+// openEarly starts a write that opens more of the grant when few opened tokens are left. What is opened covers a short time
+// only, most of which would pass until the next check of the grants. The caller holds the lock.
+func (l *Ledger) openEarly(a *account) {
+	now := l.Now()
+	if a.used() <= a.openAbove || a.grant.Opened >= a.grant.Amount || now.Before(a.openEarlyAt) || now.Before(a.idleRetryAt) ||
+		l.storeStatus.age(now) > storeUnreachableAge {
+		return
 	}
+	a.openEarlyAt = now.Add(openInterval)
+	l.startWriter(a)
 }
 
 // refuseOrReread refuses the waiting requests that the budget does not cover. If the budget row is older than
@@ -191,6 +194,7 @@
 		Rest:    a.budget.available() + int64(a.grant.Amount) - a.used(),
 		Total:   int64(a.budget.Total),
 		Routers: l.membership.holdersPerAccount(),
+		Share:   float64(a.grant.Amount) / float64(max(a.budget.Granted, 1)),
 	}.Size()
 	if l.isShort(a) {
 		size.Open /= shortageDivisor
--- a/internal/prepaid/prepaid_test.go
+++ b/internal/prepaid/prepaid_test.go
@@ -54,6 +54,8 @@
 		writeSlot        chan struct{} // Limits concurrent writes of grants to its capacity; nil for no limit.
 		// unavailable reports whether the store resets the connections of calls for a row; nil if it does for none.
 		unavailable atomic.Pointer[func(store.Key) bool]
+		// lateBy returns after which time a write is applied whose answer is lost, or zero for other writes; nil if no answer is lost.
+		lateBy atomic.Pointer[func(store.Write) time.Duration]
 	}
 
 	// syncBuffer is a buffer for concurrent use.
@@ -82,7 +84,9 @@
 
 	// peers is a client that calls the other ledgers directly.
 	peers struct {
-		fleet *fleet
+		fleet         *fleet
+		router        *router
+		processNumber int32
 	}
 )
 
@@ -143,6 +147,13 @@
 	if len(w.Expect) > 0 {
 		c.router.fleet.writes.Add(1)
 	}
+	if lateBy := c.router.fleet.lateBy.Load(); lateBy != nil {
+		if late := (*lateBy)(w); late > 0 {
+			time.AfterFunc(late, func() { _ = c.router.fleet.store.WriteDirect(w) })
+			<-ctx.Done()
+			return store.Result{}, store.ErrUnknown
+		}
+	}
 	time.Sleep(c.router.fleet.roundTrip / 2)
 	defer time.Sleep(c.router.fleet.roundTrip / 2)
 	if slot := c.router.fleet.writeSlot; slot != nil && len(w.Expect) > 0 {
@@ -219,6 +230,18 @@
 	return nil
 }
 
+func (p peers) Write(ctx context.Context, address string, write wire.PrepaidWrite) (wire.PrepaidWritten, error) {
+	time.Sleep(p.fleet.roundTrip)
+	for _, r := range p.fleet.routers {
+		l := r.ledger.Load()
+		if r.name != address || l == nil || p.fleet.peersUnreachable.Load() || p.processNumber != p.router.processNumber.Load() {
+			continue
+		}
+		return l.WriteForPeer(ctx, write), nil
+	}
+	return wire.PrepaidWritten{}, context.DeadlineExceeded
+}
+
 func (p peers) Tell(_ context.Context, address string, known wire.PrepaidKnown) error {
 	time.Sleep(p.fleet.roundTrip)
 	if p.fleet.peersUnreachable.Load() {
@@ -243,7 +266,7 @@
 		Instance:  r.instance(),
 		Address:   r.name,
 		Store:     routerStore{r.fleet.store, r, number},
-		Peers:     peers{r.fleet},
+		Peers:     peers{r.fleet, r, number},
 		Started:   time.Now(),
 		Now:       time.Now,
 		Logger:    &logger,
