Spend growth that other routers know of in outages, and return surplus at once

In an outage of the store a holder may not spend the part of its grant that grew less than 2 s before, since the store may come back without it. Grants of a scarce budget grow every second, so that most of them could not be spent until the store was back. Growth counts as known once more than half of the routers that are told of it have acknowledged it.

--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -38,6 +38,11 @@
 	maxFetchPeers = 2
 )
 
+var (
+	// errNotLearned is returned when a router that was told of a budget row does not know the account.
+	errNotLearned = errors.New("entry: the other router does not know the account")
+)
+
 type (
 	// relayCache holds the rows of the store that other routers may fetch.
 	relayCache struct {
@@ -289,8 +294,7 @@
 
 // learnBudget remembers a budget row that another router has written.
 func (r *Router) learnBudget(_ context.Context, known wire.PrepaidKnown) (wire.BudgetAnswer, error) {
-	r.ledger.LearnBudget(known)
-	return wire.BudgetAnswer{Done: true}, nil
+	return wire.BudgetAnswer{Done: r.ledger.LearnBudget(known)}, nil
 }
 
 // writeForPeer sends a write of another router, which cannot reach the store.
@@ -303,9 +307,12 @@
 	return b.client.WriteBudget(ctx, address, write)
 }
 
-// Tell tells another router of a budget row.
+// Tell tells another router of a budget row. The error is nil only if that router took the changes over.
 func (b *peerBudgets) Tell(ctx context.Context, address string, known wire.PrepaidKnown) error {
-	_, err := b.client.TellBudget(ctx, address, known)
+	answer, err := b.client.TellBudget(ctx, address, known)
+	if err == nil && !answer.Done {
+		return errNotLearned
+	}
 	return err
 }
 
--- a/internal/prepaid/borrow.go
+++ b/internal/prepaid/borrow.go
@@ -49,7 +49,7 @@
 		Reserve(ctx context.Context, address, name, account string, tokens int64) (bool, error)
 		// Settle ends the reservation with that name and reports the used tokens.
 		Settle(ctx context.Context, address, name, account string, used int64) error
-		// Tell tells the router at the address of a budget row.
+		// Tell tells the router at the address of a budget row. Its error is nil only if that router took the changes over.
 		Tell(ctx context.Context, address string, known wire.PrepaidKnown) error
 		// Write sends a write to the store through the router at the address. After an error it may take effect.
 		Write(ctx context.Context, address string, write wire.PrepaidWrite) (wire.PrepaidWritten, error)
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -72,6 +72,8 @@
 		restored      *accountRows      // Rows in a later era, with which budget and grant are to be reconciled; nil before they were read.
 		grownAt       time.Time         // When the grant last grew after it had not for maturityTime.
 		matureAmount  int64             // Amount of the grant before that.
+		knownAmount   int64             // Amount of the grant of which enough other routers have acknowledged that they know.
+		notice        *growthNotice     // Growth that other routers have yet to acknowledge; nil if there is none.
 		inherited     bool              // Whether an earlier process of this router may have left a grant.
 		spent         int64             // Tokens that were settled by this instance.
 		reserved      int64             // Tokens that are reserved by requests in progress.
--- a/internal/prepaid/plan.go
+++ b/internal/prepaid/plan.go
@@ -42,6 +42,9 @@
 	}
 )
 
+// returnsTokens reports whether the write makes the grant smaller. Such a write counts as unanswered from its planning on.
+func (p *plannedRows) returnsTokens() bool { return p.unanswered != p.unansweredBefore }
+
 // planWrite returns the next write for an account and the rows after it, and reports whether one is needed. The caller
 // holds the lock.
 func (l *Ledger) planWrite(a *account) (store.Write, plannedRows, bool) {
--- a/internal/prepaid/prepaid_test.go
+++ b/internal/prepaid/prepaid_test.go
@@ -248,11 +248,11 @@
 		return context.DeadlineExceeded
 	}
 	for _, r := range p.fleet.routers {
-		if l := r.ledger.Load(); r.name == address && l != nil {
-			l.LearnBudget(known)
+		if l := r.ledger.Load(); r.name == address && l != nil && l.LearnBudget(known) {
+			return nil
 		}
 	}
-	return nil
+	return context.DeadlineExceeded
 }
 
 // start runs the next process of the router.
--- a/internal/prepaid/restore.go
+++ b/internal/prepaid/restore.go
@@ -21,8 +21,8 @@
 	// restoreNoticeTime is the time after a new era in which a budget without a row may have lost it.
 	restoreNoticeTime = 10 * time.Second
 	// maturityTime is how long the store must have answered after a grant grew before its holder may spend the new part while
-	// the store does not answer. By then other routers have read the budget row, so that they know of the grant if the store
-	// comes back without it.
+	// the store does not answer, unless other routers have acknowledged it (tellPeers). By then they have read the budget row,
+	// so that they know of the grant if the store comes back without it.
 	maturityTime = 2 * time.Second
 	// maxEras is the number of eras whose changes a budget row keeps apart, for routers that reach the store only after it
 	// has come back several times.
@@ -329,10 +329,11 @@
 	a.grownAt, a.matureAmount = l.Now(), int64(previous.Amount)
 }
 
-// autonomousAmount returns the part of the grant that may be spent while the store does not answer.
+// autonomousAmount returns the part of the grant that may be spent while the store does not answer: what other routers know
+// of, since the store may come back without it.
 func (l *Ledger) autonomousAmount(a *account) int64 {
 	if l.storeStatus.answeredAt.Sub(a.grownAt) >= maturityTime {
 		return int64(a.grant.Amount)
 	}
-	return min(max(a.matureAmount, int64(a.grant.Opened)), int64(a.grant.Amount))
+	return min(max(a.matureAmount, a.knownAmount, int64(a.grant.Opened)), int64(a.grant.Amount))
 }
--- a/internal/prepaid/write.go
+++ b/internal/prepaid/write.go
@@ -22,6 +22,9 @@
 	freeConflicts       = 2
 	maxBackoffConflicts = 12
 	conflictBackoffStep = 15 * time.Millisecond
+	// maxReturnConflicts is the number of conflicts in one run of a writer up to which a write that returns tokens is repeated
+	// at once.
+	maxReturnConflicts = 20
 	// borrowerBackoffFactor is the factor by which routers that can borrow wait longer, so that the holders of grants,
 	// who lend to them, are not delayed.
 	borrowerBackoffFactor = 8
@@ -94,17 +97,23 @@
 			return
 		case errors.Is(err, store.ErrConflict) && len(w.Puts) > 0:
 			conflicts++
-			l.waitAfterConflict(a, conflicts)
+			l.waitAfterConflict(a, conflicts, next)
 		}
 	}
 }
 
-// waitAfterConflict waits after a write conflict. In a large fleet another router is likely to write the budget row
-// during a longer wait, so the rows are then read again before the next write.
-func (l *Ledger) waitAfterConflict(a *account, conflicts int) {
-	backoff := conflictBackoff(conflicts)
+// waitAfterConflict waits after a conflict of a write of the planned rows. In a large fleet another router is likely to
+// write the budget row during a longer wait, so the rows are then read again before the next write. A write that returns
+// tokens is repeated at once, with the rows that came with the conflict: a router that waits hardly ever wins against the
+// holders of a busy account, and keeps tokens that they lack.
+func (l *Ledger) waitAfterConflict(a *account, conflicts int, next plannedRows) {
 	l.mu.Lock()
-	if !l.isHolder(a) {
+	a.resizedAt = time.Time{} // The grant was not resized.
+	backoff := conflictBackoff(conflicts)
+	switch {
+	case next.returnsTokens() && conflicts <= maxReturnConflicts:
+		backoff = 0
+	case !l.isHolder(a):
 		backoff *= borrowerBackoffFactor
 	}
 	l.mu.Unlock()
@@ -188,6 +197,7 @@
 func (l *Ledger) applyWritten(a *account, w store.Write, next plannedRows, version int64) {
 	previous := a.grant
 	l.recordGrowth(a, previous, next.grant)
+	a.limitKnownAmount(next.grant, next.era)
 	a.grant, a.budget = next.grant, next.budget
 	for _, p := range w.Puts {
 		switch p.Table {
