Restore servers after routers that reached them did not answer

Failures of attempts that no other router carried left a server's circuit open although a router was found again. The path now counts as unconfirmed when an attempt finds none of these routers, so that the circuit closes with the next one found.

--- a/internal/command/route.go
+++ b/internal/command/route.go
@@ -109,7 +109,8 @@
 // runPlatformRouter runs a router with the settings file of the users' platform until the context is done, and logs to
 // the output stream. If the reader of the log falls behind, lines are dropped so that requests are not delayed.
 func runPlatformRouter(ctx context.Context, std *streams, path string) error {
-	defer ignoreHangup()()
+	stop := ignoreHangup()
+	defer stop()
 	logBuffer := &event.Buffer{Out: std.out}
 	logQueue := diode.NewWriter(logBuffer, maxQueuedLogLines, 0, func(dropped int) {
 		fmt.Fprintf(logBuffer, "{\"level\":\"warn\",\"event\":%d,\"message\":%q,\"missed\":%d}\n",
--- a/internal/proxy/paths.go
+++ b/internal/proxy/paths.go
@@ -77,6 +77,7 @@
 		doubtAt   time.Time            // When the last way to the server was lost. Contacts of other routers before that show nothing.
 		cut       bool                 // Whether no server of its service was reached directly at some time since.
 		confirmed bool                 // Whether another router reaches the server since the last failure of the way to it.
+		denied    bool                 // Whether a router that was asked since it was confirmed did not reach the server.
 		via       []string             // Peer addresses of the routers that reach the server.
 		unsent    map[string]time.Time // When a router, by peer address, last did not send a request to the server.
 
@@ -278,6 +279,7 @@
 		case <-ctx.Done():
 			return found
 		case <-timer.C:
+			p.giveUp(address)
 			return found
 		case <-searching:
 		}
@@ -314,12 +316,31 @@
 		return blocked{}, p.search.found
 	}
 	if now.Before(path.searchAt) {
+		p.missRouters(path, now)
 		return blocked{}, nil
 	}
 	p.startSearch()
 	return blocked{}, p.search.found
 }
 
+// giveUp records that an attempt to a server does not wait for the search any longer.
+func (p *Paths) giveUp(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if path := p.servers[address]; path != nil {
+		p.missRouters(path, p.Now())
+	}
+}
+
+// missRouters records that an attempt was not sent because no router that reached the server answers. The attempt counts
+// as a failure of the server, which is restored when a router is found again. If a router has answered that it does not
+// reach the server, the server itself may have failed, and stays to be probed. The caller holds the lock.
+func (p *Paths) missRouters(path *serverPath, now time.Time) {
+	if path.confirmed && !path.denied && !p.found(path, now) {
+		path.confirmed, path.doubtAt = false, now
+	}
+}
+
 // usable reports whether a router accepts requests of others and has not failed recently. The caller holds the lock.
 func (p *Paths) usable(path *serverPath, peer string, now time.Time) bool {
 	r := p.routers[peer]
--- a/internal/proxy/search.go
+++ b/internal/proxy/search.go
@@ -203,9 +203,13 @@
 			continue
 		}
 		path.via = slices.DeleteFunc(path.via, func(via string) bool { return via == peer })
-		if err == nil && answer.Address != "" && slices.Contains(answer.Reached, address) {
+		switch {
+		case err != nil || answer.Address == "":
+		case slices.Contains(answer.Reached, address):
 			path.via = append(path.via, peer)
 			p.confirm(path, peer)
+		default:
+			path.denied = true
 		}
 	}
 	if p.search != nil && p.allFound(p.search.addresses) {
@@ -233,7 +237,7 @@
 	if path.confirmed {
 		return
 	}
-	path.confirmed = true
+	path.confirmed, path.denied = true, false
 	if soon := p.Now().Add(p.testInterval(path)); path.tests > 0 && path.testAt.After(soon) {
 		path.testAt = soon
 	}
--- a/internal/proxy/search_test.go
+++ b/internal/proxy/search_test.go
@@ -195,3 +195,23 @@
 		is.Equal(f.routers[0].restoredCount(), 2)
 	})
 }
+
+// Guards against a server that counts as sound because routers reach it again which answered before that they did not: it
+// may have crashed, and a request that crashes servers would reach it once more.
+func TestServerThatNoRouterReachedIsNotRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 3, 1)
+		f.set(cutOff(0, refusing))
+		is.NoErr(f.routers[0].send(0))
+		is.NoErr(f.routers[0].send(0)) // Has routers searched for again, 4 s after the first search.
+		is.Equal(f.routers[0].restoredCount(), 1)
+		f.set(func(int, int) linkMode { return refusing })
+		time.Sleep(5 * time.Second)
+		is.True(errors.Is(f.routers[0].send(0), proxy.ErrNotSent))
+		f.set(cutOff(0, refusing))
+		time.Sleep(5 * time.Second)
+		is.NoErr(f.routers[0].send(0))
+		is.Equal(f.routers[0].restoredCount(), 1)
+	})
+}
