Tell methods that another router does not know apart from routers that do not answer

A router of an earlier release answers a new method with an error. That counted as a router that is unreachable: a write of budget rows through it as one that may take effect, after which its router limited its spending; and a cold server got no request while both of its issuers were of an earlier release. Routers that do not know a method are not asked again for 5 s.

The answer of a router with too many calls counted as no answer, too: the error that the callers look for was replaced on the way.

--- a/internal/coldstart/acquire.go
+++ b/internal/coldstart/acquire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -15,6 +16,8 @@
 	askTimeout = 100 * time.Millisecond
 	// unreachableTTL is how long a router that failed to answer is not asked again.
 	unreachableTTL = 2 * time.Second
+	// unsupportedTTL is how long a router of an earlier release is not asked again. Its process may be replaced meanwhile.
+	unsupportedTTL = 5 * time.Second
 	// permitTTL is how long after its time a permit may be used.
 	permitTTL = 250 * time.Millisecond
 	// askBackoff is the time until the next call after no issuer answered.
@@ -76,6 +79,15 @@
 		l.recordRefusal(s, wait, time.Duration(answer.Spread)*time.Microsecond)
 		return Permit{}, &ratelimit.ExhaustedError{After: max(wait, 1)}
 	}
+	if wait, ok, applies := l.takeAlone(s, ask, now, maxWait); applies {
+		if ok {
+			l.Metrics.Counter("granted").Inc(1)
+			return Permit{Issued: true, Wait: min(wait, left), end: now.Add(wait + permitTTL)}, nil
+		}
+		l.Metrics.Counter("refused").Inc(1)
+		l.recordRefusal(s, min(wait, left), 0)
+		return Permit{}, &ratelimit.ExhaustedError{After: max(min(wait, left), 1)}
+	}
 	l.Metrics.Counter("failed").Inc(1)
 	wait := min(askBackoff, left)
 	l.recordRefusal(s, wait, wait)
@@ -115,6 +127,12 @@
 	switch {
 	case err == nil:
 		delete(l.unreachable, address)
+		delete(l.unsupported, address)
+	case errors.Is(err, ErrUnsupported):
+		if l.unsupported == nil {
+			l.unsupported = make(map[string]time.Time)
+		}
+		l.unsupported[address] = l.Now()
 	case ctx.Err() == nil:
 		if l.unreachable == nil {
 			l.unreachable = make(map[string]time.Time)
@@ -123,3 +141,28 @@
 	}
 	return answer, err
 }
+
+// takeAlone takes a permit that this router issues to itself, as all issuers of the server are routers of an earlier release,
+// which know no permits. It returns the time until the permit may be used, whether it took one, and whether that applies.
+//
+// All routers together issue at most standInShare of the rate in this way. That takes the place of the issuers' permits in the
+// bound, and leaves room for routers that draw their permits at the same moment, as each has a schedule of its own.
+func (l *Limiter) takeAlone(s *server, ask wire.ColdstartTake, now time.Time, maxWait time.Duration) (wait time.Duration, ok, applies bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ranked := l.ranked(s.Name, now)
+	for _, address := range ranked {
+		if at, found := l.unsupported[address]; !found || now.Sub(at) >= unsupportedTTL {
+			return 0, false, false
+		}
+	}
+	if len(ranked) == 0 || !(ask.Rate > 0) {
+		return 0, false, false
+	}
+	interval := time.Duration(float64(len(l.others)+1) / (standInShare * ask.Rate) * float64(time.Second))
+	if s.alone == nil {
+		s.alone = &schedule{next: now.Add(rand.N(interval))} // Routers that start together do not send together.
+	}
+	wait, ok = s.alone.take(now, maxWait, interval)
+	return wait, ok, true
+}
--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"math"
 	"sync"
@@ -31,6 +32,11 @@
 	refreshInterval = 500 * time.Millisecond
 )
 
+var (
+	// ErrUnsupported is returned by a PeerClient when a router does not know the call, as it is of an earlier release.
+	ErrUnsupported = errors.New("coldstart: other router does not know the call")
+)
+
 type (
 	// Terms are the cold start of a service. With a zero field its servers are never cold.
 	Terms struct {
@@ -80,6 +86,7 @@
 		marked   map[string]time.Time // When all servers of a place last counted as cold.
 
 		unreachable map[string]time.Time // When routers last failed to answer, by address.
+		unsupported map[string]time.Time // When routers last answered that they do not know the call, by address.
 		schedules   map[string]*schedule // Of the servers for which this router issues permits.
 		seen        map[string]time.Time // When other routers were last in the view, by address.
 		refreshedAt time.Time
@@ -101,6 +108,7 @@
 
 		freeAt  time.Time // Time before which no permit is free, as the issuer said.
 		retryAt time.Time // Time before which this router asks only for requests that can wait.
+		alone   *schedule // Permits of this router alone while the issuers are routers of an earlier release; nil before.
 	}
 )
 
@@ -313,6 +321,7 @@
 	l.Metrics.Gauge("servers").Update(float64(cold))
 	maps.DeleteFunc(l.schedules, func(_ string, s *schedule) bool { return now.Sub(s.usedAt) > maxRemaining })
 	maps.DeleteFunc(l.unreachable, func(_ string, at time.Time) bool { return now.Sub(at) >= unreachableTTL })
+	maps.DeleteFunc(l.unsupported, func(_ string, at time.Time) bool { return now.Sub(at) >= unsupportedTTL })
 }
 
 // beginSlowStart lets the share of a cold server rise slowly from the end of its cold state on. The caller holds the lock.
--- a/internal/coldstart/issuer.go
+++ b/internal/coldstart/issuer.go
@@ -155,18 +155,24 @@
 }
 
 // issuers returns the addresses of the routers that may issue permits for a server and that are not known to be
-// unreachable, the first by rendezvous hashing first. The caller holds the lock.
+// unreachable or of an earlier release, the first by rendezvous hashing first. The caller holds the lock.
 func (l *Limiter) issuers(name string, now time.Time) []string {
+	return slices.DeleteFunc(l.ranked(name, now), func(address string) bool {
+		failedAt, ok := l.unreachable[address]
+		unsupportedAt, unsupported := l.unsupported[address]
+		return ok && now.Sub(failedAt) < unreachableTTL || unsupported && now.Sub(unsupportedAt) < unsupportedTTL
+	})
+}
+
+// ranked returns the addresses of the routers that may issue permits for a server, the first by rendezvous hashing first.
+// The caller holds the lock.
+func (l *Limiter) ranked(name string, now time.Time) []string {
 	addresses := l.followView(now)
 	if !l.listedSince.IsZero() {
 		addresses = append(slices.Clip(addresses), l.Address)
 	}
 	ranked := rendezvous.Rank(addresses, func(address string) uint64 { return l.weight(address, name) })
-	ranked = ranked[:min(len(ranked), issuerCount)]
-	return slices.DeleteFunc(ranked, func(address string) bool {
-		failedAt, ok := l.unreachable[address]
-		return ok && now.Sub(failedAt) < unreachableTTL
-	})
+	return ranked[:min(len(ranked), issuerCount)]
 }
 
 func (l *Limiter) weight(address, name string) uint64 { return rendezvous.Hash(address, "cold", name) }
--- a/internal/entry/cold.go
+++ b/internal/entry/cold.go
@@ -62,6 +62,9 @@
 // other router must stand in for it.
 func (p *peerColdPermits) Take(ctx context.Context, address string, ask wire.ColdstartTake) (wire.ColdstartAnswer, error) {
 	answer, err := p.client.TakeColdPermit(ctx, address, ask)
+	if errors.Is(err, peer.ErrUnsupported) {
+		return answer, coldstart.ErrUnsupported
+	}
 	var refused *peer.RPCError
 	if errors.As(err, &refused) && refused.Code == peer.CodeBusy {
 		return wire.ColdstartAnswer{Issuer: true, Wait: int(peerBusyWait.Microseconds())}, nil
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -337,9 +337,17 @@
 	return r.ledger.WriteForPeer(ctx, write), nil
 }
 
-// Write sends a write to the store through another router.
+// Write sends a write to the store through another router. The error wraps prepaid.ErrPeerUnsupported or store.ErrUnavailable
+// if that router certainly sent nothing.
 func (b *peerBudgets) Write(ctx context.Context, address string, write wire.PrepaidWrite) (wire.PrepaidWritten, error) {
-	return b.client.WriteBudget(ctx, address, write)
+	answer, err := b.client.WriteBudget(ctx, address, write)
+	switch {
+	case errors.Is(err, peer.ErrUnsupported):
+		err = fmt.Errorf("%w: %v", prepaid.ErrPeerUnsupported, err)
+	case errors.Is(err, peer.ErrNotSent):
+		err = fmt.Errorf("%w: %v", store.ErrUnavailable, err)
+	}
+	return answer, err
 }
 
 // Tell tells another router of a budget row. The error is nil only if that router took the changes over.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net"
 	"sync/atomic"
 
@@ -72,6 +73,9 @@
 var (
 	// ErrNotSent is returned when a call certainly reached no handler.
 	ErrNotSent = errors.New("peer: call not sent")
+	// ErrUnsupported is returned when the receiver does not know the method, as a router of an earlier release. It wraps
+	// ErrNotSent. The connection stays open.
+	ErrUnsupported = fmt.Errorf("%w: method unknown to the receiver", ErrNotSent)
 	// ErrOutcomeUnknown is returned when no answer arrived and the call may have taken effect.
 	ErrOutcomeUnknown = errors.New("peer: outcome unknown")
 	// ErrTLSRequired is returned when an address outside loopback is used without TLS.
@@ -231,13 +235,16 @@
 	return &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
 }
 
-// fromWire converts a JSON-RPC error to an error of this package. Codes sent without a call of the handler become
-// ErrNotSent, all others an *RPCError.
+// fromWire converts a JSON-RPC error to an error of this package, which wraps an *RPCError. Codes sent without a call of the
+// handler also wrap ErrNotSent, that of an unknown method ErrUnsupported.
 func fromWire(e *jsonrpc2.Error) error {
+	refusal := &RPCError{Code: e.Code, Text: e.Message}
 	switch e.Code {
-	case CodeBusy, jsonrpc2.CodeMethodNotFound, jsonrpc2.CodeInvalidParams:
-		return trace.Wrap(ErrNotSent, "refused by the receiver: %s", e.Message)
+	case jsonrpc2.CodeMethodNotFound:
+		return trace.Wrap(fmt.Errorf("%w: %w", ErrUnsupported, refusal))
+	case CodeBusy, jsonrpc2.CodeInvalidParams:
+		return trace.Wrap(fmt.Errorf("%w: %w", ErrNotSent, refusal))
 	default:
-		return trace.Wrap(&RPCError{Code: e.Code, Text: e.Message})
+		return trace.Wrap(refusal)
 	}
 }
--- a/internal/prepaid/borrow.go
+++ b/internal/prepaid/borrow.go
@@ -39,6 +39,9 @@
 	// ErrPeerTimeout is returned when another router received a call and did not answer in time. It may have reserved
 	// the tokens.
 	ErrPeerTimeout = errors.New("prepaid: other router received the call but did not answer in time")
+	// ErrPeerUnsupported is returned when another router does not know a call, as it is of an earlier release. Nothing was
+	// written.
+	ErrPeerUnsupported = errors.New("prepaid: other router does not know the call")
 )
 
 type (
@@ -51,7 +54,8 @@
 		Settle(ctx context.Context, address, name, account string, used int64) error
 		// Tell tells the router at the address of a budget row. Its error is nil only if that router took the changes over.
 		Tell(ctx context.Context, address string, known wire.PrepaidKnown) error
-		// Write sends a write to the store through the router at the address. After an error it may take effect.
+		// Write sends a write to the store through the router at the address. After an error it may take effect, unless the
+		// error wraps ErrPeerUnsupported or store.ErrUnavailable.
 		Write(ctx context.Context, address string, write wire.PrepaidWrite) (wire.PrepaidWritten, error)
 	}
 
--- a/internal/prepaid/prepaid_test.go
+++ b/internal/prepaid/prepaid_test.go
@@ -54,6 +54,8 @@
 		writeSlot        chan struct{} // Limits concurrent writes of grants to its capacity; nil for no limit.
 		// unavailable reports whether the store resets the connections of calls for a row; nil if it does for none.
 		unavailable atomic.Pointer[func(store.Key) bool]
+		// writesUnsupported reports whether the other routers are of a release that does not know a write through them; nil if none is.
+		writesUnsupported atomic.Pointer[func(wire.PrepaidWrite) bool]
 		// lateBy returns after which time a write is applied whose answer is lost, or zero for other writes; nil if no answer is lost.
 		lateBy atomic.Pointer[func(store.Write) time.Duration]
 	}
@@ -232,6 +234,9 @@
 
 func (p peers) Write(ctx context.Context, address string, write wire.PrepaidWrite) (wire.PrepaidWritten, error) {
 	time.Sleep(p.fleet.roundTrip)
+	if unsupported := p.fleet.writesUnsupported.Load(); unsupported != nil && (*unsupported)(write) {
+		return wire.PrepaidWritten{}, prepaid.ErrPeerUnsupported
+	}
 	for _, r := range p.fleet.routers {
 		l := r.ledger.Load()
 		if r.name != address || l == nil || p.fleet.peersUnreachable.Load() || p.processNumber != p.router.processNumber.Load() {
--- a/internal/prepaid/relay.go
+++ b/internal/prepaid/relay.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -24,6 +26,8 @@
 	relayEagerSearches  = 5
 	// relayProbeInterval is the time between two tries to reach the store itself while another router sends the writes.
 	relayProbeInterval = 2 * time.Second
+	// unsupportedTTL is how long a router of an earlier release is not asked again. Its process may be replaced meanwhile.
+	unsupportedTTL = 5 * time.Second
 	// maxRelayedWrites is the maximum number of writes a second that one router sends for others: those of about 25 routers.
 	maxRelayedWrites = 100
 
@@ -41,6 +45,9 @@
 		failures    int       // Searches in succession that found none.
 		windowStart time.Time // Start of the second in which sent is counted.
 		sent        int       // Writes that this router has sent for others in that second.
+		// unsupported holds when routers last answered that they do not know the call, as they are of an earlier release, by
+		// address.
+		unsupported map[string]time.Time
 	}
 )
 
@@ -73,7 +80,13 @@
 	answer, err := l.Peers.Write(ctx, address, encodeWrite(w))
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if err != nil {
+	switch {
+	case errors.Is(err, ErrPeerUnsupported):
+		l.relay.markUnsupported(address, l.Now())
+		return store.Result{}, fmt.Errorf("%w: through %s: %v", store.ErrUnavailable, address, err)
+	case errors.Is(err, store.ErrUnavailable):
+		return store.Result{}, fmt.Errorf("%w: through %s", err, address)
+	case err != nil:
 		return store.Result{}, fmt.Errorf("%w: through %s: %v", store.ErrUnknown, address, err)
 	}
 	result := decodeResult(answer)
@@ -109,6 +122,7 @@
 	if l.Peers == nil || len(l.accounts) == 0 {
 		addresses = nil
 	}
+	addresses = l.relay.withoutUnsupported(addresses, l.Now())
 	l.mu.Unlock()
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	asked := make(map[string]bool)
@@ -196,6 +210,23 @@
 	return encodeResult(result, err)
 }
 
+// markUnsupported records that a router does not know the call.
+func (r *relayState) markUnsupported(address string, now time.Time) {
+	if r.unsupported == nil {
+		r.unsupported = make(map[string]time.Time)
+	}
+	r.unsupported[address] = now
+}
+
+// withoutUnsupported returns the addresses without those of routers that do not know the call.
+func (r *relayState) withoutUnsupported(addresses []string, now time.Time) []string {
+	maps.DeleteFunc(r.unsupported, func(_ string, at time.Time) bool { return now.Sub(at) >= unsupportedTTL })
+	return slices.DeleteFunc(slices.Clone(addresses), func(address string) bool {
+		_, found := r.unsupported[address]
+		return found
+	})
+}
+
 // admit counts a write for another router and reports whether it is within maxRelayedWrites.
 func (r *relayState) admit(now time.Time) bool {
 	if now.Sub(r.windowStart) >= time.Second {
--- a/internal/prepaid/relay_test.go
+++ b/internal/prepaid/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -64,3 +65,49 @@
 		is.Equal(l.WriteForPeer(t.Context(), heartbeat).State, "unavailable")
 	})
 }
+
+// Guards against a router that asks routers of an earlier release again and again to write for it, and so does not come to
+// those that can.
+func TestEarlierReleaseIsNotAskedAgainToWrite(t *testing.T) {
+	withFleet(t, 6, total, func(t *testing.T, is *is.I, f *fleet) {
+		var asked atomic.Int32
+		unsupported := func(wire.PrepaidWrite) bool {
+			asked.Add(1)
+			return true
+		}
+		f.writesUnsupported.Store(&unsupported)
+		f.routers[0].spend(t, total, 10, 100*time.Millisecond)
+		f.connect(f.routers[1:]...)
+		time.Sleep(5 * time.Second)
+		is.True(asked.Load() > 0)
+		is.True(asked.Load() <= 5) // Once each.
+		f.writesUnsupported.Store(nil)
+		time.Sleep(8 * time.Second)
+		is.Equal(strings.Count(f.logs.String(), `"event":254`), 1) // It asks again after a while, and finds one.
+	})
+}
+
+// Guards against a write that a router of an earlier release refuses and that counts as one whose outcome is unknown: a router
+// that returns tokens would limit its spending until a row has changed.
+func TestWriteUnknownToEarlierReleaseIsNotUnanswered(t *testing.T) {
+	withFleet(t, 2, scarceTotal, func(t *testing.T, is *is.I, f *fleet) {
+		cut := f.routers[0]
+		cut.use(t, scarceTotal, 100, 100)
+		f.connect(f.routers[1])
+		time.Sleep(3 * time.Second)
+		cut.use(t, scarceTotal, 20_000, 509)
+		var refused atomic.Int32
+		unsupported := func(w wire.PrepaidWrite) bool {
+			if len(w.Expect) == 0 {
+				return false // A heartbeat.
+			}
+			refused.Add(1)
+			return true
+		}
+		f.writesUnsupported.Store(&unsupported)
+		time.Sleep(1300 * time.Millisecond) // The write that returns the surplus is refused.
+		is.True(refused.Load() > 0)
+		ok, _ := cut.use(t, scarceTotal, 18_003, 18_003)
+		is.True(ok)
+	})
+}
