Count only answers that tell of evacuations as news about them

A router that is cut off from the store asks others for its rows. The answer of one of an earlier release has no evacuations, and counted as news all the same: the router stayed ready, and asked fewer routers. Answers now have the version of the evacuations also if there are no newer ones.

Before: TestEarlierReleaseTellsNoEvacuations fails, the router is ready after 8 s. After: passes.

--- a/internal/entry/evacuation.go
+++ b/internal/entry/evacuation.go
@@ -73,14 +73,16 @@
 	return &wire.RelayEvacuations{Version: int(version), Era: int(era)}
 }
 
-// answerEvacuations returns the evacuations if they are newer than those of the router that asks; nil otherwise.
+// answerEvacuations returns the evacuations, without rows if they are not newer than those of the router that asks. It returns
+// nil if this router has none or the other one asks for none, as one of an earlier release.
 func (r *Router) answerEvacuations(query *wire.RelayEvacuations) *wire.RelayEvacuations {
 	if r.evacuated == nil || query == nil {
 		return nil
 	}
 	change, newer := r.evacuated.Newer(int64(query.Version), int64(query.Era))
 	if !newer {
-		return nil
+		version, era := r.evacuated.Version()
+		return &wire.RelayEvacuations{Version: int(version), Era: int(era)}
 	}
 	answer := &wire.RelayEvacuations{Version: int(change.Version), Era: int(change.Era)}
 	for _, row := range change.Rows {
@@ -89,9 +91,19 @@
 	return answer
 }
 
-// applyRelayedEvacuations applies the evacuations that another router knows.
-func (r *Router) applyRelayedEvacuations(answer *wire.RelayEvacuations, address string) {
-	if r.evacuated == nil || answer == nil {
+// isEvacuationNews reports whether an answer of another router counts as news about evacuations. That of a router of an earlier
+// release, and of one that has not read them yet, says nothing about them.
+func (r *Router) isEvacuationNews(answer *wire.RelayEvacuations) bool {
+	return r.evacuated == nil || answer != nil && answer.Version >= 0
+}
+
+// applyRelayedEvacuations applies the evacuations that another router knows if they are newer than those it was asked with: it
+// sends the rows only then.
+func (r *Router) applyRelayedEvacuations(query, answer *wire.RelayEvacuations, address string) {
+	if r.evacuated == nil || query == nil || answer == nil {
+		return
+	}
+	if answer.Era < query.Era || answer.Era == query.Era && answer.Version <= query.Version {
 		return
 	}
 	change := store.Change{Whole: true, Version: int64(answer.Version), Era: int64(answer.Era), Source: address}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -193,7 +193,8 @@
 	return r.evacuated != nil && r.operator.Age() > maxOperatorAge
 }
 
-// fetchRowsFrom fetches rows from a router, or only its configuration, and reports whether it answered.
+// fetchRowsFrom fetches rows from a router, or only its configuration, and reports whether it answered, in a deployment with
+// evacuations also about these.
 func (r *Router) fetchRowsFrom(ctx context.Context, address string, onlyConfig bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
@@ -209,25 +210,28 @@
 	}
 	r.fetching.Lock() // One answer after the other takes effect in all parts.
 	defer r.fetching.Unlock()
-	r.applyRelayedEvacuations(answer.Evacuations, address)
-	now := time.Now()
-	r.peerAnsweredAt.Store(&now)
+	r.applyRelayedEvacuations(query.Evacuations, answer.Evacuations, address)
+	isNews := r.isEvacuationNews(answer.Evacuations)
+	if isNews {
+		now := time.Now()
+		r.peerAnsweredAt.Store(&now)
+	}
 	if answer.Directory != nil {
 		r.applyRelayedDirectory(*answer.Directory, address)
 	}
 	r.applyRelayedCrashes(answer.Crashes, address)
 	if answer.Era < query.Era || answer.Era == query.Era && answer.Version <= query.Servers {
-		return true
+		return isNews
 	}
 	rows, err := r.decodeServers(answer)
 	if err != nil {
 		event.RelayFailed.Log(r.Logger).Str("peer", address).Err(err).Send()
-		return true
+		return isNews
 	}
 	if len(rows) > 0 {
 		r.applyServers(store.Change{Whole: true, Rows: rows, Version: int64(answer.Version), Era: int64(answer.Era), Source: address})
 	}
-	return true
+	return isNews
 }
 
 // decodeServers returns the rows of the servers in an answer.
--- a/internal/wire/relay.go
+++ b/internal/wire/relay.go
@@ -18,7 +18,9 @@
 	// Era of the store to which the versions belong; 0 if unknown.
 	Era int `json:"era"`
 
-	// Rows that evacuate data centres, if they are newer than the sender's.
+	// Rows that evacuate data centres if they are newer than the sender's, otherwise
+	// only their version. Missing if the router does not know them, as one of an
+	// earlier release.
 	Evacuations *RelayEvacuations `json:"evacuations,omitempty,omitzero"`
 
 	// Rows of all backend servers in place of the field servers, as a packed Snapshot
