--- a/internal/crash/record_test.go
+++ b/internal/crash/record_test.go
@@ -43,6 +43,8 @@
 			tracker.RecordBegun(crash.Request{Fingerprint: "sound", Parts: []string{"common"}})
 			time.Sleep(time.Second)
 		}
+		tracker.AddSuspect(crash.Request{Fingerprint: "begun"}, process("i-9", 1), true)
+		tracker.RecordServerDown("i-9")
 		time.Sleep(10 * time.Second)
 		list, err := m.List(t.Context(), "crash", "")
 		is.NoErr(err)
