--- a/internal/peer/record_test.go
+++ b/internal/peer/record_test.go
@@ -1,15 +1,19 @@
 package peer_test
 
 import (
+	"bufio"
 	"context"
+	"encoding/binary"
 	"flag"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"reflect"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -21,6 +25,10 @@
 	// recordedFile holds the bytes of the first call of each method on a connection, as the earlier release sent them: the
 	// method, the request and the answer in a line.
 	recordedFile = "testdata/01c4ed0.txt"
+	// refusalFile holds its answer to unknownCall.
+	refusalFile = "testdata/01c4ed0-refusal.txt"
+	// unknownCall is a call of a method that no release knows, the first one on a connection.
+	unknownCall = `{"id":0,"jsonrpc":"2.0","method":"future.method","params":{"field":1},"future":{}}`
 )
 
 var (
@@ -154,4 +162,32 @@
 		tap.mu.Unlock()
 	}
 	is.NoErr(os.WriteFile(recordedFile, []byte(out.String()), 0o600))
+	conn, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	is.NoErr(os.WriteFile(refusalFile, fmt.Appendf(nil, "%q\n", sendRaw(t, conn, unknownCall, 1)), 0o600))
+}
+
+// sendRaw sends a message and returns the first message of the answer, with its length, behind the accept byte if there is one.
+func sendRaw(t *testing.T, conn net.Conn, message string, accept int) string {
+	t.Helper()
+	frame := append(binary.AppendUvarint(nil, uint64(len(message))), message...)
+	if _, err := conn.Write(frame); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	reader := bufio.NewReader(conn)
+	head := make([]byte, accept)
+	if _, err := io.ReadFull(reader, head); err != nil {
+		t.Fatal(err)
+	}
+	size, err := binary.ReadUvarint(reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(reader, body); err != nil {
+		t.Fatal(err)
+	}
+	return string(head) + string(binary.AppendUvarint(nil, size)) + string(body)
 }
