--- a/internal/proxy/recorded_test.go
+++ b/internal/proxy/recorded_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -39,14 +40,16 @@
 	return exchanges
 }
 
-// respond sends a recorded response to a request on a new connection.
-func respond(listener net.Listener, response string) {
+// respond sends a recorded response to a request on a new connection. The names of the headers of the request are sent to the
+// channel.
+func respond(listener net.Listener, response string, names chan<- []string) {
 	conn, err := listener.Accept()
 	if err != nil {
 		return
 	}
 	defer func() { _ = conn.Close() }()
 	if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+		names <- slices.Sorted(maps.Keys(request.Header))
 		_, _ = io.Copy(io.Discard, request.Body)
 		_, _ = io.WriteString(conn, response) // The test fails if it does not arrive.
 	}
@@ -54,20 +57,38 @@
 
 // replay returns the response and the error that this release decodes from a response of another router.
 func replay(t *testing.T, recorded string) (*http.Response, []byte, error) {
+	t.Helper()
+	return replayTo(t, recorded, make(chan []string, 1))
+}
+
+func replayTo(t *testing.T, recorded string, names chan<- []string) (*http.Response, []byte, error) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	go respond(listener, recorded)
+	go respond(listener, recorded, names)
 	c := newChain(t, nil)
 	routers := proxy.NewRouterTransport(func(ctx context.Context, network, _ string) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, network, listener.Addr().String())
 	})
 	t.Cleanup(routers.CloseIdleConnections)
 	c.transport.Routers = routers
-	return c.fetch(c.request(t.Context(), http.MethodPost, "/path", "id-1", []byte("body")))
+	ctx := proxy.WithCall(t.Context(), proxy.Call{Request: "request-1", Permit: true})
+	return c.fetch(c.request(ctx, http.MethodPost, "/path", "id-1", []byte("body")))
+}
+
+// Guards against a header of a later release in a request to another router: one of an earlier release would send it on to the
+// backend server.
+func TestRequestsHaveNoHeadersUnknownToEarlierRelease(t *testing.T) {
+	is := is.New(t)
+	names, exchange := make(chan []string, 1), recordedExchanges(t)["answered"]
+	_, _, err := replayTo(t, exchange[1], names)
+	is.NoErr(err)
+	recorded, err := http.ReadRequest(bufio.NewReader(strings.NewReader(exchange[0])))
+	is.NoErr(err)
+	is.Equal(<-names, slices.Sorted(maps.Keys(recorded.Header)))
 }
 
 // Guards against a request of an earlier release for another router that is not understood, or is sent with headers of its own.
