--- a/pkg/inventory/directory.go
+++ b/pkg/inventory/directory.go
@@ -13,6 +13,8 @@
 	// KeyPrefix is the prefix of an API key digest.
 	KeyPrefix = "sha256:"
 
+	bitsPerByte = 8
+
 	// Idempotent means that a call may run more than once.
 	Idempotent RetryPolicy = "idempotent"
 	// AtMostOnce means that a call must run at most once.
@@ -83,6 +85,11 @@
 	// Engine describes the model engines of a service.
 	Engine struct {
 		Stride int // Maximum number of tokens in one stream event.
+		// Moves is whether a server can fetch what another one has cached of a prompt, TokenBytes the size of one cached token,
+		// LinkMbps the speed of a server's link for such transfers, in megabits per second.
+		Moves      bool
+		TokenBytes int64
+		LinkMbps   float64
 	}
 
 	// Limits bounds the requests and connections of callers.
@@ -184,3 +191,13 @@
 	sum := sha256.Sum256([]byte(key))
 	return KeyPrefix + hex.EncodeToString(sum[:])
 }
+
+// TransferTime returns the time that a transfer of one cached token between two servers takes, at least a nanosecond. It is zero
+// if the engine cannot transfer any, or if it is not known how long that takes.
+func (e *Engine) TransferTime() time.Duration {
+	if e == nil || !e.Moves || e.TokenBytes <= 0 || !(e.LinkMbps > 0) {
+		return 0
+	}
+	microseconds := float64(e.TokenBytes) * bitsPerByte / e.LinkMbps
+	return time.Duration(min(max(microseconds*float64(time.Microsecond), 1), float64(time.Second)))
+}
