Choose servers that fetch a cached prefix from another one

The router that sends a request may choose a server that does not hold its prefix, together with a donor that does, if that is better than the best choice without by twice the duration of the transfer. Off unless Picker.Transfers is set and the request tells how long a token takes.

--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -16,6 +16,8 @@
 		// Sample reports whether the request should ask the server for a load report. At high request rates only some
 		// requests do.
 		Sample bool
+		// Donor is the server from which the picked one should fetch the cached prefix of the prompt; nil if from none.
+		Donor *inventory.BackendServer
 		// Expected holds the estimates that the choice was based on.
 		Expected Expectation
 
@@ -35,6 +37,8 @@
 		sentAt        time.Time // Time of the choice, then of Started.
 		lastProgress  time.Time // Time of the first byte, then of the last progress.
 		outputTokens  int64     // Generated tokens at the last progress.
+		transferable  bool      // Whether the request counts toward the limit of transfers.
+		donor         *server   // Server of Donor.
 	}
 
 	// Expectation is the picker's estimate of the state of the server that it picked.
@@ -45,6 +49,7 @@
 		Age    time.Duration // Age of the load report; zero if there is none.
 		// WorkTime is the relative work time that the estimates count with; one if the server reports none.
 		WorkTime float64
+		Fetched  int64 // Part of Cached that is to be fetched from Choice.Donor.
 	}
 )
 
@@ -53,6 +58,9 @@
 	c.picker.mu.Lock()
 	defer c.picker.mu.Unlock()
 	c.sentAt = c.picker.now()
+	if !c.started {
+		c.earnTransferCredit()
+	}
 	c.started = true
 	if c.trial {
 		c.picker.logTrial(c.server)
@@ -71,8 +79,7 @@
 	now := p.now()
 	c.lastProgress = now
 	c.clearPending(now)
-	work := (fixedTokens + c.tokensAhead) * (doublingBatch + c.batchSize) / doublingBatch
-	p.learnFrom(c.server, &c.server.speed.firstToken, &p.fleetSpeed.firstToken, now.Sub(c.sentAt).Seconds(), work, now)
+	c.learnFirstToken(now.Sub(c.sentAt), now)
 	for _, prefix := range c.prefixHashes[:min(len(c.prefixHashes), maxPrefixBlocks)] {
 		p.addPrefix(prefix, c.server)
 	}
@@ -99,6 +106,7 @@
 	now := p.now()
 	c.applyOutcome(o, now)
 	c.done = true
+	c.returnTransferCredit()
 	c.clearPending(now)
 	c.server.ownWork.running--
 	c.server.recordOwnWork(now)
@@ -137,20 +145,33 @@
 
 // recordFinished learns the server's speed and cache hit ratio from a complete response.
 func (c *Choice) recordFinished(o Finished, now time.Time) {
-	p, s := c.picker, c.server
+	s := c.server
 	switch {
 	case c.firstByte:
 		c.learnTokenGap(o.Output, now)
 	case o.First > 0:
-		work := (fixedTokens + c.tokensAhead) * (doublingBatch + c.batchSize) / doublingBatch
-		p.learnFrom(s, &s.speed.firstToken, &p.fleetSpeed.firstToken, o.First.Seconds(), work, now)
+		c.learnFirstToken(o.First, now)
 	}
 	if c.cachedTokens <= 0 || o.Cached < 0 {
 		return
 	}
+	if c.donor != nil {
+		s = c.donor // It did not have what it was expected to have.
+	}
 	s.cacheHitRatio += (min(float64(o.Cached)/float64(c.cachedTokens), 1) - s.cacheHitRatio) * minAlpha
 }
 
+// learnFirstToken learns the server's prefill speed from the time to the first token. A request with a transfer teaches
+// none: it is not known how much of its time was the transfer, or whether the donor still had the prefix.
+func (c *Choice) learnFirstToken(took time.Duration, now time.Time) {
+	if c.donor != nil {
+		return
+	}
+	p, s := c.picker, c.server
+	work := (fixedTokens + c.tokensAhead) * (doublingBatch + c.batchSize) / doublingBatch
+	p.learnFrom(s, &s.speed.firstToken, &p.fleetSpeed.firstToken, took.Seconds(), work, now)
+}
+
 // learnTokenGap learns the mean time between tokens since the previous call.
 func (c *Choice) learnTokenGap(tokens int64, now time.Time) {
 	p, s := c.picker, c.server
--- a/internal/routing/initialize.go
+++ b/internal/routing/initialize.go
@@ -41,6 +41,9 @@
 		trials: scope.Counter("trials"),
 
 		workTimes: scope.Counter("worktimes"),
+
+		transfers:      scope.Counter("transfers"),
+		transferTokens: scope.Counter("transfertokens"),
 	}
 }
 
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -27,6 +27,7 @@
 		Home      float64          // Fraction of a prefix expected at a home server that is not indexed; 0.9 if zero.
 		Reading   float64          // Weight of the uncached prompt, as its prefill delays other streams; none if zero.
 		Noise     float64          // Random part of a score, relative to it, which spreads the load; 0.05 if zero.
+		Transfers float64          // Limit of prefix transfers, as a share of the requests that could use one; none if zero.
 		Trials    bool             // Whether requests that may run only once may probe a circuit, if no server has received them.
 		Routers   func() int       // Routers of the fleet, which bounds their probes together; one if nil.
 		Reports   float64          // Load reports per second to ask for with requests; 8 if zero.
@@ -44,11 +45,13 @@
 		prefixes              prefixIndex
 		fleetSpeed            speed // Mean over all servers, used for servers without samples.
 		workShare             workShare
+		transferCredit        float64   // Prefix transfers that the limit allows now.
 		lastOpened            time.Time // Time at which a circuit last opened.
 		pollRound             uint64    // Number of polling rounds so far.
 		nextReport            time.Time // Earliest time of the next request that asks for a load report.
 		expectedCached        []int64   // Scratch space by server.index: prompt tokens that its cache should hold.
 		expectedCachedIndexes []int32   // Scratch space: indexes of the servers with a value in expectedCached.
+		donors                []*server // Scratch space: servers from which the request's prefix could be fetched.
 	}
 
 	// counters are the picker's metrics.
@@ -60,6 +63,9 @@
 		trials tally.Counter
 		// workTimes counts load reports with a relative work time.
 		workTimes tally.Counter
+		// transfers counts the choices with a prefix transfer, transferTokens their tokens.
+		transfers      tally.Counter
+		transferTokens tally.Counter
 	}
 
 	// server is the picker's state for one backend server.
@@ -81,6 +87,7 @@
 		history        *history
 		speed          speed
 		workTime       workTime
+		linkFreeAt     time.Time // Expected end of the last prefix transfer to or from it that this router has started.
 		nameHash       uint64    // Hash of the name, for selecting the home server of a prefix.
 		minHintExpiry  int64     // Least expiry of its entries in the prefix index; older ones are of another server.
 		cacheHitRatio  float64   // Mean fraction of the expected cached tokens that the server found in its cache.
@@ -94,6 +101,7 @@
 		score        float64
 		cachedTokens int64 // Prompt tokens expected in the server's prefix cache.
 		firstToken   float64
+		transfer     transfer // Its donor is nil if the prefix is not fetched.
 	}
 )
 
@@ -134,6 +142,7 @@
 	p.expectCached(r, now)
 	defer p.clearExpectedCached()
 	p.expectCachedAtHome(group.subset, r)
+	p.findDonors(group.all, r, now)
 	best, anyAllowed := p.findBest(group.subset, r, now)
 	if best.server == nil && len(group.all) > len(group.subset) {
 		best, anyAllowed = p.findBest(group.all, r, now)
@@ -257,7 +266,7 @@
 
 // findBest returns the server with the lowest score, and whether any server was in an allowed place.
 func (p *Picker) findBest(servers []*server, r *Request, now time.Time) (bestServer, bool) {
-	var best bestServer
+	var best, bestTransfer bestServer
 	anyAllowed := false
 	scale := p.workShare.scale()
 	random := p.random()
@@ -280,13 +289,20 @@
 		if random >= 1 {
 			random--
 		}
-		score := e.score * (1 + p.Noise*random)
+		noise := 1 + p.Noise*random
+		score := e.score * noise
 		if s.config.Name == r.Prefer && r.Prefer != "" {
 			score = -1
 		}
 		if best.server == nil || score < best.score {
 			best = bestServer{server: s, score: score, cachedTokens: e.cachedTokens, firstToken: e.firstToken}
 		}
+		if t := p.planTransfer(s, r, &e, now); t.donor != nil {
+			bestTransfer.improve(s, &e, t, noise)
+		}
+	}
+	if bestTransfer.server != nil && bestTransfer.score < best.score {
+		return bestTransfer, anyAllowed
 	}
 	return best, anyAllowed
 }
@@ -347,6 +363,7 @@
 	c.batchSize, c.tokensAhead = p.expectedWork(s, p.workShare.scale(), now, c.urgent)
 	s.recordOwnWork(now)
 	c.Expected = Expectation{Cached: c.cachedTokens, Ahead: int64(c.tokensAhead), Batch: int(c.batchSize), WorkTime: s.workTime.factor(now)}
+	c.recordTransfer(best.transfer, r, now)
 	if s.hasLoad {
 		c.Expected.Age = now.Sub(s.load.Time)
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -59,21 +59,24 @@
 
 	// Request describes an attempt to the picker.
 	Request struct {
-		Service    string
-		Model      string // Empty for plain services.
-		Version    string // Empty accepts any version.
-		Adapter    string
-		Places     []string // Allowed data centres. Empty allows all.
-		Priority   int
-		Prompt     int64    // Prompt tokens.
-		Prefix     []uint64 // Cumulative hashes of the prompt's blocks, each of Picker.Block tokens.
-		Home       uint64   // Hash that selects the home server if the prefix is not indexed; Prefix[0] if zero.
-		Tried      []string // Servers that earlier attempts of the request used.
-		Exclude    []string // Servers that must not be used.
-		Prefer     string   // Server that is picked whatever its score, provided that it accepts new work.
-		Only       string   // If set, the only server that may be picked.
-		Software   string   // If set, only servers of this software version may be picked.
-		Idempotent bool     // Only idempotent requests may probe a server whose circuit is not closed.
+		Service  string
+		Model    string // Empty for plain services.
+		Version  string // Empty accepts any version.
+		Adapter  string
+		Places   []string // Allowed data centres. Empty allows all.
+		Priority int
+		Prompt   int64    // Prompt tokens.
+		Prefix   []uint64 // Cumulative hashes of the prompt's blocks, each of Picker.Block tokens.
+		Home     uint64   // Hash that selects the home server if the prefix is not indexed; Prefix[0] if zero.
+		Tried    []string // Servers that earlier attempts of the request used.
+		Exclude  []string // Servers that must not be used.
+		Prefer   string   // Server that is picked whatever its score, provided that it accepts new work.
+		Only     string   // If set, the only server that may be picked.
+		Software string   // If set, only servers of this software version may be picked.
+		// TransferTime is the time that the transfer of one cached prompt token between two servers takes; zero if the servers
+		// cannot transfer any.
+		TransferTime time.Duration
+		Idempotent   bool // Only idempotent requests may probe a server whose circuit is not closed.
 
 		// Explain, if set, receives the candidates of the decision.
 		Explain *Explanation
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -74,22 +74,31 @@
 		tokenGap     float64
 		cachedTokens int64
 		batchSize    float64
+		tokenTime    float64 // Part of firstToken for each prompt token that is not cached.
+		tokenScore   float64 // Part of score for each prompt token that is not cached.
+		delayScore   float64 // Part of score for each second that the first token is later.
 	}
 )
 
 // estimate returns the expected service of the request by the server.
 func (p *Picker) estimate(s *server, r *Request, now time.Time, scale float64) estimate {
 	batchSize, tokensAhead := p.expectedWork(s, scale, now, r.Priority > 0)
-	cachedTokens := min(int64(float64(p.expectedCached[s.index])*s.cacheHitRatio), r.Prompt)
+	cachedTokens := p.expectedTokens(s, r)
 	work := fixedTokens + tokensAhead + float64(r.Prompt-cachedTokens)
 	firstToken := s.speed.firstToken.at(now, p.fleetSpeed.firstToken, defaultFirstTokenUnit) * work * (doublingBatch + batchSize) / doublingBatch
 	tokenGap := s.speed.tokenGap.at(now, p.fleetSpeed.tokenGap, defaultTokenGapUnit) * (doublingBatch + batchSize + 1)
-	promptCost := p.Reading * p.fleetSpeed.firstToken.at(now, p.fleetSpeed.firstToken, defaultFirstTokenUnit) * float64(r.Prompt-cachedTokens)
+	fleetUnit := p.fleetSpeed.firstToken.at(now, p.fleetSpeed.firstToken, defaultFirstTokenUnit)
+	promptCost := p.Reading * fleetUnit * float64(r.Prompt-cachedTokens)
 	factor := s.workTime.factor(now)
 	firstToken *= factor
 	tokenGap *= factor
-	score := (firstToken + tokenGapWeight*tokenGap + promptCost) / p.slowStartShare(s, now)
-	return estimate{score: score, firstToken: firstToken, tokenGap: tokenGap, cachedTokens: cachedTokens, batchSize: batchSize}
+	share := p.slowStartShare(s, now)
+	score := (firstToken + tokenGapWeight*tokenGap + promptCost) / share
+	tokenTime := firstToken / work
+	return estimate{
+		score: score, firstToken: firstToken, tokenGap: tokenGap, cachedTokens: cachedTokens, batchSize: batchSize,
+		tokenTime: tokenTime, tokenScore: (tokenTime + p.Reading*fleetUnit) / share, delayScore: 1 / share,
+	}
 }
 
 // expectedWork returns the expected batch size of the server and the prompt tokens ahead of a new request. Both are a
