Send prefix transfers to backend servers within CITRONSLIP_TRANSFER

The header Kv-Fetch names the donor. Only first attempts have one, so that a retry does not fail for the same reason.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -301,10 +301,23 @@
 			// Many prompts start with the same few parts. Using the last shared part spreads them over the servers.
 			r.Home = r.Prefix[len(r.Prefix)-1]
 		}
+		if len(c.triedServers) == 0 && c.lastEvent == "" {
+			r.TransferTime = c.transferTime()
+		}
 	}
 	return r
 }
 
+// transferTime returns how long the transfer of a cached token between two servers of the request's service takes; zero if they
+// cannot transfer any.
+func (c *call) transferTime() time.Duration {
+	service := c.directory.Service(c.service)
+	if service == nil {
+		return 0
+	}
+	return service.Engine.TransferTime()
+}
+
 // attempt sends the request to a server and forwards the response. The reason is empty if the caller's response has
 // ended. Otherwise it tells why the attempt failed, and retry reports whether the request may be sent to another
 // server.
@@ -315,9 +328,17 @@
 	c.endWatch = c.Crashes.Watch(c.content, func() { c.withdraw(server, cancel) })
 	defer c.endWatch()
 	choice.Started()
-	c.logSent(server, choice)
+	donor := choice.Donor
+	if donor != nil && c.Pool.evacuations().Contains(donor.Place) {
+		donor = nil // The evacuation began after the choice.
+	}
+	c.logSent(server, donor, choice)
 	next := &replacement{}
-	outcome := c.Backend.Send(ctx, c.newAttempt(ctx, server, next))
+	attempt := c.newAttempt(ctx, server, next)
+	if donor != nil {
+		attempt.Donor = donor.Address
+	}
+	outcome := c.Backend.Send(ctx, attempt)
 	target := next.end(ctx, outcome)
 	switch o := outcome.(type) {
 	case NotSent:
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -117,6 +117,7 @@
 		Rank      int           // Priority; 0 is the most urgent.
 		Left      time.Duration // Time that remains until the deadline.
 		LastEvent string        // ID of the event after which the server is to continue a stream.
+		Donor     string        // Address of the server from which this one is to fetch the cached prefix of the prompt; empty if from none.
 		Places    []string      // Data centres of the routers that the request may be sent through; all if nil.
 		Permitted bool          // Whether a permit was issued for the attempt, as the server has a rate limit or is cold.
 		Replace   func() bool   // Reserves an attempt in place of this one, if its way is broken, and reports success; nil if there can be none.
--- a/internal/dispatch/log.go
+++ b/internal/dispatch/log.go
@@ -8,6 +8,7 @@
 
 	"citronslip/internal/event"
 	"citronslip/internal/routing"
+	"citronslip/pkg/inventory"
 )
 
 const (
@@ -34,9 +35,13 @@
 }
 
 // logSent logs the selected server and the estimates that led to the selection.
-func (c *call) logSent(server *Server, choice *routing.Choice) {
+func (c *call) logSent(server *Server, donor *inventory.BackendServer, choice *routing.Choice) {
 	estimate := choice.Expected
-	c.logEvent(event.AttemptSent).Str("server", server.Name).Str("software", server.Software).Int64("cached", estimate.Cached).Int64("ahead", estimate.Ahead).
+	line := c.logEvent(event.AttemptSent)
+	if donor != nil {
+		line.Str("donor", donor.Name).Int64("fetched", estimate.Fetched)
+	}
+	line.Str("server", server.Name).Str("software", server.Software).Int64("cached", estimate.Cached).Int64("ahead", estimate.Ahead).
 		Int("batch", estimate.Batch).Dur("load_age", estimate.Age).Float64("work", estimate.WorkTime).Dur("left", time.Until(c.deadline())).Send()
 }
 
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -150,16 +150,17 @@
 	r.versions = &store.Versions{Store: r.Store}
 	r.Store = r.versions
 	r.pool = &dispatch.Pool{Picker: &routing.Picker{
-		Router:  r.Settings.Node,
-		Block:   dispatch.PrefixBlockTokens,
-		Home:    1,
-		Subset:  unlimitedSubset,
-		Reading: prefillWeight,
-		Noise:   scoreNoise,
-		Trials:  true,
-		Routers: func() int { return r.ledger.RouterCount() },
-		Metrics: r.scope.SubScope("routing"),
-		Logger:  r.Logger,
+		Router:    r.Settings.Node,
+		Block:     dispatch.PrefixBlockTokens,
+		Home:      1,
+		Subset:    unlimitedSubset,
+		Reading:   prefillWeight,
+		Noise:     scoreNoise,
+		Trials:    true,
+		Transfers: r.Settings.Transfers,
+		Routers:   func() int { return r.ledger.RouterCount() },
+		Metrics:   r.scope.SubScope("routing"),
+		Logger:    r.Logger,
 	}}
 	r.buildEvacuations()
 	r.buildCrashes()
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -36,5 +36,8 @@
 		// regions do not apply.
 		Evacuations bool
 		Regions     map[string]string
+		// Transfers limits the transfers of cached prefixes between backend servers, as a share of the requests that could use one;
+		// none if zero.
+		Transfers float64
 	}
 )
--- a/internal/event/caller.go
+++ b/internal/event/caller.go
@@ -18,7 +18,7 @@
 	AttemptRefused        = register(121, zerolog.InfoLevel, "backend server refused the attempt without executing it", "None unless it continues; then add backend servers.")
 	RequestRejected       = register(123, zerolog.WarnLevel, "request refused before it was routed", "None if the field reason describes a fault of the request. If it names the link of the host, add hosts or bandwidth.")
 	AttemptLost           = register(122, zerolog.InfoLevel, "attempt without a usable response", "Check the named backend server if it repeats.")
-	AttemptSent           = register(124, zerolog.InfoLevel, "attempt sent to a backend server", "None. The choice was based on the fields cached, ahead, batch, load_age and work.")
+	AttemptSent           = register(124, zerolog.InfoLevel, "attempt sent to a backend server", "None. The choice was based on the fields cached, ahead, batch, load_age and work. With a donor, the server was told to fetch a part of the prompt from it, expected to be the tokens in fetched.")
 	NoServerAvailable     = register(125, zerolog.WarnLevel, "no backend server accepts the request", "See the field reasons. If there are no candidates, check the entries of the service's backend servers.")
 	CallerDisconnected    = register(126, zerolog.InfoLevel, "connection of a caller ended during a request", "None if the field closed is true: the caller has closed it. A connection that timed out had a caller that did not read or could not be reached.")
 	CallerHandlerPanicked = register(127, zerolog.ErrorLevel, "request ended without a response by a panic", "Report the cause and the stack trace.")
