--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -45,6 +45,8 @@
 		Age    time.Duration // Age of the load report; zero if there is none.
 		// WorkTime is the relative work time that the estimates count with; one if the server reports none.
 		WorkTime float64
+		First    time.Duration // Time until the first byte.
+		Free     int           // Free slots before this request; zero if the server has not reported its slots.
 	}
 )
 
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -312,6 +312,10 @@
 		return "busy"
 	case !p.allowed(s, r, now):
 		return s.circuit.state.String()
+	case r.Spare > 0 && s.circuit.state != stateClosed:
+		return "probe of the circuit"
+	case r.Spare > 0 && (now.Sub(s.load.Time) > r.Spare || p.freeSlots(s) <= 0):
+		return "no free slots known"
 	default:
 		return ""
 	}
@@ -325,6 +329,7 @@
 // recordChoice adds the request to the router's own work at the picked server and returns the choice.
 func (p *Picker) recordChoice(best bestServer, r *Request, now time.Time) *Choice {
 	s := best.server
+	free := p.freeSlots(s)
 	probe := s.circuit.beginRequest()
 	c := &Choice{
 		Server:        &s.config.BackendServer,
@@ -347,6 +352,7 @@
 	c.batchSize, c.tokensAhead = p.expectedWork(s, p.workShare.scale(), now, c.urgent)
 	s.recordOwnWork(now)
 	c.Expected = Expectation{Cached: c.cachedTokens, Ahead: int64(c.tokensAhead), Batch: int(c.batchSize), WorkTime: s.workTime.factor(now)}
+	c.Expected.First, c.Expected.Free = toDuration(best.firstToken), free
 	if s.hasLoad {
 		c.Expected.Age = now.Sub(s.load.Time)
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -55,6 +55,7 @@
 		// WorkTime is the present time of a piece of work relative to the usual one, 1.0 if as usual. It is above that while
 		// neighbours on its machine slow the server down, and zero if the server does not report it.
 		WorkTime float64
+		Slots    int // Requests that the server runs at once; zero if it does not report them.
 	}
 
 	// Request describes an attempt to the picker.
@@ -74,6 +75,8 @@
 		Only       string   // If set, the only server that may be picked.
 		Software   string   // If set, only servers of this software version may be picked.
 		Idempotent bool     // Only idempotent requests may probe a server whose circuit is not closed.
+		// Spare, if not zero, allows only servers with closed circuits whose load report is no older and shows free slots.
+		Spare time.Duration
 
 		// Explain, if set, receives the candidates of the decision.
 		Explain *Explanation
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// maxPrefixBlocks bounds the work of one decision; a longer common prefix hardly changes the choice.
@@ -119,6 +122,16 @@
 	return batchSize, tokensAhead
 }
 
+// freeSlots returns the slots that were free by the last load report, less the requests that all routers have probably sent
+// since. It is zero if requests were waiting or the server has not reported its slots.
+func (p *Picker) freeSlots(s *server) int {
+	if !s.hasLoad || s.load.Waiting > 0 {
+		return 0
+	}
+	since := math.Ceil(p.workShare.scale() * float64(s.ownWork.running-s.ownAtReport.running))
+	return max(s.load.Slots-max(s.load.Running+int(since), int(s.ownWork.running)), 0)
+}
+
 // slowStartShare returns the share of its speed at which a server is rated; less than one during its slow start.
 func (p *Picker) slowStartShare(s *server, now time.Time) float64 {
 	if s.slowStartBegin.IsZero() {
