--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -30,6 +30,8 @@
 		RetryRatio  float64       // Retries per request, for all routers together.
 		RetrySlack  float64       // Retries beyond the ratio in a window, for all routers together.
 		RetrySpan   time.Duration // Window of the ratio and the slack.
+		// Hedge is the largest share of the requests that may be hedged; no request is if it is zero.
+		Hedge float64
 		// ColdBound bounds the requests to a cold server in any second, for all routers together; zero if unlimited.
 		ColdBound coldstart.Bound
 		// Evacuations is whether the operator may evacuate data centres, Regions the region of each data centre; nil if home
