Hedge requests on the platform's path

The first usable response of two attempts wins, the other attempt is cancelled. Without CITRONSLIP_HEDGE requests take the same path as before.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -145,6 +145,28 @@
 	return Admitted{}
 }
 
+// Suspected reports whether the request, or a part of it, was lost or in flight when a server crashed, or when a connection to
+// a server broke that may have crashed.
+func (t *Tracker) Suspected(r Request) bool {
+	features := r.features()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, f := range features {
+		if t.suspected[f].processes > 0 {
+			return true
+		}
+	}
+	now := t.Now()
+	for _, list := range t.suspects {
+		for _, s := range list {
+			if now.Sub(s.lostAt) < suspectWindow && slices.ContainsFunc(s.request.features(), func(f feature) bool { return slices.Contains(features, f) }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // tryBlocked decides whether a request with blocked content is the one that is tried. The caller holds the lock.
 func (t *Tracker) tryBlocked(v verdict) Decision {
 	clock := t.Clock()
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -15,6 +15,7 @@
 	"citronslip/internal/crash"
 	"citronslip/internal/evacuation"
 	"citronslip/internal/event"
+	"citronslip/internal/hedge"
 	"citronslip/internal/ratelimit"
 	"citronslip/internal/resume"
 	"citronslip/internal/routing"
@@ -53,6 +54,7 @@
 		Regions func() map[string]string
 		// Standstill makes attempts wait for news of evacuations after the process has stood still; nil if none are evacuated.
 		Standstill *evacuation.Standstill
+		Hedges     *hedge.Policy // Decides about second attempts while first ones wait; nil if there are none.
 		Logger     *zerolog.Logger
 		Metrics    tally.Scope
 	}
@@ -69,6 +71,7 @@
 		content         crash.Request // Identity of the request's content.
 		trial           bool          // Whether the request is sent only to learn whether its content crashes servers.
 		endWatch        func()        // Ends the watch of the current attempt.
+		raced           bool          // Whether an attempt was made that could be hedged.
 		answerBegun     bool          // Whether the server of the current attempt has begun to answer.
 		reservation     Reservation
 		places          []string   // Data centres in the home regions of the request; nil if it has none.
@@ -309,6 +312,9 @@
 // ended. Otherwise it tells why the attempt failed, and retry reports whether the request may be sent to another
 // server.
 func (c *call) attempt(ctx context.Context, server *Server, choice *routing.Choice) (retry bool, reason Reason) {
+	if c.mayHedge() {
+		return c.attemptRace(ctx, server, choice)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c.answerBegun = false
@@ -318,31 +324,18 @@
 	c.logSent(server, choice)
 	next := &replacement{}
 	outcome := c.Backend.Send(ctx, c.newAttempt(ctx, server, next))
-	target := next.end(ctx, outcome)
+	return c.conclude(ctx, server, choice, outcome, next.end(ctx, outcome))
+}
+
+// conclude records the outcome of an attempt and forwards its response. target is the server of a replacement; nil if there
+// is none. The results are those of attempt.
+func (c *call) conclude(ctx context.Context, server *Server, choice *routing.Choice, outcome Outcome, target *selection) (retry bool, reason Reason) {
 	switch o := outcome.(type) {
 	case NotSent:
-		if o.Withheld {
-			choice.Done(routing.Cancelled{})
-			c.logWithheld(server, o.Err)
-			c.withheldServers = append(c.withheldServers, server.Name)
-			return ctx.Err() == nil, NoServerAvailable
-		}
-		choice.Done(c.outcomeOrCancelled(ctx, routing.ConnectionRefused{}))
-		c.logNotSent(server, o.Err)
-		if ctx.Err() == nil {
-			c.Crashes.RecordServerDown(server.Name)
-		}
-		return ctx.Err() == nil && c.Repeats.Allow(c.service), NoServerAvailable
+		c.recordNotSent(ctx, server, choice, o)
+		return ctx.Err() == nil && (o.Withheld || c.Repeats.Allow(c.service)), NoServerAvailable
 	case Refused:
-		c.triedServers = append(c.triedServers, server.Name)
-		c.Pool.ReportLoad(server, o.Load)
-		c.markLeaving(server, o.Leaving)
-		if !o.Misdirected && !o.Withheld {
-			c.Limits.Observe(server.process(), c.permit.limit, o.Limit)
-			c.Cold.RecordResponse(server.Name, o.Cold)
-		}
-		choice.Done(routing.Refused{Reason: o.Reason, After: o.After})
-		c.logEvent(event.AttemptRefused).Str("server", server.Name).Int("reason", int(o.Reason)).Send()
+		c.recordRefused(server, choice, o)
 		return c.attemptsLeft() && c.Repeats.Allow(c.service), ServersFull
 	case NoResponse:
 		c.triedServers = append(c.triedServers, server.Name)
@@ -355,14 +348,8 @@
 		}
 		return c.allowRetry(ctx)
 	case Answered:
-		c.triedServers = append(c.triedServers, server.Name)
-		c.mayHaveRun = true
 		defer func() { _ = o.Body.Close() }()
-		c.Pool.ReportLoad(server, o.Load)
-		c.markLeaving(server, o.Leaving)
-		c.Pool.BackOff(server, o.Rest)
-		c.Limits.Observe(server.process(), c.permit.limit, o.Limit)
-		c.Cold.RecordResponse(server.Name, o.Cold)
+		c.recordHead(server, o)
 		switch {
 		case o.Success && c.route.Stream && !(c.responseStarted && o.OtherContent):
 			return c.forwardStream(ctx, server, choice, o)
@@ -378,6 +365,56 @@
 	return false, IncompleteResponse
 }
 
+// recordNotSent records an attempt of which nothing was sent.
+func (c *call) recordNotSent(ctx context.Context, server *Server, choice *routing.Choice, o NotSent) {
+	if o.Withheld {
+		choice.Done(routing.Cancelled{})
+		c.logWithheld(server, o.Err)
+		c.withheldServers = append(c.withheldServers, server.Name)
+		return
+	}
+	choice.Done(c.outcomeOrCancelled(ctx, routing.ConnectionRefused{}))
+	c.logNotSent(server, o.Err)
+	if ctx.Err() == nil {
+		c.Crashes.RecordServerDown(server.Name)
+	}
+}
+
+// recordRefused records an attempt that was not executed.
+func (c *call) recordRefused(server *Server, choice *routing.Choice, o Refused) {
+	c.triedServers = append(c.triedServers, server.Name)
+	c.Pool.ReportLoad(server, o.Load)
+	c.markLeaving(server, o.Leaving)
+	if !o.Misdirected && !o.Withheld {
+		c.Limits.Observe(server.process(), c.permit.limit, o.Limit)
+		c.Cold.RecordResponse(server.Name, o.Cold)
+		c.recordRejection()
+	}
+	choice.Done(routing.Refused{Reason: o.Reason, After: o.After})
+	c.logEvent(event.AttemptRefused).Str("server", server.Name).Int("reason", int(o.Reason)).Send()
+}
+
+// recordHead records what the head of a response says about its server, which has executed the request.
+func (c *call) recordHead(server *Server, o Answered) {
+	c.triedServers = append(c.triedServers, server.Name)
+	c.mayHaveRun = true
+	c.Pool.ReportLoad(server, o.Load)
+	c.markLeaving(server, o.Leaving)
+	c.Pool.BackOff(server, o.Rest)
+	c.Limits.Observe(server.process(), c.permit.limit, o.Limit)
+	c.Cold.RecordResponse(server.Name, o.Cold)
+	if o.Rest > 0 {
+		c.recordRejection()
+	}
+}
+
+// recordRejection records that a server of the service has no room, so that no request to it is hedged for a while.
+func (c *call) recordRejection() {
+	if c.Hedges != nil {
+		c.Hedges.RecordRejection(c.service)
+	}
+}
+
 // recordNoResponse records an attempt without a usable response. Failures of the way to a server do not count as its own.
 func (c *call) recordNoResponse(ctx context.Context, server *Server, choice *routing.Choice, o NoResponse) {
 	c.logNoResponse(server, o.Reset, o.Err)
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -36,11 +36,8 @@
 
 // forwardPlain forwards a response that is not a stream of events.
 func (c *call) forwardPlain(ctx context.Context, server *Server, choice *routing.Choice, o Answered) (bool, Reason) {
-	maxBuffered := maxBufferedBytes
-	if o.Length < 0 {
-		maxBuffered = maxBufferedUnsizedBytes
-	}
-	buffered, err := io.ReadAll(io.LimitReader(o.Body, int64(maxBuffered)))
+	maxBuffered := o.bufferLimit()
+	buffered, err := readStart(o.Body, maxBuffered)
 	if err != nil {
 		choice.Done(c.outcomeOrCancelled(ctx, routing.Broken{}))
 		c.recordSuspect(ctx, server)
--- a/internal/dispatch/replacement.go
+++ b/internal/dispatch/replacement.go
@@ -44,6 +44,14 @@
 	return true
 }
 
+// close prevents a replacement from now on. It returns false if there is one already.
+func (r *replacement) close() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = r.ended || r.target == nil
+	return r.target == nil
+}
+
 // end records the outcome of the attempt in progress, and returns the server of its replacement; nil if there is none.
 func (r *replacement) end(ctx context.Context, outcome Outcome) *selection {
 	r.mu.Lock()
--- a/internal/dispatch/retry_budget.go
+++ b/internal/dispatch/retry_budget.go
@@ -67,6 +67,18 @@
 	return true
 }
 
+// AllowSpare reports whether at most a part of what the service may get is used with one more attempt, and counts it if so.
+func (r *RetryBudget) AllowSpare(service string, part float64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.window(service)
+	if sum(w.retries)+1 > part*r.allowed(w) {
+		return false
+	}
+	w.retries[w.newestBucket%windowBuckets]++
+	return true
+}
+
 // Available reports whether the service may get a retry now, without counting it.
 func (r *RetryBudget) Available(service string) bool {
 	r.mu.Lock()
@@ -75,8 +87,12 @@
 }
 
 func (r *RetryBudget) available(w *retryWindow) bool {
-	allowed := retryShare * (r.Ratio*sum(w.requests) + r.Slack/float64(max(r.Routers(), 1)))
-	return sum(w.retries)+1 <= allowed
+	return sum(w.retries)+1 <= r.allowed(w)
+}
+
+// allowed returns the number of retries in the window.
+func (r *RetryBudget) allowed(w *retryWindow) float64 {
+	return retryShare * (r.Ratio*sum(w.requests) + r.Slack/float64(max(r.Routers(), 1)))
 }
 
 // window returns the counts of a service after clearing the buckets that have left the window.
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -44,7 +44,7 @@
 		}
 		if err != nil {
 			choice.Done(c.outcomeOrCancelled(ctx, routing.Broken{Reset: true}))
-			if closed == nil && !errors.Is(err, errEventOrder) {
+			if closed == nil && !errors.Is(err, errEventOrder) && !errors.Is(err, errStalled) {
 				c.recordSuspect(ctx, server)
 			}
 			c.logNoResponse(server, true, err)
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -24,6 +24,7 @@
 	"citronslip/internal/dispatch"
 	"citronslip/internal/evacuation"
 	"citronslip/internal/event"
+	"citronslip/internal/hedge"
 	"citronslip/internal/metrics"
 	"citronslip/internal/peer"
 	"citronslip/internal/prepaid"
@@ -237,6 +238,9 @@
 		Logger:  r.Logger,
 		Metrics: r.scope,
 	}
+	if r.Settings.Hedge > 0 {
+		r.dispatcher.Hedges = &hedge.Policy{Share: r.Settings.Hedge, Now: time.Now}
+	}
 	r.bodies = &dispatch.BodyReader{Most: int64(bodyMemoryShare * float64(r.Settings.Memory)), Limit: r.maxBodyBytes}
 	r.carrier = r.Carrier(r.dispatcher, r.bodies)
 }
--- a/internal/evacuation/standstill.go
+++ b/internal/evacuation/standstill.go
@@ -57,10 +57,18 @@
 		return
 	}
 	resumed := s.observe()
-	for !resumed.IsZero() {
-		since := s.Now().Sub(resumed)
-		if since >= maxNewsWait || s.Age() < since || !delay.Sleep(ctx, newsPollInterval) {
-			return
-		}
+	for s.awaits(resumed) && delay.Sleep(ctx, newsPollInterval) {
 	}
 }
+
+// Waiting reports whether Wait would wait now.
+func (s *Standstill) Waiting() bool { return s != nil && s.awaits(s.observe()) }
+
+// awaits reports whether news are awaited since the end of a standstill; zero if there was none.
+func (s *Standstill) awaits(resumed time.Time) bool {
+	if resumed.IsZero() {
+		return false
+	}
+	since := s.Now().Sub(resumed)
+	return since < maxNewsWait && s.Age() >= since
+}
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -222,6 +222,21 @@
 	return names
 }
 
+// LimitedServers returns the names of the servers that need permits, and whether the service has a brittle one, so that others
+// of it may need permits as well.
+func (l *Limiter) LimitedServers(service string) (names []string, brittle bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p, known := range l.limits {
+		if known.ended {
+			continue
+		}
+		names = append(names, p.Server)
+		brittle = brittle || known.brittle > 0 && known.service == service
+	}
+	return names, brittle
+}
+
 // inherit returns the limit of a process of which nothing is known, if another process of its service is brittle. A
 // process that starts while the others are brittle would else get the requests of all routers before its first response.
 // The caller holds the lock.
