Learn from attempts that their hedges outpaced

Without that a slow or paused server looks idle and fast to the picker, as the attempts at it are cancelled, and gets the next requests.

--- a/internal/dispatch/race.go
+++ b/internal/dispatch/race.go
@@ -260,7 +260,11 @@
 		c.Pool.MarkSilent(loser.server)
 	}
 	loser.abandon()
-	loser.choice.Done(routing.Cancelled{})
+	if won {
+		loser.choice.Done(routing.Outpaced{})
+	} else {
+		loser.choice.Done(routing.Cancelled{})
+	}
 	c.triedServers = append(c.triedServers, loser.server.Name)
 	c.mayHaveRun = true
 }
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -127,6 +127,9 @@
 			threshold = 1
 		}
 		c.recordFailure(threshold, now)
+	case Outpaced:
+		c.learnLeast(now)
+		s.circuit.releaseProbe(c.probe)
 	default:
 		if c.trial && c.started {
 			// A server that answers nothing until callers give up must not get one request after the other.
@@ -137,6 +140,18 @@
 	}
 }
 
+// learnLeast learns the server's speed from an attempt that would have taken longer than it has so far, unless the server was
+// expected to take that long anyway.
+func (c *Choice) learnLeast(now time.Time) {
+	took := now.Sub(c.sentAt)
+	if c.firstByte || took <= c.Expected.First {
+		return
+	}
+	s := c.server
+	work := (fixedTokens + c.tokensAhead) * (doublingBatch + c.batchSize) / doublingBatch
+	s.speed.firstToken.add(took.Seconds()/s.workTime.factor(now)/work, now)
+}
+
 // recordFinished learns the server's speed and cache hit ratio from a complete response.
 func (c *Choice) recordFinished(o Finished, now time.Time) {
 	p, s := c.picker, c.server
--- a/internal/routing/outcome.go
+++ b/internal/routing/outcome.go
@@ -12,7 +12,7 @@
 )
 
 type (
-	// Outcome is the result of one attempt: Finished, Refused, ConnectionRefused, Broken or Cancelled.
+	// Outcome is the result of one attempt: Finished, Refused, ConnectionRefused, Broken, Cancelled or Outpaced.
 	Outcome interface {
 		outcome()
 	}
@@ -47,6 +47,10 @@
 
 	// Cancelled is an attempt that the router gave up.
 	Cancelled struct{}
+
+	// Outpaced is an attempt that the router gave up because another server answered first. It is no failure, but the server is
+	// at least as slow as the time until then says.
+	Outpaced struct{}
 )
 
 func (Finished) outcome()          {}
@@ -54,6 +58,7 @@
 func (ConnectionRefused) outcome() {}
 func (Broken) outcome()            {}
 func (Cancelled) outcome()         {}
+func (Outpaced) outcome()          {}
 
 // NotRun reports whether the attempt certainly did not run at a server.
 func NotRun(o Outcome) bool {
