--- a/internal/dispatch/race.go
+++ b/internal/dispatch/race.go
@@ -257,7 +257,6 @@
 	loser := r.second
 	if loser == winner {
 		loser = r.first
-		c.Pool.MarkSilent(loser.server)
 	}
 	loser.abandon()
 	if won {
--- a/internal/hedge/hedge.go
+++ b/internal/hedge/hedge.go
@@ -25,6 +25,9 @@
 	minSamples = 20
 	// expectedFactor is the multiple of the expected time of a request before which it is not late.
 	expectedFactor = 2
+	// minDelay is the age below which no attempt is late. Answers that usually take a millisecond or two are late as often because
+	// the router's host is busy.
+	minDelay = 20 * time.Millisecond
 	// leftFactor is the multiple of the expected time at the second server that has to be left until the deadline.
 	leftFactor = 2
 	// rejectionTTL is how long a service counts as full after one of its servers rejected a request.
@@ -137,7 +140,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	quantile, ok := p.quantile(route)
-	return max(quantile, expectedFactor*expected), ok
+	return max(quantile, expectedFactor*expected, minDelay), ok
 }
 
 // Check returns why no hedge of the attempt may be sent to any server.
--- a/internal/hedge/hedge_test.go
+++ b/internal/hedge/hedge_test.go
@@ -35,6 +35,11 @@
 	is.Equal(delay, 95*ms)
 	delay, _ = p.Delay("r", 80*ms)
 	is.Equal(delay, 160*ms)
+	for range 100 {
+		p.RecordTime("fast", ms)
+	}
+	delay, _ = p.Delay("fast", 0)
+	is.Equal(delay, 20*ms)
 	_, ok = p.Delay("other", 0)
 	is.True(!ok)
 	*now = now.Add(3 * time.Minute)
