--- a/internal/dispatch/hedge_test.go
+++ b/internal/dispatch/hedge_test.go
@@ -91,10 +91,6 @@
 	return completeAnswer(body)
 }
 
-func (h *hedgeTest) after(duration time.Duration) func(ctx context.Context, a dispatch.Attempt) dispatch.Outcome {
-	return func(ctx context.Context, a dispatch.Attempt) dispatch.Outcome { return h.answer(ctx, a, duration) }
-}
-
 // newSlowTest returns a dispatcher whose first attempt is slow and whose second one takes the usual time.
 func newSlowTest(slow time.Duration) *hedgeTest {
 	var h *hedgeTest
@@ -326,6 +322,30 @@
 	}
 }
 
+// Guards against three attempts when the way to the first server breaks: its replacement and a hedge exclude each other.
+func TestHedgeExcludesReplacement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, isBefore := range []bool{true, false} {
+			is := is.New(t)
+			var h *hedgeTest
+			h = newHedgeTest(func(ctx context.Context, a dispatch.Attempt) dispatch.Outcome {
+				if !isBefore {
+					time.Sleep(3 * usualTime)
+				}
+				is.Equal(a.Replace(), isBefore)
+				time.Sleep(10 * usualTime)
+				return dispatch.NoResponse{Path: true, Err: errReset}
+			}, func(ctx context.Context, a dispatch.Attempt) dispatch.Outcome {
+				is.True(a.Replace == nil)
+				return h.answer(ctx, a, slowTime)
+			})
+			a := h.serve("/safe/1")
+			is.Equal(len(h.sends), 2)
+			is.Equal(a.body.String(), h.sends[1].Server.Name)
+		}
+	})
+}
+
 // Guards against a response that arrives after the race, or at the same moment, and reaches the caller or stays open.
 func TestLateResponseReachesNobody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/event/routing.go
+++ b/internal/event/routing.go
@@ -28,7 +28,7 @@
 	HealthChecked         = register(430, zerolog.InfoLevel, "health of a backend server with an open circuit checked", "None. If it stays unhealthy, check the named server and its health path.")
 	CircuitTrial          = register(431, zerolog.InfoLevel, "request that may run only once probes a backend server", "None. If it fails although the server seemed healthy, check the health path of the service.")
 	HedgeSent             = register(432, zerolog.InfoLevel, "request sent to a second backend server, as the first one takes long", "None. Check the first server if it repeats.")
-	HedgeEnded            = register(433, zerolog.InfoLevel, "hedged request has the response of one backend server, the other attempt is cancelled", "None. The field won tells whether the second server answered first.")
+	HedgeEnded            = register(433, zerolog.InfoLevel, "hedged request has an outcome, an attempt still in progress is cancelled", "None. The field won tells whether the second server answered first.")
 	ServerBrittle         = register(413, zerolog.WarnLevel, "backend server said how many rejections in a second it can stand", "Add capacity to its service, or reduce the load. Routers hold requests back that the server has no room for.")
 	ServerCold            = register(414, zerolog.InfoLevel, "backend server counts as cold, it gets few requests for some seconds", "None. Check the server if it repeats.")
 	PlaceCold             = register(415, zerolog.InfoLevel, "backend servers of a data centre count as cold, they get few requests for some seconds", "None.")
