--- a/internal/dispatch/hedge_test.go
+++ b/internal/dispatch/hedge_test.go
@@ -142,6 +142,26 @@
 	}
 }
 
+// Guards against a slow attempt that goes on at its server until the stream of the other one has ended.
+func TestOutpacedAttemptIsCancelledAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var cancelledAt time.Time
+		h := newHedgeTest(func(ctx context.Context, _ dispatch.Attempt) dispatch.Outcome {
+			<-ctx.Done()
+			cancelledAt = time.Now()
+			return dispatch.NoResponse{Reset: true, Err: errReset}
+		}, func(ctx context.Context, _ dispatch.Attempt) dispatch.Outcome {
+			return dispatch.Answered{Success: true, Length: -1, Body: newPacedBody(ctx, 100*time.Millisecond, eventText(1, 1), eventText(2, 2), eventText(3, 3), "")}
+		})
+		a := h.serve("/stream/1")
+		is.Equal(a.body.String(), eventText(1, 3))
+		is.True(a.ended)
+		synctest.Wait()
+		is.Equal(time.Since(cancelledAt), 300*time.Millisecond) // The rest of the stream.
+	})
+}
+
 // Guards against a second attempt of a request that may run only once.
 func TestRequestThatMayRunOnceIsNotHedged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
