Add a memory budget and a scan of heads before they are decoded

A guard scans the bytes of each connection over HTTP/1.1, reserves what a head takes once decoded before net/http sees it, and answers 503 or 431 in its place if it does not fit. It limits the open connections and closes idle ones first. The scan follows the framing of bodies that net/http has decoded, so that no byte of a following head passes uncounted.

--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -178,13 +178,19 @@
 	return false
 }
 
-// unwrap returns the connection below TLS, or nil if no Listener has accepted it.
+// unwrap returns the connection below TLS and other layers that tell theirs, or nil if no Listener has accepted it.
 func unwrap(c net.Conn) *conn {
-	if encrypted, ok := c.(*tls.Conn); ok {
-		c = encrypted.NetConn()
+	for c != nil {
+		if tracked, ok := c.(*conn); ok {
+			return tracked
+		}
+		layer, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		c = layer.NetConn()
 	}
-	tracked, _ := c.(*conn)
-	return tracked
+	return nil
 }
 
 // usesHTTP2 reports whether HTTP/2 was agreed on in the TLS handshake.
--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -12,4 +12,5 @@
 	ShutdownTimedOut  = register(904, zerolog.WarnLevel, "graceful shutdown timed out with requests in flight", "Raise the setting grace if requests take longer than it.")
 	RecoveryFailed    = register(905, zerolog.WarnLevel, "bills of a dead router not recovered yet", "Check the engines named in the error. The router tries again.")
 	LinesDropped      = register(906, zerolog.WarnLevel, "log lines dropped, the log reader is too slow", "Read the log faster, or find the cause of the log volume.")
+	MemoryLimited     = register(913, zerolog.WarnLevel, "requests or connections refused, the memory or the connections of the listener are used up", "None if it is short. If it continues, look for callers with many connections or costly headers, or add routers or memory.")
 )
--- /dev/null
+++ b/internal/memory/budget.go
@@ -0,0 +1,183 @@
+// Package memory bounds the memory that callers can make a router use: the heads and bodies of their requests, the
+// responses that they do not read, and their connections. All of them draw on one Budget. A Guard scans heads before they
+// are decoded, since net/http takes many times their bytes for legal heads with many lines.
+package memory
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// softShare is the share of the machine's memory, less fixedBytes, up to which the garbage collector lets the process
+	// grow.
+	softShare = 0.85
+	// fixedBytes is the memory of the process that the collector does not count: its program and the kernel's pages for it.
+	fixedBytes = 16 << 20
+	// budgetShare is the share of the soft limit that is the budget. The rest is for the router's own state and for garbage
+	// that is not collected yet.
+	budgetShare = 0.4
+
+	// reservedDescriptors is the number of file descriptors for everything but the connections of callers, of requests of
+	// other routers, and to backend servers.
+	reservedDescriptors = 200
+	// callerConnShare and carriedConnShare are the shares of the other descriptors for the connections of callers and of
+	// other routers. Each of them may need one to a backend server.
+	callerConnShare  = 0.35
+	carriedConnShare = 0.15
+	// minConns is the limit of connections if the settings leave fewer.
+	minConns = 8
+)
+
+type (
+	// Budget is the memory that all callers together may use. The zero value has no limit. It is safe for concurrent use.
+	Budget struct {
+		Limit int64 // In bytes; zero means unlimited. Set before first use.
+
+		used    atomic.Int64
+		waiting atomic.Int32 // Number of calls of Wait that wait.
+		mu      sync.Mutex
+		freed   chan struct{} // Closed at the next release; nil if nobody waits.
+	}
+
+	// Hold is the part of a budget that one request uses. It is released as a whole. It is safe for concurrent use. A nil
+	// Hold has no limit.
+	Hold struct {
+		Budget *Budget
+
+		used atomic.Int64
+	}
+)
+
+// SoftLimit returns the soft limit of the garbage collector for a process that may use a number of bytes.
+func SoftLimit(machineBytes int64) int64 {
+	return max(int64(softShare*float64(machineBytes))-fixedBytes, machineBytes/4)
+}
+
+// BudgetOf returns the limit of the budget in a process that may use a number of bytes; zero if that is zero.
+func BudgetOf(machineBytes int64) int64 {
+	return int64(budgetShare * float64(SoftLimit(machineBytes)))
+}
+
+// CallerConns returns the limit of the connections of callers for a number of file descriptors; zero if that is zero.
+func CallerConns(descriptors int) int { return connLimit(callerConnShare, descriptors) }
+
+// CarriedConns returns the limit of the connections of other routers likewise.
+func CarriedConns(descriptors int) int { return connLimit(carriedConnShare, descriptors) }
+
+func connLimit(share float64, descriptors int) int {
+	if descriptors == 0 {
+		return 0
+	}
+	return max(int(share*float64(descriptors-reservedDescriptors)), minConns)
+}
+
+// Reserve takes a number of bytes from the budget and reports whether there were as many.
+func (b *Budget) Reserve(n int64) bool {
+	if used := b.used.Add(n); b.Limit > 0 && used > b.Limit && n > 0 {
+		b.Release(n)
+		return false
+	}
+	return true
+}
+
+// Release gives a number of bytes back.
+func (b *Budget) Release(n int64) {
+	if n == 0 {
+		return
+	}
+	b.used.Add(-n)
+	if b.waiting.Load() == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.freed != nil {
+		close(b.freed)
+		b.freed = nil
+	}
+}
+
+// Wait is like Reserve and waits until there are as many bytes, the timeout is over or the context ends.
+func (b *Budget) Wait(ctx context.Context, n int64, timeout time.Duration) bool {
+	if b.Reserve(n) {
+		return true
+	}
+	if !b.CanFit(n) {
+		return false
+	}
+	b.waiting.Add(1)
+	defer b.waiting.Add(-1)
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	for {
+		freed := b.nextRelease()
+		if b.Reserve(n) {
+			return true
+		}
+		select {
+		case <-freed:
+		case <-timer.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// CanFit reports whether a number of bytes would fit if nothing else were reserved.
+func (b *Budget) CanFit(n int64) bool { return b.Limit <= 0 || n <= b.Limit }
+
+// Used returns the bytes that are reserved.
+func (b *Budget) Used() int64 { return b.used.Load() }
+
+func (b *Budget) nextRelease() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.freed == nil {
+		b.freed = make(chan struct{})
+	}
+	return b.freed
+}
+
+// Reserve takes a number of bytes and reports whether there were as many.
+func (h *Hold) Reserve(n int64) bool {
+	if h == nil || h.Budget == nil {
+		return true
+	}
+	if !h.Budget.Reserve(n) {
+		return false
+	}
+	h.used.Add(n)
+	return true
+}
+
+// Wait is like Reserve and waits until there are as many bytes, the timeout is over or the context ends.
+func (h *Hold) Wait(ctx context.Context, n int64, timeout time.Duration) bool {
+	if h == nil || h.Budget == nil {
+		return true
+	}
+	if !h.Budget.Wait(ctx, n, timeout) {
+		return false
+	}
+	h.used.Add(n)
+	return true
+}
+
+// Release gives a number of bytes back.
+func (h *Hold) Release(n int64) {
+	if h == nil || h.Budget == nil {
+		return
+	}
+	h.used.Add(-n)
+	h.Budget.Release(n)
+}
+
+// End gives all bytes back.
+func (h *Hold) End() {
+	if h != nil && h.Budget != nil {
+		h.Budget.Release(h.used.Swap(0))
+	}
+}
--- /dev/null
+++ b/internal/memory/conn.go
@@ -0,0 +1,455 @@
+package memory
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// The phases of a connection over HTTP/1.1, by what the next byte belongs to.
+	inHead    phase = iota
+	headEnded       // The head is complete; net/http has not told yet whether a body follows.
+	inBody
+	inChunkSize
+	inChunkSizeRest
+	inChunkData
+	inChunkEnd
+	inTrailer
+	opaque // The bytes are not scanned: they are encrypted, or those of HTTP/2.
+
+	// refusalWriteTimeout limits the time for writing a refusal, which the socket's buffer takes at once.
+	refusalWriteTimeout = 100 * time.Millisecond
+	// lingerTime is how long a refused connection is read from, so that the end of the connection does not overtake the
+	// refusal. lingerBytes limits what is read.
+	lingerTime  = 200 * time.Millisecond
+	lingerBytes = 64 << 10
+	// maxChunkDigits is the number of digits of a chunk size beyond which net/http refuses the body.
+	maxChunkDigits = 16
+)
+
+var (
+	// http2Preface is the first head of a connection over HTTP/2.
+	http2Preface = []byte("PRI * HTTP/2.0\r\n\r\n")
+)
+
+type (
+	phase int
+
+	// Conn is a connection whose heads are scanned as they arrive. What a head takes once decoded is reserved before
+	// net/http sees it. A read returns bytes of one phase only, so that no byte of a following head is passed on before it
+	// is counted.
+	Conn struct {
+		net.Conn
+		guard *Guard
+		below *Conn // Connection that carries this one encrypted, and counts as the open one; nil if there is none.
+
+		mu         sync.Mutex
+		phase      phase
+		lineBytes  int   // Bytes of the current line so far.
+		lineEmpty  bool  // Whether they are at most one carriage return.
+		remaining  int64 // Bytes of the body or the chunk that are still to come.
+		digits     int   // Digits of the chunk size so far.
+		headBytes  int64 // Bytes and lines of the current head or trailer.
+		headLines  int64
+		reading    int64 // Bytes reserved for the head that is being read,
+		ready      int64 // for the one that net/http decodes,
+		serving    int64 // and for the one whose request is served.
+		inProgress int   // Requests that are served.
+		pending    []byte
+		lastRead   time.Time // When the last bytes arrived or the last request ended.
+		starved    bool      // Whether the memory for a trailer, or for HTTP/2, was not there.
+		extra      int64     // Bytes reserved for the connection beyond connBytes.
+		first      []byte    // Start of the connection, as long as it may be that of HTTP/2.
+		scanned    bool      // Whether that is decided.
+		closed     bool
+	}
+
+	// closeWriter is a connection that can be closed in one direction.
+	closeWriter interface {
+		CloseWrite() error
+	}
+)
+
+// HeadCost returns an upper estimate of the memory of a request with a head of the given size until its end, without
+// its body. docs/design/memory-limits.md has the measurements.
+func HeadCost(size, lines int64) int64 {
+	return requestBytes + size*headByteFactor + lines*headLineBytes
+}
+
+// NetConn returns the connection below.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
+// Read reads bytes that net/http may decode.
+func (c *Conn) Read(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	n, refused := c.readPending(p)
+	var err error
+	if n == 0 && !refused {
+		if n, err = c.Conn.Read(p); n > 0 {
+			n, refused = c.admit(p[:n], true)
+		}
+	}
+	if refused {
+		c.refuse(p)
+		return 0, io.EOF
+	}
+	return n, err
+}
+
+// readPending reads bytes that arrived together with those of another phase.
+func (c *Conn) readPending(p []byte) (n int, refused bool) {
+	c.mu.Lock()
+	n = copy(p, c.pending)
+	c.mu.Unlock()
+	if n == 0 {
+		return 0, false
+	}
+	return c.admit(p[:n], false)
+}
+
+// admit scans data and reserves what decoding it takes. It returns how much of it may be passed on now, and keeps the rest.
+func (c *Conn) admit(data []byte, arrived bool) (n int, refused bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if arrived {
+		c.lastRead = time.Now()
+	}
+	n = c.scan(data)
+	switch {
+	case !arrived:
+		c.pending = c.pending[n:]
+		if len(c.pending) == 0 {
+			c.pending = nil
+		}
+	case n < len(data):
+		c.pending = bytes.Clone(data[n:])
+	}
+	return n, !c.charge()
+}
+
+// charge reserves the memory for what was scanned. The caller holds the lock.
+func (c *Conn) charge() bool {
+	switch {
+	case c.closed, c.starved:
+		return false
+	case c.phase == inTrailer:
+		return c.chargeTrailer()
+	case c.phase != inHead && c.phase != headEnded || c.inProgress > 0 || c.headBytes == 0:
+		// A byte of the next head that arrives while a request is served is counted with those that follow.
+		return true
+	}
+	need := HeadCost(c.headBytes, c.headLines)
+	if !c.guard.Budget.Reserve(need - c.reading) {
+		return false
+	}
+	c.reading = need
+	if c.phase == headEnded {
+		c.guard.Budget.Release(c.ready) // Of a head that net/http has answered without a handler.
+		c.ready, c.reading, c.headBytes, c.headLines = c.reading, 0, 0, 0
+	}
+	return true
+}
+
+// chargeTrailer reserves the memory for the lines after a body. The caller holds the lock.
+func (c *Conn) chargeTrailer() bool {
+	need := c.headBytes*headByteFactor + c.headLines*headLineBytes
+	if !c.guard.Budget.Reserve(need - c.reading) {
+		return false
+	}
+	c.serving += need - c.reading
+	c.reading = need
+	return true
+}
+
+// scan returns how many bytes of data belong to the current phase and those that net/http reads together with it. The
+// caller holds the lock.
+func (c *Conn) scan(data []byte) int {
+	n := 0
+	for n < len(data) {
+		rest := data[n:]
+		switch c.phase {
+		case opaque:
+			return len(data)
+		case headEnded:
+			if n > 0 {
+				return n
+			}
+			c.phase = inHead
+		case inHead:
+			if c.inProgress > 0 {
+				rest = rest[:1] // net/http looks at one byte to notice the end of the connection.
+			}
+			used, ended := c.scanLines(rest)
+			n += used
+			if ended {
+				c.phase = headEnded
+			}
+			c.detectHTTP2(rest[:used])
+			if ended || c.inProgress > 0 {
+				return n
+			}
+		case inBody:
+			used := min(int64(len(rest)), c.remaining)
+			c.remaining -= used
+			n += int(used)
+			if c.remaining == 0 {
+				c.phase = headEnded
+				return n
+			}
+		case inTrailer:
+			used, ended := c.scanLines(rest)
+			n += used
+			if ended {
+				c.starved = !c.chargeTrailer()
+				c.phase, c.reading, c.headBytes, c.headLines = headEnded, 0, 0, 0
+				return n
+			}
+		default:
+			n += c.scanChunk(rest)
+		}
+	}
+	return n
+}
+
+// detectHTTP2 stops the scan if the first head of the connection is that of HTTP/2. The caller holds the lock.
+func (c *Conn) detectHTTP2(part []byte) {
+	if c.scanned {
+		return
+	}
+	c.first = append(c.first, part...)
+	if bytes.Equal(c.first, http2Preface) {
+		c.phase, c.headBytes, c.headLines = opaque, 0, 0
+		c.guard.Budget.Release(c.reading)
+		c.reading = 0
+		c.starved = !c.reserveExtra(http2ConnBytes)
+	}
+	if !bytes.HasPrefix(http2Preface, c.first) || c.phase != inHead {
+		c.first, c.scanned = nil, true
+	}
+}
+
+// scanLines scans lines of a head or a trailer up to the empty line that ends it.
+func (c *Conn) scanLines(data []byte) (used int, ended bool) {
+	for used < len(data) {
+		line := data[used:]
+		end := bytes.IndexByte(line, '\n')
+		if end < 0 {
+			c.addToLine(line)
+			return len(data), false
+		}
+		c.addToLine(line[:end])
+		used += end + 1
+		c.headBytes++
+		empty := c.lineBytes == 0 || c.lineEmpty
+		c.lineBytes, c.lineEmpty = 0, false
+		if empty {
+			return used, true
+		}
+		c.headLines++
+	}
+	return used, false
+}
+
+func (c *Conn) addToLine(part []byte) {
+	if len(part) == 0 {
+		return
+	}
+	c.lineEmpty = c.lineBytes == 0 && len(part) == 1 && part[0] == '\r'
+	c.lineBytes += len(part)
+	c.headBytes += int64(len(part))
+}
+
+// scanChunk scans the first bytes of data within the chunks of a body and returns how many it has scanned. What it takes
+// for malformed net/http refuses.
+func (c *Conn) scanChunk(data []byte) int {
+	switch c.phase {
+	case inChunkSize:
+		if digit, ok := hexDigit(data[0]); ok && c.digits < maxChunkDigits {
+			c.remaining = c.remaining<<4 | digit
+			c.digits++
+			return 1
+		}
+		c.phase = inChunkSizeRest
+		return 0
+	case inChunkData:
+		used := min(int64(len(data)), c.remaining)
+		c.remaining -= used
+		if c.remaining == 0 {
+			c.phase = inChunkEnd
+		}
+		return int(max(used, 0))
+	}
+	end := bytes.IndexByte(data, '\n')
+	if end < 0 {
+		return len(data)
+	}
+	switch {
+	case c.phase == inChunkEnd:
+		c.phase, c.remaining, c.digits = inChunkSize, 0, 0
+	case c.remaining <= 0:
+		c.phase = inTrailer
+	default:
+		c.phase = inChunkData
+	}
+	return end + 1
+}
+
+func hexDigit(b byte) (int64, bool) {
+	switch {
+	case '0' <= b && b <= '9':
+		return int64(b - '0'), true
+	case 'a' <= b|0x20 && b|0x20 <= 'f':
+		return int64(b|0x20-'a') + 10, true
+	}
+	return 0, false
+}
+
+// Begin tells that net/http has decoded a head, and whether a body follows.
+func (c *Conn) Begin(r *http.Request) {
+	if c.below != nil {
+		c.below.addInProgress(1)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inProgress++
+	c.serving, c.ready = c.ready, 0
+	switch {
+	case r.ContentLength < 0:
+		c.phase, c.remaining, c.digits = inChunkSize, 0, 0
+	case r.ContentLength > 0:
+		c.phase, c.remaining = inBody, r.ContentLength
+	}
+}
+
+// End tells that the request has been served.
+func (c *Conn) End() {
+	if c.below != nil {
+		c.below.addInProgress(-1)
+	}
+	c.addInProgress(-1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.guard.Budget.Release(c.serving)
+	c.serving = 0
+}
+
+// addInProgress counts the requests that are served.
+func (c *Conn) addInProgress(delta int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inProgress += delta
+	c.lastRead = time.Now()
+}
+
+// scans reports whether the heads of the connection are scanned.
+func (c *Conn) scans() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase != opaque
+}
+
+// reserveExtra reserves memory for the connection itself.
+func (c *Conn) reserveExtra(n int64) bool {
+	if !c.guard.Budget.Reserve(n) {
+		return false
+	}
+	c.extra += n
+	return true
+}
+
+// Close closes the connection and releases its memory.
+func (c *Conn) Close() error {
+	c.release()
+	return c.Conn.Close()
+}
+
+// CloseWrite closes the sending direction if the connection supports that.
+func (c *Conn) CloseWrite() error {
+	if writer, ok := c.Conn.(closeWriter); ok {
+		return writer.CloseWrite()
+	}
+	return nil
+}
+
+// release releases the memory of the connection, but not that of a request that is still served.
+func (c *Conn) release() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
+	c.closed = true
+	c.guard.Budget.Release(c.ready + c.extra)
+	if c.phase != inTrailer {
+		c.guard.Budget.Release(c.reading)
+	}
+	c.reading, c.ready, c.pending = 0, 0, nil
+	if c.below == nil {
+		c.guard.Budget.Release(connBytes)
+		c.guard.forget(c)
+	}
+}
+
+// refuse answers a request whose head does not fit into the budget, and ends the connection. The request has not been
+// decoded, so that it does not run.
+func (c *Conn) refuse(buffer []byte) {
+	c.mu.Lock()
+	closed, answers := c.closed, c.inProgress == 0
+	response := c.guard.unavailable()
+	if !c.guard.Budget.CanFit(connBytes + HeadCost(c.headBytes, c.headLines)) {
+		response = c.guard.tooLarge()
+	}
+	c.mu.Unlock()
+	if closed {
+		return
+	}
+	c.guard.countHead()
+	if answers {
+		c.answer(response, buffer)
+	}
+}
+
+// answer writes a response and reads for a moment what the other end still sends.
+func (c *Conn) answer(response, buffer []byte) {
+	if c.SetWriteDeadline(time.Now().Add(refusalWriteTimeout)) != nil {
+		return
+	}
+	if _, err := c.Conn.Write(response); err != nil || c.CloseWrite() != nil {
+		return
+	}
+	if c.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		return
+	}
+	for read := 0; read < lingerBytes; {
+		n, err := c.Conn.Read(buffer)
+		if err != nil {
+			return
+		}
+		read += n
+	}
+}
+
+// evict closes the connection unless a request is served on it, and reports whether it did.
+func (c *Conn) evict() bool {
+	c.mu.Lock()
+	busy := c.inProgress > 0 || c.closed
+	c.mu.Unlock()
+	if busy {
+		return false
+	}
+	_ = c.Close() // Nothing was written that the close could lose.
+	return true
+}
+
+// idleSince returns since when nothing has arrived, whether a head has been begun, and whether the connection may be closed.
+func (c *Conn) idleSince() (since time.Time, begun, closable bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastRead, c.headBytes > 0 || c.ready > 0, c.inProgress == 0 && !c.closed
+}
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -24,6 +24,8 @@
 	// ErrBareCarriageReturn is returned when an event contains a carriage return without a line feed. Parsers differ in
 	// whether it ends a line, so the receiver of the stream might split it into other events than the reader.
 	ErrBareCarriageReturn = errors.New("sse: carriage return without line feed")
+	// ErrNoMemory is returned when there is no memory for a long event.
+	ErrNoMemory = errors.New("sse: no memory for a long event")
 	// ErrTruncated is returned when the stream ends within an event.
 	ErrTruncated = errors.New("sse: stream ended within an event")
 
@@ -31,10 +33,17 @@
 )
 
 type (
+	// Memory grants memory.
+	Memory interface {
+		Reserve(n int64) bool
+		Release(n int64)
+	}
+
 	// Reader splits a stream into complete events. Set the fields before the first use.
 	Reader struct {
 		Source io.Reader
-		Most   int // Maximum length of an event in bytes; DefaultMaxEventBytes if zero.
+		Most   int    // Maximum length of an event in bytes; DefaultMaxEventBytes if zero.
+		Memory Memory // Grants the memory for long events; unlimited if nil.
 
 		buffer    []byte // Data read from the source.
 		start     int    // Start of the data in buffer that Next has not returned yet.
@@ -104,6 +113,7 @@
 func (r *Reader) releaseBuffer() {
 	if r.start == len(r.buffer) {
 		if cap(r.buffer) > minBufferBytes {
+			r.release(cap(r.buffer))
 			r.buffer = nil
 		}
 		r.buffer = r.buffer[:0]
@@ -132,8 +142,9 @@
 
 // fill appends data from the source to the buffer.
 func (r *Reader) fill() {
-	if len(r.buffer) == cap(r.buffer) {
-		r.grow()
+	if len(r.buffer) == cap(r.buffer) && !r.grow() {
+		r.err = ErrNoMemory
+		return
 	}
 	for range maxEmptyReads {
 		n, err := r.Source.Read(r.buffer[len(r.buffer):cap(r.buffer)])
@@ -147,17 +158,31 @@
 }
 
 // grow makes room in a full buffer. If at least half of it was consumed, the rest is moved to the front, otherwise to a
-// buffer of twice the size.
-func (r *Reader) grow() {
+// buffer of twice the size. It reports whether there was memory for that.
+func (r *Reader) grow() bool {
 	unread := r.buffer[r.start:]
 	target := r.buffer[:0]
 	if len(unread) > cap(r.buffer)/2 || cap(r.buffer) == 0 {
-		target = make([]byte, 0, max(minBufferBytes, 2*cap(r.buffer)))
+		next := max(minBufferBytes, 2*cap(r.buffer))
+		if next > minBufferBytes && r.Memory != nil && !r.Memory.Reserve(int64(next)) {
+			return false
+		}
+		if cap(r.buffer) > minBufferBytes {
+			defer r.release(cap(r.buffer))
+		}
+		target = make([]byte, 0, next)
 	}
 	r.buffer = append(target, unread...)
 	r.lineStart -= r.start
 	r.searched -= r.start
 	r.start = 0
+	return true
+}
+
+func (r *Reader) release(n int) {
+	if r.Memory != nil {
+		r.Memory.Release(int64(n))
+	}
 }
 
 // endError returns the error for a stream that has no further complete event.
