Bound the memory and the connections of the platform's front end

Heads, bodies and unread responses share one budget, derived from memoryMb. The connections of callers and of other routers are limited by fileDescriptors. Buffers for bodies and responses grow with the bytes received.

--- a/internal/dispatch/bodies.go
+++ b/internal/dispatch/bodies.go
@@ -1,8 +1,11 @@
 package dispatch
 
 import (
+	"errors"
 	"io"
-	"sync/atomic"
+	"os"
+
+	"citronslip/internal/memory"
 )
 
 const (
@@ -10,37 +13,45 @@
 	defaultMaxBodyBytes = 4 << 20
 	// initialBufferBytes is the initial buffer size for a body of unknown length.
 	initialBufferBytes = 4 << 10
+	// maxInitialBufferBytes limits the initial buffer for a body of known length, so that a caller that announces a long
+	// body and sends nothing takes little memory.
+	maxInitialBufferBytes = 64 << 10
 )
 
 type (
 	// BodyReader reads request bodies and limits the memory that they take in total. Set the fields before first use.
 	BodyReader struct {
-		Most  int64        // Limit of all bodies together, in bytes.
-		Limit func() int64 // Returns the size limit of one body in bytes; zero selects the default.
-
-		reservedBytes atomic.Int64
+		Budget *memory.Budget
+		Limit  func() int64 // Returns the size limit of one body in bytes; zero selects the default.
 	}
 )
 
+// MaxBytes returns the size limit of one body.
+func (b *BodyReader) MaxBytes() int64 {
+	if limit := b.Limit(); limit > 0 {
+		return limit
+	}
+	return defaultMaxBodyBytes
+}
+
 // Read reads a whole body. The length is -1 if it is unknown. Read returns the body and a function that releases its
 // memory, or the reason why it was not read.
 func (b *BodyReader) Read(body io.Reader, length int64) ([]byte, func(), Reason) {
-	limit := b.Limit()
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
+	limit := b.MaxBytes()
 	if length > limit {
 		return nil, nil, TooLarge
 	}
 	if length == 0 {
 		return nil, func() {}, ""
 	}
-	reserved := length
-	if length < 0 {
-		reserved = initialBufferBytes
+	if b.Budget.Limit > 0 && b.Budget.Used()+length > b.Budget.Limit {
+		return nil, nil, OutOfMemory // Before a part of it was read in vain.
+	}
+	reserved := int64(initialBufferBytes)
+	if length > 0 {
+		reserved = min(length, maxInitialBufferBytes)
 	}
-	if b.reservedBytes.Add(reserved) > b.Most {
-		b.reservedBytes.Add(-reserved)
+	if !b.Budget.Reserve(reserved) {
 		return nil, nil, OutOfMemory
 	}
 	data := make([]byte, 0, reserved)
@@ -48,23 +59,32 @@
 		n, err := body.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
 		if err == io.EOF || err == nil && int64(len(data)) == length {
-			return data, func() { b.reservedBytes.Add(-reserved) }, ""
+			return data, func() { b.Budget.Release(reserved) }, ""
 		}
 		reason := Reason("")
 		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			reason = BodyTooSlow
 		case err != nil:
 			reason = Malformed
 		case int64(len(data)) > limit:
 			reason = TooLarge
-		case len(data) == cap(data) && b.reservedBytes.Add(reserved) > b.Most:
-			b.reservedBytes.Add(-reserved)
-			reason = OutOfMemory
 		case len(data) == cap(data):
-			data = append(make([]byte, 0, 2*cap(data)), data...)
-			reserved *= 2
+			// The old buffer counts until its contents are copied.
+			next := 2 * reserved
+			if length > 0 {
+				next = min(next, length)
+			}
+			if !b.Budget.Reserve(next) {
+				reason = OutOfMemory
+				break
+			}
+			data = append(make([]byte, 0, next), data...)
+			b.Budget.Release(reserved)
+			reserved = next
 		}
 		if reason != "" {
-			b.reservedBytes.Add(-reserved)
+			b.Budget.Release(reserved)
 			return nil, nil, reason
 		}
 	}
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -12,6 +12,7 @@
 	"citronslip/internal/board"
 	"citronslip/internal/crash"
 	"citronslip/internal/event"
+	"citronslip/internal/memory"
 	"citronslip/internal/ratelimit"
 	"citronslip/internal/resume"
 	"citronslip/internal/routing"
@@ -44,6 +45,7 @@
 		// Closing returns when a stopping router closes the connections of its callers, once it takes no more requests that
 		// may last longer, and the zero time before. It is optional.
 		Closing func() time.Time
+		Memory  *memory.Budget // Memory for responses; unlimited if nil.
 		Logger  *zerolog.Logger
 		Metrics tally.Scope
 	}
@@ -53,6 +55,7 @@
 		*Dispatcher
 		request         *Request
 		response        Response
+		held            *memory.Hold // Memory of the response.
 		directory       *inventory.Directory
 		route           *inventory.Route
 		account         *inventory.ClientAccount
@@ -85,6 +88,8 @@
 // Serve serves one request. It returns when the response has ended.
 func (d *Dispatcher) Serve(ctx context.Context, request *Request, response Response) {
 	c := &call{Dispatcher: d, request: request, response: response, directory: d.Directory.Load()}
+	c.held = &memory.Hold{Budget: d.Memory}
+	defer c.held.End()
 	defer c.logRequest()
 	if reason := c.resolve(); reason != "" {
 		c.refuse(reason, c.retryAfter)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -46,6 +46,8 @@
 	Malformed Reason = "malformed request"
 	// TooLarge means that the body exceeds the size limit.
 	TooLarge Reason = "body too large"
+	// BodyTooSlow means that the body did not arrive in time.
+	BodyTooSlow Reason = "body too slow"
 	// OutOfMemory means that the router has no memory left for the body.
 	OutOfMemory Reason = "router out of memory"
 	// DeadlineExceeded means that the deadline passed. The request may have been executed.
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -18,6 +18,11 @@
 	maxBufferedUnsizedBytes = 64 << 10
 	// maxUnsizedBytes is the size limit of a response body without a declared length.
 	maxUnsizedBytes = 8 << 20
+	// unreservedBytes is the part of it that needs no reservation, and all that is buffered if the router has no memory.
+	// The cost of a head (memory.HeadCost) contains it.
+	unreservedBytes = 16 << 10
+	// memoryWait is how long a response waits for memory before only unreservedBytes of it are buffered.
+	memoryWait = time.Second
 	// copyBufferBytes is the size of the buffer for the rest of a longer body.
 	copyBufferBytes = 32 << 10
 )
@@ -40,7 +45,7 @@
 	if o.Length < 0 {
 		maxBuffered = maxBufferedUnsizedBytes
 	}
-	buffered, err := io.ReadAll(io.LimitReader(o.Body, int64(maxBuffered)))
+	buffered, maxBuffered, err := c.readStart(ctx, o, maxBuffered)
 	if err != nil {
 		choice.Done(c.outcomeOrCancelled(ctx, routing.Broken{}))
 		c.recordSuspect(ctx, server)
@@ -78,6 +83,41 @@
 	return false, ""
 }
 
+// readStart reads the start of a response of at most the given number of bytes. It returns that number, or a smaller one if
+// the router has no memory for more. The response is shorter if the start has fewer bytes.
+func (c *call) readStart(ctx context.Context, o Answered, most int) ([]byte, int, error) {
+	size := min(initialBufferBytes, most)
+	if o.Length >= 0 {
+		size = int(min(o.Length+1, int64(most), unreservedBytes)) // One more, to see the end.
+	}
+	data := make([]byte, 0, size)
+	for {
+		n, err := o.Body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return data, most, nil
+		case err != nil:
+			if cap(data) > unreservedBytes {
+				c.held.Release(int64(cap(data)))
+			}
+			return nil, most, err
+		case len(data) < cap(data):
+			continue
+		case len(data) >= most:
+			return data, most, nil
+		}
+		next := min(2*cap(data), most)
+		if next > unreservedBytes && !c.held.Wait(ctx, int64(next), memoryWait) {
+			return data, len(data), nil
+		}
+		if cap(data) > unreservedBytes {
+			c.held.Release(int64(cap(data)))
+		}
+		data = append(make([]byte, 0, next), data...)
+	}
+}
+
 // forwardBody forwards the buffered start of a body, of at most maxBuffered bytes, and the rest.
 func (c *call) forwardBody(buffered []byte, maxBuffered int, o Answered) error {
 	if err := c.response.Write(buffered); err != nil {
@@ -86,6 +126,9 @@
 	if len(buffered) < maxBuffered {
 		return nil
 	}
+	if len(buffered) > unreservedBytes {
+		c.held.Release(int64(cap(buffered)))
+	}
 	buffer := make([]byte, copyBufferBytes)
 	total := len(buffered)
 	for {
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -22,7 +22,7 @@
 // be resumed after its last event. A stream without a complete event is given up or moved by the stall watch, however
 // many bytes it sends.
 func (c *call) forwardStream(ctx context.Context, server *Server, choice *routing.Choice, o Answered) (bool, Reason) {
-	reader := &sse.Reader{Source: o.Body, Most: maxEventBytes}
+	reader := &sse.Reader{Source: o.Body, Most: maxEventBytes, Memory: c.held}
 	start := time.Now()
 	c.resuming = c.responseStarted
 	watch := c.watchStall(ctx, o.Body)
@@ -42,6 +42,11 @@
 		if errors.Is(err, errMoved) {
 			return c.moveStream(ctx, server, choice, watch.target)
 		}
+		if errors.Is(err, sse.ErrNoMemory) {
+			choice.Done(routing.Cancelled{}) // No fault of the server.
+			c.logNoResponse(server, false, err)
+			return c.allowRetry(ctx)
+		}
 		if err != nil {
 			choice.Done(c.outcomeOrCancelled(ctx, routing.Broken{Reset: true}))
 			if closed == nil && !errors.Is(err, errEventOrder) {
--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"citronslip/internal/event"
+	"citronslip/internal/memory"
 )
 
 type (
@@ -54,17 +55,12 @@
 		Bool("closed", errors.Is(err, io.EOF)).Err(err).Send()
 }
 
-// unwrapCaller returns the connection below a callerConn.
-func unwrapCaller(conn net.Conn) net.Conn {
-	if c, ok := conn.(*callerConn); ok {
-		return c.Conn
-	}
-	return conn
-}
+// NetConn returns the connection below.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
 
 // withCallerConn adds the connection to the context of its requests.
 func withCallerConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, conn)
+	return context.WithValue(memory.ConnContext(ctx, conn), callerConnKey{}, conn)
 }
 
 // logPanics serves a request and logs a panic of the handler, which ends the connection without a response.
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -15,6 +15,7 @@
 
 	"citronslip/internal/drain"
 	"citronslip/internal/event"
+	"citronslip/internal/memory"
 	"citronslip/pkg/inventory"
 )
 
@@ -49,6 +50,7 @@
 	// accepted.
 	callerServer struct {
 		handler  http.Handler
+		guard    *memory.Guard
 		logger   *zerolog.Logger
 		hook     func(net.Conn, http.ConnState) // ConnState of the servers.
 		draining atomic.Bool                    // Whether responses ask callers to close their connections.
@@ -80,9 +82,10 @@
 	r.listening.Store(true)
 	listener := &drain.Listener{TCP: socket}
 	c := &callerServer{
-		handler: r.Callers(r.dispatcher, r.bodies, r.linkMonitor),
+		handler: r.guards.callers.Handler(r.Callers(r.dispatcher, r.bodies, r.linkMonitor)),
+		guard:   r.guards.callers,
 		logger:  r.Logger,
-		hook:    func(conn net.Conn, state http.ConnState) { listener.ConnState(unwrapCaller(conn), state) },
+		hook:    listener.ConnState,
 	}
 	c.applyLimits(defaultLimits, listener)
 	go c.accept(ctx, listener)
@@ -197,13 +200,17 @@
 			time.Sleep(acceptBackoff)
 			continue
 		}
+		admitted := c.guard.Admit(conn)
+		if admitted == nil {
+			continue
+		}
 		c.mu.Lock()
 		target := c.listener
 		c.mu.Unlock()
 		select {
-		case target.conns <- &callerConn{Conn: conn, logger: c.logger}:
+		case target.conns <- &callerConn{Conn: admitted, logger: c.logger}:
 		case <-target.closed:
-			_ = conn.Close()
+			_ = admitted.Close()
 		}
 	}
 }
--- a/internal/entry/proxy.go
+++ b/internal/entry/proxy.go
@@ -8,6 +8,7 @@
 	"citronslip/internal/delay"
 	"citronslip/internal/dial"
 	"citronslip/internal/dispatch"
+	"citronslip/internal/memory"
 	"citronslip/internal/peer"
 	"citronslip/internal/proxy"
 	"citronslip/internal/wire"
@@ -57,13 +58,16 @@
 		return err
 	}
 	server := &http.Server{
-		Handler:           http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { logPanics(r.Logger, r.carrier, w, req) }),
+		Handler: r.guards.carrier.Handler(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			logPanics(r.Logger, r.carrier, w, req)
+		})),
 		ReadHeaderTimeout: carrierHeaderTimeout,
 		IdleTimeout:       carrierIdleTimeout,
+		ConnContext:       memory.ConnContext,
 	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := server.Serve(listener); ctx.Err() == nil {
+	if err := server.Serve(r.guards.carrier.Listener(listener)); ctx.Err() == nil {
 		return err
 	}
 	return nil
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -21,6 +21,7 @@
 	"citronslip/internal/dial"
 	"citronslip/internal/dispatch"
 	"citronslip/internal/event"
+	"citronslip/internal/memory"
 	"citronslip/internal/metrics"
 	"citronslip/internal/peer"
 	"citronslip/internal/prepaid"
@@ -33,8 +34,6 @@
 )
 
 const (
-	// bodyMemoryShare is the share of the memory that request bodies may take.
-	bodyMemoryShare = 0.25
 	// settingsPollInterval is the time between two checks of the settings file.
 	settingsPollInterval = time.Second
 	// unlimitedSubset makes every router choose among all servers, so that all routers agree on a prompt's home server.
@@ -88,6 +87,8 @@
 		limiter        *ratelimit.Limiter
 		limitFollower  *store.Follower
 		streams        *resume.Tracker
+		memory         *memory.Budget // Memory that callers and other routers may use together.
+		guards         guards
 		bodies         *dispatch.BodyReader
 		carrier        *proxy.Handler
 		relayCache     relayCache
@@ -110,6 +111,7 @@
 	if r.Usage != nil {
 		r.Usage.Metrics = scope.SubScope("store")
 	}
+	r.buildGuards()
 	r.buildComponents()
 	event.RouterStarted.Log(r.Logger).Str("node", r.Settings.Node).Str("place", r.Settings.Place).
 		Str("address", r.Settings.Caller).Str("store", r.Settings.Store).Send()
@@ -197,6 +199,7 @@
 		Streams:   r.streams,
 		Behind:    r.linkMonitor.ShouldHoldSends,
 		Closing:   r.closingTime,
+		Memory:    r.memory,
 		Repeats: &dispatch.RetryBudget{
 			Ratio:   r.Settings.RetryRatio,
 			Slack:   r.Settings.RetrySlack,
@@ -207,7 +210,7 @@
 		Logger:  r.Logger,
 		Metrics: r.scope,
 	}
-	r.bodies = &dispatch.BodyReader{Most: int64(bodyMemoryShare * float64(r.Settings.Memory)), Limit: r.maxBodyBytes}
+	r.bodies = &dispatch.BodyReader{Budget: r.memory, Limit: r.maxBodyBytes}
 	r.carrier = r.Carrier(r.dispatcher, r.bodies)
 }
 
@@ -237,7 +240,7 @@
 		{"roster", r.serverRegistry.Run},
 		{"settings", r.watchSettings},
 		{"ready", func(ctx context.Context) error {
-			return serveHTTP(ctx, r.Settings.Ready, &http.Server{Handler: r.Readiness(r.ready)})
+			return serveHTTP(ctx, r.Settings.Ready, r.Readiness(r.ready), r.guards.readiness)
 		}},
 	}
 	if r.Settings.Proxy != "" {
@@ -248,7 +251,7 @@
 	}
 	if r.Settings.Metrics != "" {
 		list = append(list, controller{"metrics", func(ctx context.Context) error {
-			return serveHTTP(ctx, r.Settings.Metrics, &http.Server{Handler: scrape})
+			return serveHTTP(ctx, r.Settings.Metrics, scrape, r.guards.metrics)
 		}})
 	}
 	return list
@@ -365,15 +368,22 @@
 }
 
 // serveHTTP serves HTTP on one of the router's internal addresses until the context ends.
-func serveHTTP(ctx context.Context, address string, server *http.Server) error {
-	server.ReadHeaderTimeout = 3 * time.Second
+func serveHTTP(ctx context.Context, address string, handler http.Handler, guard *memory.Guard) error {
+	server := &http.Server{
+		Handler:           guard.Handler(handler),
+		ReadHeaderTimeout: internalHeaderTimeout,
+		IdleTimeout:       internalIdleTimeout,
+		WriteTimeout:      internalWriteTimeout,
+		MaxHeaderBytes:    internalHeaderBytes,
+		ConnContext:       memory.ConnContext,
+	}
 	listener, err := dial.Listen(ctx, address)
 	if err != nil {
 		return err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := server.Serve(listener); ctx.Err() == nil {
+	if err := server.Serve(guard.Listener(listener)); ctx.Err() == nil {
 		return err
 	}
 	return nil
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -7,18 +7,20 @@
 type (
 	// Settings are the settings that the platform gives to a router.
 	Settings struct {
-		Node      string        // Name of the router; unique in the fleet.
-		Place     string        // Data centre.
-		Caller    string        // Listen address for callers.
-		Ready     string        // Listen address for readiness checks.
-		Peer      string        // Listen address for other routers.
-		Metrics   string        // Listen address for metrics; none if empty.
-		Proxy     string        // Listen address for requests of other routers to backend servers; none if empty.
-		Seeds     []string      // Peer addresses of other routers, possibly outdated.
-		Store     string        // Address of the store.
-		Memory    int64         // Bytes that the process may use.
-		Bandwidth float64       // Bytes per second of the host's network link; zero if unknown.
-		Grace     time.Duration // Time from the stop signal to the kill.
+		Node    string   // Name of the router; unique in the fleet.
+		Place   string   // Data centre.
+		Caller  string   // Listen address for callers.
+		Ready   string   // Listen address for readiness checks.
+		Peer    string   // Listen address for other routers.
+		Metrics string   // Listen address for metrics; none if empty.
+		Proxy   string   // Listen address for requests of other routers to backend servers; none if empty.
+		Seeds   []string // Peer addresses of other routers, possibly outdated.
+		Store   string   // Address of the store.
+		Memory  int64    // Bytes that the process may use; zero if unlimited.
+		// Descriptors is the number of file descriptors that the process may open; zero if unlimited.
+		Descriptors int
+		Bandwidth   float64       // Bytes per second of the host's network link; zero if unknown.
+		Grace       time.Duration // Time from the stop signal to the kill.
 		// Drain is the limit from the announcement that a server is leaving to its last request; zero if unlimited.
 		Drain      time.Duration
 		RetryRatio float64       // Retries per request, for all routers together.
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -18,6 +18,8 @@
 const (
 	// writeTimeout limits one write to a router that does not read.
 	writeTimeout = 10 * time.Second
+	// bodyTimeout limits the time for reading the body of a request of another router.
+	bodyTimeout = time.Minute
 	// copyBufferBytes is the size of the buffer for a response.
 	copyBufferBytes = 16 << 10
 )
@@ -28,6 +30,9 @@
 		"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
 		"Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
 	}
+	// UnsentResponse answers a request of another router that was not decoded for lack of memory.
+	UnsentResponse = []byte("HTTP/1.1 502 Bad Gateway\r\n" + headerOutcome + ": " + string(outcomeUnsent) + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+
 	// repeatedMethods and idempotencyHeaders make net/http repeat a request without a body on its own.
 	repeatedMethods    = []string{http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace}
 	idempotencyHeaders = []string{"Idempotency-Key", "X-Idempotency-Key"}
@@ -80,12 +85,19 @@
 		h.refuse(w, r, ErrNotSent)
 		return
 	}
+	controller := http.NewResponseController(w)
+	if r.ContentLength != 0 {
+		_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout)) // Without it, the read fails as well.
+	}
 	body, release, ok := h.ReadBody(r.Body, r.ContentLength)
 	if !ok {
 		h.refuse(w, r, ErrNotSent)
 		return
 	}
 	defer release()
+	if r.ContentLength != 0 {
+		_ = controller.SetReadDeadline(time.Time{}) // A connection that fails ends the request.
+	}
 	admission, err := h.Admit(r.Context(), address, r.Header.Get(headerPermit) != "")
 	if err != nil {
 		h.refuse(w, r, err)
