Bound the memory and the connections of the product's front end

The settings memory and descriptors are new. Bodies, their parsing, answers, captured streams and the bodies of other routers share the budget of the heads. Texts of callers in explanations are limited to 512 bytes: a model name or a path of megabytes was kept for each of the last requests. The garbage collector gets a soft limit below the machine's memory.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -305,7 +304,7 @@
 
 // readAnswer reads an answer that is one JSON body.
 func (c *chatCall) readAnswer(ctx context.Context, a *attempt, response *http.Response) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	body, err := c.readAnswerBody(ctx, response)
 	if err == nil && isUnframed(response) && !json.Valid(body) {
 		err = errBackendLost
 	}
--- a/internal/caller/call.go
+++ b/internal/caller/call.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -15,6 +14,7 @@
 	"citronslip/internal/crash"
 	"citronslip/internal/event"
 	"citronslip/internal/explain"
+	"citronslip/internal/memory"
 	"citronslip/internal/wire"
 	"citronslip/pkg/inventory"
 )
@@ -32,6 +32,7 @@
 		idempotent         bool               // Whether the request may be run more than once.
 		idempotencyKey     string             // Idempotency key that the caller sent; empty if none.
 		claim              *claim.Claim       // Claim of the idempotency key; nil if there is none.
+		held               *memory.Hold       // Memory of the request's bodies.
 		record             *explain.Record    // Record that explains the handling of the request.
 		w                  http.ResponseWriter
 		r                  *http.Request
@@ -54,7 +55,7 @@
 // newCall gives a request its identity and looks up the configuration in force and the client account. The returned
 // call is valid even if the request is refused.
 func (f *Frontend) newCall(w http.ResponseWriter, r *http.Request) (*call, *Refusal) {
-	c := &call{front: f, w: w, r: r, requestNumber: f.requestCount.Add(1), idempotent: true}
+	c := &call{front: f, w: w, r: r, requestNumber: f.requestCount.Add(1), idempotent: true, held: &memory.Hold{Budget: f.Memory}}
 	c.requestID = f.Instance + "-" + strconv.FormatUint(c.requestNumber, 10)
 	c.record = &explain.Record{Request: c.requestID, Router: f.Router, Begin: time.Now()}
 	w.Header().Set(HeaderRequestID, c.requestID)
@@ -76,6 +77,7 @@
 // endCall records the end of a request that newCall accepted.
 func (c *call) endCall() {
 	c.front.inFlight.Add(-1)
+	c.held.End()
 	now := time.Now()
 	c.record.End = &now
 	c.front.Explain.Put(c.record)
@@ -103,7 +105,7 @@
 	}
 	c.record.Result = "refused"
 	c.record.Code = refusal.Code
-	c.record.Message = refusal.Message
+	c.record.Message = clip(refusal.Message)
 	c.record.Run = string(refusal.Run)
 	c.refusalStatus = refusal.Status
 	if c.headerSent {
@@ -126,7 +128,7 @@
 
 // readBody returns the request body. It refuses a body that is larger than the limit or cannot be read.
 func (c *call) readBody() ([]byte, *Refusal) {
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, c.front.BodyBytes))
+	body, err := c.readAll(http.MaxBytesReader(c.w, c.r.Body, c.front.BodyBytes), c.r.ContentLength)
 	if err != nil {
 		return nil, c.front.bodyRefusal(err)
 	}
@@ -161,7 +163,7 @@
 	query.Account = c.account.Name
 	query.Budget = c.r.Header.Get(HeaderBudget)
 	decision, err := c.index.Decide(query)
-	c.record.Model = query.Model
+	c.record.Model = clip(query.Model)
 	c.record.Service = decision.Service
 	c.record.Rule = decision.Rule
 	switch {
--- a/internal/caller/chat_call.go
+++ b/internal/caller/chat_call.go
@@ -56,6 +56,9 @@
 	if refusal != nil {
 		return refusal
 	}
+	if refusal := c.reserveParsing(body); refusal != nil {
+		return refusal
+	}
 	chat, refusal := c.newChatCall(body)
 	if refusal != nil {
 		return refusal
--- a/internal/caller/frontend.go
+++ b/internal/caller/frontend.go
@@ -20,6 +20,7 @@
 	"citronslip/internal/engine"
 	"citronslip/internal/event"
 	"citronslip/internal/explain"
+	"citronslip/internal/memory"
 	"citronslip/internal/quarantine"
 	"citronslip/internal/routing"
 	"citronslip/pkg/inventory"
@@ -68,6 +69,8 @@
 		// does not reach it; optional.
 		Rerouted func(base string) bool
 
+		Memory *memory.Budget // Memory for bodies and answers; unlimited if nil.
+
 		BodyBytes   int64         // Largest accepted request body in bytes.
 		HeaderBytes int           // Largest accepted request header in bytes.
 		Duration    time.Duration // Time limit of one request.
--- a/internal/caller/plain_call.go
+++ b/internal/caller/plain_call.go
@@ -140,7 +140,7 @@
 		return refusal
 	}
 	limited := http.MaxBytesReader(p.w, p.r.Body, p.front.BodyBytes)
-	body, err := io.ReadAll(io.LimitReader(limited, maxRetryBodyBytes))
+	body, err := p.readAll(io.LimitReader(limited, maxRetryBodyBytes), min(p.r.ContentLength, maxRetryBodyBytes))
 	if err != nil {
 		return p.front.bodyRefusal(err)
 	}
@@ -282,7 +282,7 @@
 
 // bufferResponse reads the whole response.
 func (p *plainCall) bufferResponse(ctx context.Context, a *attempt, response *http.Response) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	body, err := p.readAnswerBody(ctx, response)
 	if err != nil || len(body) > maxAnswerBytes {
 		return p.handleLostConnection(ctx, a, fmt.Errorf("%w: %v", engine.ErrConnectionLost, err))
 	}
--- a/internal/caller/refusal.go
+++ b/internal/caller/refusal.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"citronslip/internal/memory"
 	"citronslip/internal/wire"
 )
 
@@ -87,6 +88,8 @@
 func (f *Frontend) bodyRefusal(err error) *Refusal {
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, memory.ErrNoMemory):
+		return refuseMemory()
 	case errors.As(err, &tooLarge):
 		message := fmt.Sprintf("the body is larger than %d bytes", f.BodyBytes)
 		return newRefusal(http.StatusRequestEntityTooLarge, CodeBodyTooLarge, message)
--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"citronslip/internal/memory"
 	"citronslip/internal/sse"
 	"citronslip/internal/wire"
 	"citronslip/pkg/inventory"
@@ -46,6 +47,7 @@
 	relay struct {
 		out                 io.Writer
 		capture             io.Writer                   // Receives a copy of the events; may be nil.
+		held                *memory.Hold                // Memory of long events.
 		finishWithoutCaller bool                        // Whether to complete capture after the caller disconnects.
 		totalUsage          func(tokenUsage) tokenUsage // Adds the usage of earlier attempts; nil if none.
 		flush               func() error
@@ -68,7 +70,7 @@
 	if r.continues && !isEventStream(response.Header) {
 		return errNotContinued
 	}
-	events := sse.Reader{Source: response.Body}
+	events := sse.Reader{Source: response.Body, Memory: r.held}
 	for {
 		event, err := events.Next()
 		if err != nil {
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+
+	"citronslip/internal/memory"
 )
 
 const (
@@ -29,6 +31,9 @@
 		Protocols:         &protocols,
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams: maxConcurrentStreams,
+			// What a connection may send before its requests read it counts as its memory.
+			MaxReceiveBufferPerConnection: memory.HTTP2ReceiveBytes,
+			MaxReceiveBufferPerStream:     memory.HTTP2ReceiveBytes,
 			// Close connections that accept no data at all, and those whose peer disappeared without closing them.
 			WriteByteTimeout: idleTimeout,
 			SendPingTimeout:  idleTimeout,
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -12,12 +12,15 @@
 	"citronslip/internal/delay"
 	"citronslip/internal/engine"
 	"citronslip/internal/event"
+	"citronslip/internal/memory"
 	"citronslip/internal/routing"
 )
 
 const (
 	// maxCapturedBytes bounds the copy of a stream that is kept for its recorded answer.
 	maxCapturedBytes = 4 << 20
+	// captureBytes is the initial size of that copy.
+	captureBytes = 1 << 10
 	// maxResumes bounds how often the stream of one attempt is resumed.
 	maxResumes    = 3
 	resumeBackoff = 50 * time.Millisecond
@@ -27,19 +30,36 @@
 	// streamCapture collects the events that are sent to the caller.
 	streamCapture struct {
 		bytes.Buffer
-		overflowed bool // Whether the stream was too long to record.
+		held       *memory.Hold
+		reserved   int64
+		overflowed bool // Whether the stream was too long to record, or there was no memory for it.
 	}
 )
 
 // Write keeps the data unless the capture would exceed maxCapturedBytes.
 func (c *streamCapture) Write(data []byte) (int, error) {
-	if c.overflowed || c.Len()+len(data) > maxCapturedBytes {
+	if c.overflowed || c.Len()+len(data) > maxCapturedBytes || !c.grow(len(data)) {
 		c.overflowed = true
 		return len(data), nil
 	}
 	return c.Buffer.Write(data)
 }
 
+// grow makes room for a number of bytes and reports whether there was memory for that.
+func (c *streamCapture) grow(n int) bool {
+	if n <= c.Available() {
+		return true
+	}
+	next := 2*c.reserved + int64(n) + captureBytes
+	if !c.held.Reserve(next) {
+		return false
+	}
+	c.Grow(int(next) - c.Len())
+	c.held.Release(c.reserved)
+	c.reserved = next
+	return true
+}
+
 // relayStream forwards a streamed answer to the caller. If the connection to the backend server breaks, it resumes the
 // stream there.
 func (c *chatCall) relayStream(ctx context.Context, a *attempt, response *http.Response) attemptResult {
@@ -69,12 +89,13 @@
 func (c *chatCall) prepareRelay(a *attempt) {
 	c.relay = &relay{
 		out: c.w, flush: flusher(c.w), forwardUsage: c.chat.Usage, finishWithoutCaller: c.claim != nil, continues: c.headerSent,
+		held: c.held,
 	}
 	if c.priorOutput > 0 {
 		c.relay.totalUsage = c.totalUsage
 	}
 	if c.capture == nil && (c.claim != nil || c.index.Model(c.chat.Model).Migratable) {
-		c.capture = &streamCapture{}
+		c.capture = &streamCapture{held: c.held}
 	}
 	if c.capture != nil {
 		c.relay.capture = c.capture
--- a/internal/command/route.go
+++ b/internal/command/route.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"runtime/debug"
 	"strings"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -12,6 +13,7 @@
 	"github.com/rs/zerolog/diode"
 
 	"citronslip/internal/event"
+	"citronslip/internal/memory"
 	"citronslip/internal/router"
 	"citronslip/platform"
 )
@@ -101,10 +103,19 @@
 	logBuffer := &event.Buffer{Out: std.err}
 	defer logBuffer.Flush()
 	logger := zerolog.New(logBuffer).Level(level).With().Timestamp().Logger()
+	limitMemory(int64(settings.Memory) << 20)
 	r := &router.Router{Settings: settings, Logger: &logger}
 	return r.Run(ctx)
 }
 
+// limitMemory makes the garbage collector keep the process below the memory of its machine, unless that is unknown. A lower
+// limit of the environment stays.
+func limitMemory(machineBytes int64) {
+	if limit := memory.SoftLimit(machineBytes); machineBytes > 0 && limit < debug.SetMemoryLimit(-1) {
+		debug.SetMemoryLimit(limit)
+	}
+}
+
 // runPlatformRouter runs a router with the settings file of the users' platform until the context is done, and logs to
 // the output stream. If the reader of the log falls behind, lines are dropped so that requests are not delayed.
 func runPlatformRouter(ctx context.Context, std *streams, path string) error {
@@ -120,5 +131,6 @@
 	if err != nil {
 		return usageError{err}
 	}
+	limitMemory(r.Settings.Memory)
 	return r.Run(ctx)
 }
--- a/internal/router/certificate.go
+++ b/internal/router/certificate.go
@@ -32,5 +32,5 @@
 		}
 		return pair, nil
 	}
-	return &tls.Config{GetCertificate: getCertificate, MinVersion: tls.VersionTLS12}
+	return &tls.Config{GetCertificate: getCertificate, MinVersion: tls.VersionTLS12, NextProtos: []string{"h2", "http/1.1"}}
 }
--- a/internal/router/proxy.go
+++ b/internal/router/proxy.go
@@ -19,6 +19,7 @@
 	"citronslip/internal/dispatch"
 	"citronslip/internal/engine"
 	"citronslip/internal/event"
+	"citronslip/internal/memory"
 	"citronslip/internal/proxy"
 	"citronslip/pkg/inventory"
 )
@@ -31,8 +32,6 @@
 	carrierHeaderTimeout = 3 * time.Second
 	// carrierPollInterval is the time between two looks at the requests of other routers during a stop.
 	carrierPollInterval = 20 * time.Millisecond
-	// maxCarriedBytes limits the memory for the bodies of other routers' requests in flight.
-	maxCarriedBytes = 256 << 20
 	// addedBodyBytes is what a router adds at most to the body of its caller, such as the begin of an answer that another
 	// server continues.
 	addedBodyBytes = 8 << 20
@@ -86,7 +85,7 @@
 		Paths:  r.paths,
 		Admit:  r.admitCarried,
 	}
-	bodies := &dispatch.BodyReader{Most: maxCarriedBytes, Limit: func() int64 { return int64(r.Settings.Body) + addedBodyBytes }}
+	bodies := &dispatch.BodyReader{Budget: r.memory, Limit: func() int64 { return int64(r.Settings.Body) + addedBodyBytes }}
 	r.carrier.ReadBody = func(body io.Reader, length int64) ([]byte, func(), bool) {
 		data, release, reason := bodies.Read(body, length)
 		return data, release, reason == ""
@@ -159,13 +158,14 @@
 		return nil, err
 	}
 	r.paths.Address = listener.Addr().String()
-	return r.peerServer.SecureListener(listener), nil
+	return r.peerServer.SecureListener(r.carrierGuard.Listener(listener)), nil
 }
 
 // carry serves the requests of other routers to backend servers.
 func (r *Router) carry(ctx context.Context, listener net.Listener) error {
 	server := &http.Server{
-		Handler:           http.HandlerFunc(r.handleCarried),
+		Handler:           r.carrierGuard.Handler(http.HandlerFunc(r.handleCarried)),
+		ConnContext:       memory.ConnContext,
 		ReadHeaderTimeout: carrierHeaderTimeout,
 		IdleTimeout:       carrierIdleTimeout,
 		ErrorLog:          log.New(errorLog{r.Logger}, "", 0),
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -28,6 +28,7 @@
 	"citronslip/internal/event"
 	"citronslip/internal/explain"
 	"citronslip/internal/hosts"
+	"citronslip/internal/memory"
 	"citronslip/internal/metrics"
 	"citronslip/internal/object"
 	"citronslip/internal/operator"
@@ -93,6 +94,9 @@
 		resolver         *caller.AttemptResolver       // Finds out the usage of attempts that ended without it.
 		queues           *caller.AdmissionQueues
 		front            *caller.Frontend // Handles the requests of callers.
+		memory           *memory.Budget   // Memory that callers and other routers may use together.
+		callerGuard      *memory.Guard
+		carrierGuard     *memory.Guard
 		callerServer     *http.Server
 		callerListener   *drain.Listener
 		operatorServer   *http.Server // nil if Settings.Admin is empty.
@@ -208,12 +212,11 @@
 
 // serve serves callers until the listener is closed.
 func (r *Router) serve() error {
-	var err error
+	listener := r.callerGuard.Listener(r.callerListener)
 	if r.Settings.Certificate != "" {
-		err = r.callerServer.ServeTLS(r.callerListener, "", "")
-	} else {
-		err = r.callerServer.Serve(r.callerListener)
+		listener = &memory.TLSListener{Listener: listener, Guard: r.callerGuard, Config: r.callerServer.TLSConfig}
 	}
+	err := r.callerServer.Serve(listener)
 	if errors.Is(err, net.ErrClosed) {
 		return nil
 	}
@@ -289,6 +292,7 @@
 	}
 	scope, metricsHandler, closer := metrics.NewRootScope()
 	r.scope, r.metrics = scope, metricsHandler
+	r.buildGuards()
 	r.buildPlatform()
 	r.buildRequestHandling()
 	r.buildPeers()
@@ -383,12 +387,15 @@
 		Engines:     r.engines,
 		Once:        r.once,
 		Logger:      r.Logger,
+		Memory:      r.memory,
 		BodyBytes:   int64(r.Settings.Body),
 		HeaderBytes: r.Settings.Header,
 		Duration:    r.Settings.Duration,
 		Idle:        r.Settings.Idle,
 	}
 	r.callerServer = r.front.Server()
+	r.callerServer.Handler = r.callerGuard.Handler(r.callerServer.Handler)
+	r.callerServer.ConnContext = memory.ConnContext
 	if r.Settings.Certificate != "" {
 		r.callerServer.TLSConfig = r.callerTLSConfig()
 	}
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -18,6 +18,7 @@
 )
 
 const (
+	defaultMemoryMB       = 1024
 	defaultBodyBytes      = 4 << 20
 	defaultHeaderBytes    = 32 << 10
 	defaultRequestTimeout = 10 * time.Minute
@@ -26,6 +27,13 @@
 	defaultQueueTimeout   = 10 * time.Second
 	defaultRetention      = 24 * time.Hour
 
+	// minMemoryMB is the least memory of a router: its own state and a few requests.
+	minMemoryMB = 64
+	maxMemoryMB = 1 << 20
+	// minDescriptors is the least number of file descriptors: those that are reserved and a few connections.
+	minDescriptors = 256
+	maxDescriptors = 1 << 30
+
 	// minSizeBytes and maxSizeBytes bound the settings Body and Header.
 	minSizeBytes = 1 << 10
 	maxSizeBytes = 1 << 30
@@ -50,6 +58,8 @@
 		Admin       string        // Address for operators; empty means none.
 		Credential  string        // File with the names and credentials of operators.
 		Platform    string        // Base URL of the platform's services.
+		Memory      int           // Memory that the process may use, in MiB.
+		Descriptors int           // File descriptors that the process may open; zero means the limit of the system.
 		Body        int           // Maximum size of a request body in bytes.
 		Header      int           // Maximum size of a request header in bytes.
 		Duration    time.Duration // Timeout of one request.
@@ -83,6 +93,8 @@
 	flags.StringVar(&s.Admin, "admin", "", "IP address and port for operators; empty means none")
 	flags.StringVar(&s.Credential, "credential", "", "file with the names and credentials of operators")
 	flags.StringVar(&s.Platform, "platform", "", "base URL of the platform's services")
+	flags.IntVar(&s.Memory, "memory", defaultMemoryMB, "memory that the process may use in MiB")
+	flags.IntVar(&s.Descriptors, "descriptors", 0, "number of file descriptors that the process may open; 0 means the limit of the system")
 	flags.IntVar(&s.Body, "body", defaultBodyBytes, "maximum size of a request body in bytes")
 	flags.IntVar(&s.Header, "header", defaultHeaderBytes, "maximum size of a request header in bytes")
 	flags.DurationVar(&s.Duration, "duration", defaultRequestTimeout, "timeout of one request")
@@ -195,6 +207,12 @@
 			add(key, "%d is out of range; accepted are %d to %d bytes", size, minSizeBytes, maxSizeBytes)
 		}
 	}
+	if s.Memory < minMemoryMB || s.Memory > maxMemoryMB {
+		add("memory", "%d is out of range; accepted are %d to %d MiB", s.Memory, minMemoryMB, maxMemoryMB)
+	}
+	if s.Descriptors != 0 && (s.Descriptors < minDescriptors || s.Descriptors > maxDescriptors) {
+		add("descriptors", "%d is out of range; accepted are 0 and %d to %d", s.Descriptors, minDescriptors, maxDescriptors)
+	}
 	checkSize("body", s.Body)
 	checkSize("header", s.Header)
 	checkDuration := func(key string, value time.Duration) {
