Bound the queue of log lines by bytes and guard the operators' listener

A line carries identities and errors of a request, up to 90 KB after escaping; 4,096 of them could wait for a slow reader of the log. The queue holds 2 MiB, drops new lines beyond that and counts them as before (event 906). The memory budget has metrics.

--- a/internal/command/route.go
+++ b/internal/command/route.go
@@ -10,7 +10,6 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
 
 	"citronslip/internal/event"
 	"citronslip/internal/memory"
@@ -19,9 +18,9 @@
 )
 
 const (
-	// maxQueuedLogLines limits the log lines that are buffered for a slow reader of the log. When the buffer is full,
-	// lines are dropped and counted.
-	maxQueuedLogLines = 4096
+	// maxQueuedLogBytes limits the log lines that wait for a slow reader of the log, about 4,000. Those beyond it are dropped
+	// and counted.
+	maxQueuedLogBytes = 2 << 20
 
 	// routeHelp is the long help of the route command.
 	routeHelp = `Runs one router until SIGINT or SIGTERM starts its graceful shutdown. A second signal ends it immediately.
@@ -119,12 +118,7 @@
 // runPlatformRouter runs a router with the settings file of the users' platform until the context is done, and logs to
 // the output stream. If the reader of the log falls behind, lines are dropped so that requests are not delayed.
 func runPlatformRouter(ctx context.Context, std *streams, path string) error {
-	logBuffer := &event.Buffer{Out: std.out}
-	logQueue := diode.NewWriter(logBuffer, maxQueuedLogLines, 0, func(dropped int) {
-		fmt.Fprintf(logBuffer, "{\"level\":\"warn\",\"event\":%d,\"message\":%q,\"missed\":%d}\n",
-			event.LinesDropped.Number, event.LinesDropped.Text, dropped)
-	})
-	defer logBuffer.Flush()
+	logQueue := &event.Queue{Out: std.out, Bytes: maxQueuedLogBytes}
 	defer logQueue.Close()
 	logger := zerolog.New(logQueue).With().Timestamp().Logger()
 	r, err := platform.NewRouter(path, &logger)
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -239,6 +239,7 @@
 		{"paths", r.Paths.Run},
 		{"roster", r.serverRegistry.Run},
 		{"settings", r.watchSettings},
+		{"memory", func(ctx context.Context) error { return r.memory.Report(ctx, r.scope.SubScope("memory")) }},
 		{"ready", func(ctx context.Context) error {
 			return serveHTTP(ctx, r.Settings.Ready, r.Readiness(r.ready), r.guards.readiness)
 		}},
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -8,6 +8,10 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"citronslip/internal/delay"
 )
 
 const (
@@ -19,6 +23,8 @@
 	// budgetShare is the share of the soft limit that is the budget. The rest is for the router's own state and for garbage
 	// that is not collected yet.
 	budgetShare = 0.4
+	// metricsInterval is the time between two updates of the metrics.
+	metricsInterval = time.Second
 
 	// reservedDescriptors is the number of file descriptors for everything but the connections of callers, of requests of
 	// other routers, and to backend servers.
@@ -133,6 +139,16 @@
 // Used returns the bytes that are reserved.
 func (b *Budget) Used() int64 { return b.used.Load() }
 
+// Report sets the metrics reserved and limit until the context ends.
+func (b *Budget) Report(ctx context.Context, scope tally.Scope) error {
+	scope.Gauge("limit").Update(float64(b.Limit))
+	reserved := scope.Gauge("reserved")
+	for delay.Sleep(ctx, metricsInterval) {
+		reserved.Update(float64(b.Used()))
+	}
+	return nil
+}
+
 func (b *Budget) nextRelease() <-chan struct{} {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -175,7 +175,7 @@
 // connection: only the router of the caller may decide that.
 func outgoing(r *http.Request, address string, body []byte) *http.Request {
 	header := r.Header.Clone()
-	for _, name := range strings.Split(r.Header.Get("Connection"), ",") {
+	for name := range strings.SplitSeq(r.Header.Get("Connection"), ",") {
 		header.Del(strings.TrimSpace(name))
 	}
 	for _, name := range slices.Concat(hopByHopHeaders, ownHeaders) {
--- a/internal/router/guards.go
+++ b/internal/router/guards.go
@@ -7,6 +7,8 @@
 
 const (
 	bytesPerMB = 1 << 20
+	// maxOperatorConns limits the connections of operators and of readers of the metrics.
+	maxOperatorConns = 64
 )
 
 // buildGuards creates the memory budget and the guards of the listeners for callers and for requests of other routers,
@@ -31,4 +33,7 @@
 		Logger:   r.Logger,
 		Metrics:  r.scope.SubScope("memory"),
 	}
+	r.operatorGuard = &memory.Guard{
+		Name: "admin", Budget: r.memory, MaxConns: maxOperatorConns, Logger: r.Logger, Metrics: r.scope.SubScope("memory"),
+	}
 }
--- a/internal/router/operators.go
+++ b/internal/router/operators.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -16,6 +17,7 @@
 	"citronslip/internal/budget"
 	"citronslip/internal/caller"
 	"citronslip/internal/config"
+	"citronslip/internal/memory"
 	"citronslip/internal/operator"
 	"citronslip/internal/table"
 	"citronslip/internal/wire"
@@ -59,7 +61,8 @@
 	}
 	r.operatorServer = &http.Server{
 		Addr:              r.Settings.Admin,
-		Handler:           server.Handler(),
+		Handler:           r.operatorGuard.Handler(server.Handler()),
+		ConnContext:       memory.ConnContext,
 		ReadHeaderTimeout: r.Settings.Idle,
 		IdleTimeout:       r.Settings.Idle,
 		MaxHeaderBytes:    r.Settings.Header,
@@ -67,6 +70,16 @@
 	return nil
 }
 
+// serveOperators serves operators until the server is closed.
+func (r *Router) serveOperators(ctx context.Context) error {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", r.Settings.Admin)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return ignoreServerClosed(r.operatorServer.Serve(r.operatorGuard.Listener(listener)))
+}
+
 // readCredentials reads a file with one operator per line: a name and a credential in one of the forms that
 // inventory.ParseKeyDigest accepts, usually its digest. Lines that begin with # are comments.
 func readCredentials(file string) ([]operator.Credential, error) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -97,6 +97,7 @@
 		memory           *memory.Budget   // Memory that callers and other routers may use together.
 		callerGuard      *memory.Guard
 		carrierGuard     *memory.Guard
+		operatorGuard    *memory.Guard
 		callerServer     *http.Server
 		callerListener   *drain.Listener
 		operatorServer   *http.Server // nil if Settings.Admin is empty.
@@ -157,7 +158,7 @@
 	group.Go(r.serve)
 	group.Go(func() error { return r.carry(controllersCtx, proxyListener) })
 	if r.operatorServer != nil {
-		group.Go(func() error { return ignoreServerClosed(r.operatorServer.ListenAndServe()) })
+		group.Go(func() error { return r.serveOperators(controllersCtx) })
 	}
 	// The controller of the grants must end before stop closes the grants.
 	grantsCtx, stopGrants := context.WithCancel(controllersCtx)
@@ -207,6 +208,7 @@
 		r.resolver.Run,
 		r.queues.Run,
 		r.paths.Run,
+		func(ctx context.Context) error { return r.memory.Report(ctx, r.scope.SubScope("memory")) },
 	}
 }
 
