--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -19,7 +19,7 @@
 	// grow.
 	softShare = 0.85
 	// fixedBytes is the memory of the process that the collector does not count: its program and the kernel's pages for it.
-	fixedBytes = 16 << 20
+	fixedBytes = 20 << 20
 	// budgetShare is the share of the soft limit that is the budget. The rest is for the router's own state and for garbage
 	// that is not collected yet.
 	budgetShare = 0.4
--- a/internal/memory/conn_test.go
+++ b/internal/memory/conn_test.go
@@ -58,6 +58,9 @@
 	})))
 	server.Listener = guard.Listener(server.Listener)
 	server.Config.ConnContext = memory.ConnContext
+	server.Config.Protocols = &http.Protocols{}
+	server.Config.Protocols.SetHTTP1(true)
+	server.Config.Protocols.SetUnencryptedHTTP2(true)
 	server.Start()
 	t.Cleanup(server.Close)
 	return server
@@ -223,6 +226,32 @@
 	is.True(len(data) < 1<<20) // The rest did not fit into the budget.
 }
 
+// Guards against heads over HTTP/2, which are not scanned, that are not counted at all.
+func TestHTTP2HeadsAreCounted(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	budget := &memory.Budget{Limit: budgetBytes}
+	server := newServer(t, &memory.Guard{Budget: budget})
+	transport := &http.Transport{Protocols: &http.Protocols{}}
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	ask := func() int {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL, http.NoBody)
+		is.NoErr(err)
+		request.Header["A"] = make([]string, 1000)
+		response, err := (&http.Client{Transport: transport}).Do(request)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		return response.StatusCode
+	}
+	is.Equal(ask(), http.StatusOK)
+	is.True(budget.Reserve(budgetBytes - 600<<10))
+	is.Equal(ask(), http.StatusServiceUnavailable)
+	budget.Release(budgetBytes - 600<<10)
+	is.Equal(ask(), http.StatusOK)
+	transport.CloseIdleConnections()
+	awaitReleased(t, budget)
+}
+
 // BenchmarkScan measures what the scan adds to a request with 40 header lines.
 func BenchmarkScan(b *testing.B) {
 	var head strings.Builder
--- a/internal/memory/guard.go
+++ b/internal/memory/guard.go
@@ -16,7 +16,7 @@
 
 const (
 	// connBytes is the memory of an idle connection: buffers of 4 KiB, stacks and bookkeeping.
-	connBytes = 24 << 10
+	connBytes = 16 << 10
 	// http2ConnBytes is what a connection over HTTP/2 takes in addition: its goroutines, tables and frames, and
 	// HTTP2ReceiveBytes.
 	http2ConnBytes = 64<<10 + HTTP2ReceiveBytes
