--- a/internal/memory/conn.go
+++ b/internal/memory/conn.go
@@ -27,6 +27,9 @@
 	// refusal. lingerBytes limits what is read.
 	lingerTime  = 200 * time.Millisecond
 	lingerBytes = 64 << 10
+	// stalledTime is how long nothing has to arrive of a body before its connection may be closed to make room. A request
+	// whose body is incomplete would otherwise keep its place.
+	stalledTime = 3 * time.Second
 	// maxChunkDigits is the number of digits of a chunk size beyond which net/http refuses the body.
 	maxChunkDigits = 16
 )
@@ -438,18 +441,25 @@
 // evict closes the connection unless a request is served on it, and reports whether it did.
 func (c *Conn) evict() bool {
 	c.mu.Lock()
-	busy := c.inProgress > 0 || c.closed
+	closable := c.closable()
 	c.mu.Unlock()
-	if busy {
+	if !closable {
 		return false
 	}
 	_ = c.Close() // Nothing was written that the close could lose.
 	return true
 }
 
-// idleSince returns since when nothing has arrived, whether a head has been begun, and whether the connection may be closed.
+// closable reports whether the connection may be closed to make room. The caller holds the lock.
+func (c *Conn) closable() bool {
+	incomplete := c.phase >= inBody && c.phase <= inTrailer
+	return !c.closed && (c.inProgress == 0 || incomplete && time.Since(c.lastRead) >= stalledTime)
+}
+
+// idleSince returns since when nothing has arrived, whether a request has been begun, and whether the connection may be
+// closed.
 func (c *Conn) idleSince() (since time.Time, begun, closable bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.lastRead, c.headBytes > 0 || c.ready > 0, c.inProgress == 0 && !c.closed
+	return c.lastRead, c.headBytes > 0 || c.ready > 0 || c.inProgress > 0, c.closable()
 }
--- a/internal/memory/conn_test.go
+++ b/internal/memory/conn_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -206,6 +207,32 @@
 	is.Equal(guard.Open(), 2)
 }
 
+// Guards against connections that announce a body, send none of it and keep their places.
+func TestStalledBodyMakesRoom(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		guard := &memory.Guard{Budget: &memory.Budget{}, MaxConns: 1}
+		conn := guard.Admit(&parts{data: [][]byte{[]byte("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\n"), []byte("abcde")}})
+		reader := bufio.NewReader(conn)
+		request, err := http.ReadRequest(reader)
+		is.NoErr(err)
+		conn.Begin(request)
+		is.True(guard.Admit(&parts{}) == nil) // The body may follow at once.
+		_, err = io.Copy(io.Discard, request.Body)
+		is.NoErr(err)
+		time.Sleep(time.Minute)
+		is.True(guard.Admit(&parts{}) == nil) // The body is complete.
+		conn.End()
+		conn = guard.Admit(&parts{data: [][]byte{[]byte("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\n")}})
+		request, err = http.ReadRequest(bufio.NewReader(conn))
+		is.NoErr(err)
+		conn.Begin(request)
+		time.Sleep(time.Minute)
+		is.True(guard.Admit(&parts{}) != nil)
+	})
+}
+
 // Guards against connections over HTTP/2 that are taken for HTTP/1.1, and against a head that only begins like theirs and
 // so is not counted.
 func TestOnlyHTTP2IsNotScanned(t *testing.T) {
