--- a/internal/command/route.go
+++ b/internal/command/route.go
@@ -5,21 +5,22 @@
 	"errors"
 	"flag"
 	"fmt"
+	"runtime/debug"
 	"strings"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
 
 	"citronslip/internal/event"
+	"citronslip/internal/memory"
 	"citronslip/internal/router"
 	"citronslip/platform"
 )
 
 const (
-	// maxQueuedLogLines limits the log lines that are buffered for a slow reader of the log. When the buffer is full,
-	// lines are dropped and counted.
-	maxQueuedLogLines = 4096
+	// maxQueuedLogBytes limits the log lines that wait for a slow reader of the log, about 4,000. Those beyond it are dropped
+	// and counted.
+	maxQueuedLogBytes = 2 << 20
 
 	// routeHelp is the long help of the route command.
 	routeHelp = `Runs one router until SIGINT or SIGTERM starts its graceful shutdown. Further SIGTERMs have no effect;
@@ -102,26 +103,31 @@
 	logBuffer := &event.Buffer{Out: std.err}
 	defer logBuffer.Flush()
 	logger := zerolog.New(logBuffer).Level(level).With().Timestamp().Logger()
+	limitMemory(int64(settings.Memory) << 20)
 	r := &router.Router{Settings: settings, Logger: &logger}
 	return r.Run(ctx)
 }
 
+// limitMemory makes the garbage collector keep the process below the memory of its machine, unless that is unknown. A lower
+// limit of the environment stays.
+func limitMemory(machineBytes int64) {
+	if limit := memory.SoftLimit(machineBytes); machineBytes > 0 && limit < debug.SetMemoryLimit(-1) {
+		debug.SetMemoryLimit(limit)
+	}
+}
+
 // runPlatformRouter runs a router with the settings file of the users' platform until the context is done, and logs to
 // the output stream. If the reader of the log falls behind, lines are dropped so that requests are not delayed.
 func runPlatformRouter(ctx context.Context, std *streams, path string) error {
 	stop := ignoreHangup()
 	defer stop()
-	logBuffer := &event.Buffer{Out: std.out}
-	logQueue := diode.NewWriter(logBuffer, maxQueuedLogLines, 0, func(dropped int) {
-		fmt.Fprintf(logBuffer, "{\"level\":\"warn\",\"event\":%d,\"message\":%q,\"missed\":%d}\n",
-			event.LinesDropped.Number, event.LinesDropped.Text, dropped)
-	})
-	defer logBuffer.Flush()
+	logQueue := &event.Queue{Out: std.out, Bytes: maxQueuedLogBytes}
 	defer logQueue.Close()
 	logger := zerolog.New(logQueue).With().Timestamp().Logger()
 	r, err := platform.NewRouter(path, &logger)
 	if err != nil {
 		return usageError{err}
 	}
+	limitMemory(r.Settings.Memory)
 	return r.Run(ctx)
 }
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -16,6 +16,7 @@
 	"citronslip/internal/evacuation"
 	"citronslip/internal/event"
 	"citronslip/internal/hedge"
+	"citronslip/internal/memory"
 	"citronslip/internal/ratelimit"
 	"citronslip/internal/resume"
 	"citronslip/internal/routing"
@@ -54,7 +55,8 @@
 		Regions func() map[string]string
 		// Standstill makes attempts wait for news of evacuations after the process has stood still; nil if none are evacuated.
 		Standstill *evacuation.Standstill
-		Hedges     *hedge.Policy // Decides about second attempts while first ones wait; nil if there are none.
+		Hedges     *hedge.Policy  // Decides about second attempts while first ones wait; nil if there are none.
+		Memory     *memory.Budget // Memory for responses; unlimited if nil.
 		Logger     *zerolog.Logger
 		Metrics    tally.Scope
 	}
@@ -64,6 +66,7 @@
 		*Dispatcher
 		request         *Request
 		response        Response
+		held            *memory.Hold // Memory of the response.
 		directory       *inventory.Directory
 		route           *inventory.Route
 		account         *inventory.ClientAccount
@@ -99,6 +102,8 @@
 // Serve serves one request. It returns when the response has ended.
 func (d *Dispatcher) Serve(ctx context.Context, request *Request, response Response) {
 	c := &call{Dispatcher: d, request: request, response: response, directory: d.Directory.Load()}
+	c.held = &memory.Hold{Budget: d.Memory}
+	defer c.held.End()
 	defer c.logRequest()
 	if reason := c.resolve(); reason != "" {
 		c.refuse(reason, c.retryAfter)
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -25,6 +25,7 @@
 	"citronslip/internal/evacuation"
 	"citronslip/internal/event"
 	"citronslip/internal/hedge"
+	"citronslip/internal/memory"
 	"citronslip/internal/metrics"
 	"citronslip/internal/peer"
 	"citronslip/internal/prepaid"
@@ -37,8 +38,6 @@
 )
 
 const (
-	// bodyMemoryShare is the share of the memory that request bodies may take.
-	bodyMemoryShare = 0.25
 	// settingsPollInterval is the time between two checks of the settings file.
 	settingsPollInterval = time.Second
 	// unlimitedSubset makes every router choose among all servers, so that all routers agree on a prompt's home server.
@@ -101,6 +100,8 @@
 		cold           *coldstart.Limiter
 		versions       *store.Versions // Store, with the versions that its answers name.
 		streams        *resume.Tracker
+		memory         *memory.Budget // Memory that callers and other routers may use together.
+		guards         guards
 		bodies         *dispatch.BodyReader
 		carrier        *proxy.Handler
 		relayCache     relayCache
@@ -125,6 +126,7 @@
 	if r.Usage != nil {
 		r.Usage.Metrics = scope.SubScope("store")
 	}
+	r.buildGuards()
 	r.buildComponents()
 	event.RouterStarted.Log(r.Logger).Str("node", r.Settings.Node).Str("place", r.Settings.Place).
 		Str("address", r.Settings.Caller).Str("store", r.Settings.Store).Send()
@@ -229,6 +231,7 @@
 		Regions:   r.regions(),
 
 		Standstill: r.standstill,
+		Memory:     r.memory,
 		Repeats: &dispatch.RetryBudget{
 			Ratio:   r.Settings.RetryRatio,
 			Slack:   r.Settings.RetrySlack,
@@ -242,7 +245,7 @@
 	if r.Settings.Hedge > 0 {
 		r.dispatcher.Hedges = &hedge.Policy{Share: r.Settings.Hedge, Now: time.Now}
 	}
-	r.bodies = &dispatch.BodyReader{Most: int64(bodyMemoryShare * float64(r.Settings.Memory)), Limit: r.maxBodyBytes}
+	r.bodies = &dispatch.BodyReader{Budget: r.memory, Limit: r.maxBodyBytes}
 	r.carrier = r.Carrier(r.dispatcher, r.bodies)
 }
 
@@ -269,8 +272,9 @@
 		{"paths", r.Paths.Run},
 		{"roster", r.serverRegistry.Run},
 		{"settings", r.watchSettings},
+		{"memory", func(ctx context.Context) error { return r.memory.Report(ctx, r.scope.SubScope("memory")) }},
 		{"ready", func(ctx context.Context) error {
-			return serveHTTP(ctx, r.Settings.Ready, &http.Server{Handler: r.Readiness(r.ready)})
+			return serveHTTP(ctx, r.Settings.Ready, r.Readiness(r.ready), r.guards.readiness)
 		}},
 	}
 	if r.Health != nil {
@@ -290,7 +294,7 @@
 	}
 	if r.Settings.Metrics != "" {
 		list = append(list, controller{"metrics", func(ctx context.Context) error {
-			return serveHTTP(ctx, r.Settings.Metrics, &http.Server{Handler: scrape})
+			return serveHTTP(ctx, r.Settings.Metrics, scrape, r.guards.metrics)
 		}})
 	}
 	return list
@@ -412,15 +416,22 @@
 }
 
 // serveHTTP serves HTTP on one of the router's internal addresses until the context ends.
-func serveHTTP(ctx context.Context, address string, server *http.Server) error {
-	server.ReadHeaderTimeout = 3 * time.Second
+func serveHTTP(ctx context.Context, address string, handler http.Handler, guard *memory.Guard) error {
+	server := &http.Server{
+		Handler:           guard.Handler(handler),
+		ReadHeaderTimeout: internalHeaderTimeout,
+		IdleTimeout:       internalIdleTimeout,
+		WriteTimeout:      internalWriteTimeout,
+		MaxHeaderBytes:    internalHeaderBytes,
+		ConnContext:       memory.ConnContext,
+	}
 	listener, err := dial.Listen(ctx, address)
 	if err != nil {
 		return err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := server.Serve(listener); ctx.Err() == nil {
+	if err := server.Serve(guard.Listener(listener)); ctx.Err() == nil {
 		return err
 	}
 	return nil
