--- a/internal/dial/abort.go
+++ b/internal/dial/abort.go
@@ -22,13 +22,24 @@
 	if err != nil {
 		return
 	}
-	if secure, ok := conn.(interface{ NetConn() net.Conn }); ok {
-		conn = secure.NetConn() // The close of a TLS connection would send its regular end.
-	}
-	ResetOnClose(conn)
+	// The close of a TLS connection would send its regular end, so that the connection below it is closed first.
+	below := innermost(conn)
+	ResetOnClose(below)
+	_ = below.Close()
 	_ = conn.Close()
 }
 
+// innermost returns the connection below all that wrap it.
+func innermost(conn net.Conn) net.Conn {
+	for {
+		wrapper, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return conn
+		}
+		conn = wrapper.NetConn()
+	}
+}
+
 // ResetOnClose has the close of a connection reset it.
 func ResetOnClose(conn net.Conn) {
 	if l, ok := conn.(lingerer); ok {
--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -83,11 +83,3 @@
 	}()
 	handler.ServeHTTP(w, r)
 }
-
-// SetLinger sets the linger time if the connection below supports that.
-func (c *callerConn) SetLinger(seconds int) error {
-	if l, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
-		return l.SetLinger(seconds)
-	}
-	return nil
-}
