Release the memory of trailers that arrive after the handler has returned

net/http discards an unread body after the handler. The memory that was then reserved for the lines of its trailer was never released, so that callers could use up the budget.

--- a/internal/memory/conn.go
+++ b/internal/memory/conn.go
@@ -162,6 +162,9 @@
 
 // chargeTrailer reserves the memory for the lines after a body. The caller holds the lock.
 func (c *Conn) chargeTrailer() bool {
+	if c.closed {
+		return false
+	}
 	need := c.headBytes*headByteFactor + c.headLines*headLineBytes
 	if !c.guard.Budget.Reserve(need - c.reading) {
 		return false
@@ -322,6 +325,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inProgress++
+	c.guard.Budget.Release(c.serving) // Of a trailer that net/http has discarded after the previous request.
 	c.serving, c.ready = c.ready, 0
 	switch {
 	case r.ContentLength < 0:
@@ -393,6 +397,10 @@
 	if c.phase != inTrailer {
 		c.guard.Budget.Release(c.reading)
 	}
+	if c.inProgress == 0 {
+		c.guard.Budget.Release(c.serving) // As in Begin.
+		c.serving = 0
+	}
 	c.reading, c.ready, c.pending = 0, 0, nil
 	if c.below == nil {
 		c.guard.Budget.Release(connBytes)
