Keep calls that wait for memory from spinning

A try to reserve memory that failed first took the bytes and then gave them back with Release, which woke the call that had just made the try. It then tried again without a pause until its timeout.

--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -87,12 +87,16 @@
 
 // Reserve takes a number of bytes from the budget and reports whether there were as many.
 func (b *Budget) Reserve(n int64) bool {
-	if used := b.used.Add(n); b.Limit > 0 && used > b.Limit && n > 0 {
-		b.Release(n)
-		b.relieve()
-		return false
+	for {
+		used := b.used.Load()
+		if b.Limit > 0 && n > 0 && used+n > b.Limit {
+			b.relieve()
+			return false
+		}
+		if b.used.CompareAndSwap(used, used+n) {
+			return true
+		}
 	}
-	return true
 }
 
 // relieve closes connections whose request has stalled before it was complete, since they would keep their memory until
