--- a/internal/memory/tls.go
+++ b/internal/memory/tls.go
@@ -3,14 +3,19 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"sync"
 	"time"
+
+	"citronslip/internal/delay"
 )
 
 const (
 	// handshakeTimeout limits the time of a TLS handshake.
 	handshakeTimeout = 10 * time.Second
+	// acceptRetryDelay is the wait after a temporary error of the listener below, such as a lack of file descriptors.
+	acceptRetryDelay = 50 * time.Millisecond
 )
 
 type (
@@ -47,6 +52,10 @@
 func (l *TLSListener) acceptAll() {
 	for {
 		conn, err := l.Listener.Accept()
+		if isTemporary(err) {
+			delay.Sleep(context.Background(), acceptRetryDelay)
+			continue
+		}
 		if err != nil {
 			l.handshakes.Wait()
 			l.err = err
@@ -61,6 +70,12 @@
 	}
 }
 
+// isTemporary reports whether net/http would call Accept again after the error.
+func isTemporary(err error) bool {
+	var temporary interface{ Temporary() bool }
+	return errors.As(err, &temporary) && temporary.Temporary()
+}
+
 // handshake returns the connection for net/http, or nil if the handshake failed.
 func (l *TLSListener) handshake(conn net.Conn) net.Conn {
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
