--- a/internal/coldstart/issuer.go
+++ b/internal/coldstart/issuer.go
@@ -124,8 +124,8 @@
 	return 0
 }
 
-// followView records the running routers and returns the others. After a time without news this router counts as newly
-// listed. The caller holds the lock.
+// followView records the running routers and returns the others. After Lease without an answer of the store this router counts
+// as newly listed. The caller holds the lock.
 func (l *Limiter) followView(now time.Time) []string {
 	if age := now.Sub(l.refreshedAt); age >= 0 && age < viewTTL {
 		return l.others
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -53,7 +53,7 @@
 		Closing func() time.Time
 		// Regions returns the region of each data centre. Nil if the configuration's home regions do not apply.
 		Regions func() map[string]string
-		// Standstill makes attempts wait for news of evacuations after the process has stood still; nil if none are evacuated.
+		// Standstill makes attempts wait for the evacuations after the process has stood still; nil if none are evacuated.
 		Standstill *evacuation.Standstill
 		Hedges     *hedge.Policy  // Decides about second attempts while first ones wait; nil if there are none.
 		Memory     *memory.Budget // Memory for responses; unlimited if nil.
--- a/internal/entry/evacuation.go
+++ b/internal/entry/evacuation.go
@@ -91,9 +91,9 @@
 	return answer
 }
 
-// isEvacuationNews reports whether an answer of another router counts as news about evacuations. That of a router of an earlier
-// release, and of one that has not read them yet, says nothing about them.
-func (r *Router) isEvacuationNews(answer *wire.RelayEvacuations) bool {
+// tellsEvacuations reports whether an answer of another router tells which data centres are evacuated. That of a router of an
+// earlier release, and of one that has not read them yet, does not.
+func (r *Router) tellsEvacuations(answer *wire.RelayEvacuations) bool {
 	return r.evacuated == nil || answer != nil && answer.Version >= 0
 }
 
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -211,8 +211,8 @@
 	r.fetching.Lock() // One answer after the other takes effect in all parts.
 	defer r.fetching.Unlock()
 	r.applyRelayedEvacuations(query.Evacuations, answer.Evacuations, address)
-	isNews := r.isEvacuationNews(answer.Evacuations)
-	if isNews {
+	answered := r.tellsEvacuations(answer.Evacuations)
+	if answered {
 		now := time.Now()
 		r.peerAnsweredAt.Store(&now)
 	}
@@ -221,17 +221,17 @@
 	}
 	r.applyRelayedCrashes(answer.Crashes, address)
 	if answer.Era < query.Era || answer.Era == query.Era && answer.Version <= query.Servers {
-		return isNews
+		return answered
 	}
 	rows, err := r.decodeServers(answer)
 	if err != nil {
 		event.RelayFailed.Log(r.Logger).Str("peer", address).Err(err).Send()
-		return isNews
+		return answered
 	}
 	if len(rows) > 0 {
 		r.applyServers(store.Change{Whole: true, Rows: rows, Version: int64(answer.Version), Era: int64(answer.Era), Source: address})
 	}
-	return isNews
+	return answered
 }
 
 // decodeServers returns the rows of the servers in an answer.
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -106,7 +106,7 @@
 		carrier        *proxy.Handler
 		relayCache     relayCache
 		fetching       sync.Mutex                // Held while the rows of another router are applied.
-		peerAnsweredAt atomic.Pointer[time.Time] // When another router last answered a call for rows with news of evacuations; nil before the first.
+		peerAnsweredAt atomic.Pointer[time.Time] // When another router last answered a call for rows with the evacuations; nil before the first.
 		peers          *peer.Client
 		started        time.Time
 		listening      atomic.Bool // Whether connections of callers are accepted.
--- a/internal/evacuation/standstill.go
+++ b/internal/evacuation/standstill.go
@@ -9,12 +9,12 @@
 )
 
 const (
-	// minStandstill is the time without processor time from which on requests wait for news. The store holds a call for at
-	// most 4 s, so that its answer has arrived meanwhile if the store is reached.
+	// minStandstill is the time without processor time from which on requests wait for the next answer about evacuations. The
+	// store holds a call for at most 4 s, so that its answer has arrived meanwhile if the store is reached.
 	minStandstill = 4 * time.Second
-	// maxNewsWait is the longest wait for news after a standstill, newsPollInterval the time between two checks.
-	maxNewsWait      = time.Second
-	newsPollInterval = 5 * time.Millisecond
+	// maxAnswerWait is the longest wait for that answer, answerPollInterval the time between two checks.
+	maxAnswerWait      = time.Second
+	answerPollInterval = 5 * time.Millisecond
 )
 
 type (
@@ -51,24 +51,25 @@
 	return s.resumedAt
 }
 
-// Wait returns once news have arrived since the last standstill, maxNewsWait after it, or when the context ends.
+// Wait returns once the store or another router has answered since the last standstill, maxAnswerWait after it, or when the
+// context ends.
 func (s *Standstill) Wait(ctx context.Context) {
 	if s == nil {
 		return
 	}
 	resumed := s.observe()
-	for s.awaits(resumed) && delay.Sleep(ctx, newsPollInterval) {
+	for s.awaits(resumed) && delay.Sleep(ctx, answerPollInterval) {
 	}
 }
 
 // Waiting reports whether Wait would wait now.
 func (s *Standstill) Waiting() bool { return s != nil && s.awaits(s.observe()) }
 
-// awaits reports whether news are awaited since the end of a standstill; zero if there was none.
+// awaits reports whether an answer about evacuations is awaited since the end of a standstill; zero if there was none.
 func (s *Standstill) awaits(resumed time.Time) bool {
 	if resumed.IsZero() {
 		return false
 	}
 	since := s.Now().Sub(resumed)
-	return since < maxNewsWait && s.Age() >= since
+	return since < maxAnswerWait && s.Age() >= since
 }
--- a/internal/prepaid/tell.go
+++ b/internal/prepaid/tell.go
@@ -18,7 +18,7 @@
 )
 
 type (
-	// growthNotice is the news of a larger grant that other routers are told of.
+	// growthNotice tells other routers of a larger grant and counts their acknowledgements.
 	growthNotice struct {
 		amount  int64 // Amount of the grant.
 		missing int   // Acknowledgements that are still needed.
@@ -85,8 +85,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.accountByName(known.Account)
-	news := a.told.merge(&budgetState{PrepaidSum: known.Sum})
-	if news && a.loaded && a.era == l.storeStatus.era && int64(known.Sum.Era) < a.era {
+	changed := a.told.merge(&budgetState{PrepaidSum: known.Sum})
+	if changed && a.loaded && a.era == l.storeStatus.era && int64(known.Sum.Era) < a.era {
 		a.era, a.restored = 0, nil // Reconcile once more.
 		l.startWriter(a)
 	}
