Wait between writes whose answers name an older era of the store

The writer of an account repeated a write at once as long as the answers to it named another era than those to heartbeats, which a store that goes on naming an older one made a loop without a pause. Closing a grant did the same.

--- a/internal/prepaid/outage_test.go
+++ b/internal/prepaid/outage_test.go
@@ -100,3 +100,23 @@
 		Expect: []store.Condition{{Key: key, Version: row.Version}}, Puts: []store.Put{{Key: key, Value: row.Value}},
 	})
 }
+
+// Guards against a writer that calls the store again and again without a pause: the answers to its writes name an older era than
+// those to heartbeats, so that none of them counts.
+func TestWriterWaitsAfterAnswersOfOldEra(t *testing.T) {
+	const seconds, maxWritesPerSecond = 5, 30
+	withFleet(t, 1, total, func(t *testing.T, is *is.I, f *fleet) {
+		r := f.routers[0]
+		f.roundTrip = time.Millisecond
+		is.True(r.spend(t, total, 1, 0) > 0)
+		f.namesOldEra.Store(true)
+		go func() { _, _ = r.use(t, total, total/2, 0) }() // More than is granted, so that the rows are written.
+		time.Sleep(time.Second)
+		before := f.writes.Load()
+		time.Sleep(seconds * time.Second)
+		writes := f.writes.Load() - before
+		f.namesOldEra.Store(false)
+		t.Logf("%d writes in %d s", writes, seconds)
+		is.True(writes <= seconds*maxWritesPerSecond)
+	})
+}
--- a/internal/prepaid/prepaid_test.go
+++ b/internal/prepaid/prepaid_test.go
@@ -57,7 +57,8 @@
 		// writesUnsupported reports whether the other routers are of a release that does not know a write through them; nil if none is.
 		writesUnsupported atomic.Pointer[func(wire.PrepaidWrite) bool]
 		// lateBy returns after which time a write is applied whose answer is lost, or zero for other writes; nil if no answer is lost.
-		lateBy atomic.Pointer[func(store.Write) time.Duration]
+		lateBy      atomic.Pointer[func(store.Write) time.Duration]
+		namesOldEra atomic.Bool // Whether the answers to writes of grants name an era before that of the other answers.
 	}
 
 	// syncBuffer is a buffer for concurrent use.
@@ -163,7 +164,11 @@
 		time.Sleep(serialWriteTime)
 		defer func() { <-slot }()
 	}
-	return c.Store.Write(ctx, w)
+	result, err := c.Store.Write(ctx, w)
+	if len(w.Expect) > 0 && c.router.fleet.namesOldEra.Load() {
+		result.Era--
+	}
+	return result, err
 }
 
 func (c routerStore) List(ctx context.Context, table, part string) (store.Result, error) {
--- a/internal/prepaid/restore.go
+++ b/internal/prepaid/restore.go
@@ -312,7 +312,7 @@
 		return nil
 	}
 	err := l.commit(a, w, next)
-	if err == nil || errors.Is(err, store.ErrConflict) || errors.Is(err, errOtherEra) {
+	if err == nil || errors.Is(err, store.ErrConflict) {
 		return nil
 	}
 	if !delay.Sleep(ctx, minWriteBackoff) {
--- a/internal/prepaid/write.go
+++ b/internal/prepaid/write.go
@@ -90,6 +90,9 @@
 		}
 		l.mu.Unlock()
 		switch err := l.commit(a, w, next); {
+		case errors.Is(err, errOtherEra):
+			conflicts++
+			delay.Sleep(context.Background(), conflictBackoff(conflicts)) // The store may go on naming an older era.
 		case errors.Is(err, errUnreadableRow):
 			l.mu.Lock()
 			a.writerRunning = false // The next request or grant check reads the row again.
