Seek pairs of test ports below those that the system assigns

Cause: the system assigns ports of one parity to sockets that are bound and the other half to outgoing connections.

--- a/internal/harness/port.go
+++ b/internal/harness/port.go
@@ -3,11 +3,21 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"golang.org/x/sys/unix"
 )
 
+const (
+	// pairPorts are the ports among which pairs are sought, from firstPairPort on. They lie below those that the system assigns
+	// itself: of two of these, one is of the half that outgoing connections use, and all of that half may be in TIME-WAIT.
+	firstPairPort = 20_000
+	pairPorts     = 12_000
+	// maxPairTries bounds the tries to find a pair of free ports.
+	maxPairTries = 1000
+)
+
 // ReservePort returns a loopback address whose port the system assigns to nobody else until the test ends. The port is
 // held by a socket that is bound but does not listen. A server can listen on it all the same if it sets SO_REUSEADDR,
 // as net.Listen does.
@@ -24,15 +34,17 @@
 // ReservePort.
 func ReservePortPair(t testing.TB) int {
 	t.Helper()
-	for {
-		first, err := bindPort(t, 0)
-		if err != nil {
-			t.Fatalf("cannot reserve a port on the loopback interface: %v", err)
+	for range maxPairTries {
+		first := firstPairPort + rand.IntN(pairPorts)
+		if _, err := bindPort(t, first); err != nil {
+			continue
 		}
 		if _, err := bindPort(t, first+1); err == nil {
 			return first
 		}
 	}
+	t.Fatalf("cannot reserve two consecutive ports on the loopback interface in %d tries", maxPairTries)
+	return 0
 }
 
 // bindPort binds a socket to a loopback port, a free one if it is 0, until the test ends and returns the port.
