--- a/review/standins/router.go
+++ b/review/standins/router.go
@@ -59,7 +59,7 @@
 		}
 	}
 	cannotRun("no free ports on %s", ip)
-	return
+	return 0, 0, 0, 0
 }
 
 // startRouters starts one router in each zone and waits until all are ready.
