Ask the store for news of servers before a stream's version is taken for granted

Callers that took streams up at a router whose feed of the servers was silent got events of two software versions in one stream (ORDER).

Cause: a router without a record of the stream answered "one version serves" if the store had answered any call within 0.7 s. Heartbeats on other connections are answered while the held feed call on a silent one hears of nothing.

Now the router asks the store once for changes since the version that it knows. The entry of a server is acknowledged before the server gets a request, so an answer to a question sent after the caller's request names each version that can have begun the stream.

--- a/internal/dispatch/software_test.go
+++ b/internal/dispatch/software_test.go
@@ -30,7 +30,7 @@
 		Members:    func() []string { return nil },
 		Joined:     func() bool { return true },
 		Store:      &store.Memory{},
-		Current:    func() bool { return true },
+		Current:    func(context.Context) bool { return true },
 		Leads:      func() bool { return false },
 		StoreClock: func() time.Duration { return time.Second },
 		Now:        time.Now,
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -6,13 +6,18 @@
 
 	"citronslip/internal/peer"
 	"citronslip/internal/resume"
+	"citronslip/internal/store"
 	"citronslip/internal/wire"
 )
 
 const (
-	// maxCurrentAge is the age of the store's last answer up to which the known servers count as up to date. Heartbeats are
+	// maxCurrentAge is the age of the store's last answer from which on it is not asked for news of servers. Heartbeats are
 	// answered twice a second.
 	maxCurrentAge = 700 * time.Millisecond
+	// refreshTimeout bounds the question to the store for news of servers.
+	refreshTimeout = 300 * time.Millisecond
+	// refreshSpacingPerRouter bounds these questions to a thousand a second for the whole fleet.
+	refreshSpacingPerRouter = time.Millisecond
 )
 
 type (
@@ -24,12 +29,18 @@
 
 // buildStreams builds the tracker of the software versions of streams.
 func (r *Router) buildStreams() {
+	servers := &store.Refresher{
+		Store: r.Store, Follower: r.serverFollower, Named: r.versions, Timeout: refreshTimeout,
+		Spacing: func() time.Duration { return time.Duration(r.ledger.RouterCount()) * refreshSpacingPerRouter },
+	}
 	r.streams = &resume.Tracker{
-		Members:    r.ledger.PeerAddresses,
-		Joined:     r.ledger.KnowsMembers,
-		Peers:      &peerStreams{r.peers},
-		Store:      r.Store,
-		Current:    func() bool { return r.ledger.StoreAge() < maxCurrentAge },
+		Members: r.ledger.PeerAddresses,
+		Joined:  r.ledger.KnowsMembers,
+		Peers:   &peerStreams{r.peers},
+		Store:   r.Store,
+		Current: func(ctx context.Context) bool {
+			return r.ledger.StoreAge() < maxCurrentAge && servers.Refresh(ctx)
+		},
 		Leads:      r.ledger.IsMembershipLeader,
 		StoreClock: r.ledger.StoreClock,
 		Now:        time.Now,
--- a/internal/resume/find.go
+++ b/internal/resume/find.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -23,12 +24,17 @@
 	if r := t.lookup(key); r != nil && stream.Request != "" {
 		t.mu.Unlock()
 		t.count("found_here")
+		t.fetchServers(ctx, r.origin)
 		return r.origin, nil
 	}
 	states := t.states(services, window)
+	t.mu.Unlock()
+	current := !hasSeveral(states) && t.Current(ctx)
+	t.mu.Lock()
+	states = t.states(services, window) // Current may have brought news.
 	watched := t.watchedFor(window)
 	t.mu.Unlock()
-	if watched && isSingle(states, nil) && t.Current() {
+	if watched && isSingle(states, nil) && current {
 		return Origin{Service: services[0], Software: states[0].Software}, nil
 	}
 	query := wire.ResumeQuery{Services: services, Window: int(window.Milliseconds()), Relay: !t.Joined()}
@@ -39,9 +45,11 @@
 	answers := t.ask(ctx, homes, query)
 	if r := recordIn(answers); r != nil {
 		t.count("found_elsewhere")
-		return Origin{Service: r.Service, Software: r.Software}, nil
+		origin := Origin{Service: r.Service, Software: r.Software}
+		t.fetchServers(ctx, origin)
+		return origin, nil
 	}
-	if len(homes) > 0 && !t.Current() {
+	if len(homes) > 0 && !current {
 		// Routers that are cut off together know the same. Only if all of the homes answer is it likely that nobody can know
 		// of another version, because the store is away from all.
 		if len(answers) < len(homes) {
@@ -59,6 +67,17 @@
 	return Origin{Service: services[0], Software: states[0].Software}, nil
 }
 
+// fetchServers has news of servers fetched if none of the version that began a stream is known.
+func (t *Tracker) fetchServers(ctx context.Context, origin Origin) {
+	t.mu.Lock()
+	h := t.histories[origin.Service]
+	known := h != nil && slices.Contains(h.present, origin.Software)
+	t.mu.Unlock()
+	if !known {
+		t.Current(ctx)
+	}
+}
+
 // Answer answers the question of another router about a stream.
 func (t *Tracker) Answer(ctx context.Context, query wire.ResumeQuery) wire.ResumeAnswer {
 	key, err := strconv.ParseUint(query.Stream, keyBase, keyBits)
@@ -125,6 +144,11 @@
 	return nil
 }
 
+// hasSeveral reports whether this router knows that several versions have served in one of the services.
+func hasSeveral(states []wire.ResumeState) bool {
+	return slices.ContainsFunc(states, func(s wire.ResumeState) bool { return s.Several })
+}
+
 // isSingle reports whether one version has served in each service, by what this router and others know, and whether this
 // router knows that of the first service. At least one of them must be sure, and none may know of another version.
 func isSingle(states []wire.ResumeState, answers []wire.ResumeAnswer) bool {
--- a/internal/resume/fleet_test.go
+++ b/internal/resume/fleet_test.go
@@ -60,6 +60,7 @@
 		tracker  atomic.Pointer[resume.Tracker]
 		cancel   context.CancelFunc
 		isolated atomic.Bool // Whether it reaches neither the store nor routers that do, only other isolated ones.
+		deaf     atomic.Bool // Whether it hears of servers only if it asks.
 		dead     atomic.Bool
 	}
 
@@ -109,11 +110,11 @@
 	time.Sleep(10 * time.Second) // Calls in the background have ended by then.
 }
 
-// serve replaces the versions that serve. Isolated routers do not see it, and nobody while the store is down.
+// serve replaces the versions that serve. Isolated and deaf routers do not see it, and nobody while the store is down.
 func (f *fleet) serve(versions ...string) {
 	f.replace(versions...)
 	for _, r := range f.routers {
-		if !r.isolated.Load() && !r.dead.Load() {
+		if !r.isolated.Load() && !r.deaf.Load() && !r.dead.Load() {
 			r.tracker.Load().Observe(f.servers())
 		}
 	}
@@ -150,7 +151,7 @@
 		Joined:     func() bool { return true },
 		Peers:      &routerPeers{r},
 		Store:      r.fleet.store,
-		Current:    func() bool { return !r.isolated.Load() && !r.fleet.down.Load() },
+		Current:    r.current,
 		Leads:      func() bool { return r == r.fleet.routers[0] },
 		StoreClock: func() time.Duration { return time.Since(r.fleet.begin) + time.Hour },
 		Now:        time.Now,
@@ -167,6 +168,16 @@
 	r.fleet.running.Go(func() { _ = tracker.Run(ctx) })
 }
 
+// current asks the store for the servers and reports whether it answers.
+func (r *router) current(context.Context) bool {
+	if r.isolated.Load() || r.fleet.down.Load() {
+		return false
+	}
+	time.Sleep(hop)
+	r.tracker.Load().Observe(r.fleet.servers())
+	return true
+}
+
 func (r *router) members() []string {
 	var addresses []string
 	for _, other := range r.fleet.routers {
--- a/internal/resume/resume.go
+++ b/internal/resume/resume.go
@@ -51,11 +51,13 @@
 type (
 	// Tracker knows which software version began a stream. Set the fields before first use.
 	Tracker struct {
-		Members    func() []string      // Addresses of the other routers.
-		Joined     func() bool          // Whether Members knows the fleet, and not only the addresses in the settings.
-		Peers      Peers                // Calls to other routers.
-		Store      store.Store          // Holds the rows of Table.
-		Current    func() bool          // Whether the servers passed to Observe are up to date, as far as the store tells.
+		Members func() []string // Addresses of the other routers.
+		Joined  func() bool     // Whether Members knows the fleet, and not only the addresses in the settings.
+		Peers   Peers           // Calls to other routers.
+		Store   store.Store     // Holds the rows of Table.
+		// Current passes changes that the store has acknowledged by now to Observe and reports whether it could. A server of another
+		// version may have begun a stream as soon as its entry was acknowledged.
+		Current    func(ctx context.Context) bool
 		Leads      func() bool          // Whether this router writes the rows of Table.
 		StoreClock func() time.Duration // Clock of the store; zero if unknown.
 		Now        func() time.Time
--- a/internal/resume/resume_test.go
+++ b/internal/resume/resume_test.go
@@ -291,7 +291,7 @@
 // drawStep draws one step of a random series.
 func drawStep(r *rapid.T) step {
 	return step{
-		Kind:     rapid.SampledFrom([]string{"begin", "begin", "begin", "find", "find", "serve", "serve", "kill", "kill all", "isolate", "heal", "stop", "outage", "wait"}).Draw(r, "kind"),
+		Kind:     rapid.SampledFrom([]string{"begin", "begin", "begin", "find", "find", "serve", "serve", "kill", "kill all", "isolate", "deafen", "heal", "stop", "outage", "wait"}).Draw(r, "kind"),
 		Router:   rapid.IntRange(0, seriesRouters-1).Draw(r, "router"),
 		Version:  rapid.IntRange(0, 1).Draw(r, "version"),
 		Versions: rapid.SampledFrom([][]string{{"v1"}, {"v1", "v2"}, {"v2"}, {"v2", "v3"}, {"v3"}, {}}).Draw(r, "versions"),
@@ -342,7 +342,7 @@
 		}
 		s.serve(step.Versions...)
 		for _, other := range s.routers {
-			if !other.isolated.Load() {
+			if !other.isolated.Load() && !other.deaf.Load() {
 				s.seen[other] = s.versions
 			}
 		}
@@ -356,6 +356,7 @@
 		time.Sleep(time.Second) // The leader has written the rows.
 		for _, other := range s.routers {
 			other.isolated.Store(false)
+			other.deaf.Store(false)
 			other.kill()
 		}
 		if step.Version == 1 {
@@ -371,8 +372,11 @@
 		time.Sleep(startTime)
 	case "isolate":
 		r.isolated.Store(step.Router != 0) // The leader stays.
+	case "deafen":
+		r.deaf.Store(step.Router != 0) // The leader writes the rows.
 	case "heal":
 		r.isolated.Store(false)
+		r.deaf.Store(false)
 		r.tracker.Load().Observe(s.servers())
 		s.seen[r] = s.versions
 	case "stop":
@@ -409,6 +413,7 @@
 		time.Sleep(time.Second)
 	}
 	if !r.isolated.Load() {
+		r.deaf.Store(false)
 		r.kill()
 		r.start()
 		s.seen[r] = s.versions
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -43,6 +43,11 @@
 	neverAge = time.Duration(math.MaxInt64)
 )
 
+var (
+	// errInterrupted is returned when a feed call was given up so that another one is made.
+	errInterrupted = errors.New("store: feed call interrupted")
+)
+
 type (
 	// Follower reports the rows of a table and then their changes to a function. Set the fields before Run.
 	Follower struct {
@@ -67,6 +72,7 @@
 		lastAnswer    atomic.Pointer[time.Time] // Time of the last answer of the store.
 		era           atomic.Int64              // Era of the last answer.
 		version       atomic.Int64              // Version of the store up to which the table is known.
+		feedCall      atomic.Pointer[feedCall]  // The feed call in progress, or nil.
 		behind        behind
 		lastFailure   time.Time // Time of the last failed call; zero if none failed.
 		snapshotStale bool      // Whether to ignore the snapshot because later changes may be gone.
@@ -81,6 +87,12 @@
 		readAt  time.Time     // When the last one began.
 	}
 
+	// feedCall is a feed call in progress, which can be given up in favour of a new one.
+	feedCall struct {
+		cancel      context.CancelFunc
+		interrupted atomic.Bool
+	}
+
 	// Change holds rows of a table that a follower received.
 	Change struct {
 		Whole   bool // Whether Rows holds all rows of the table, not only those that changed.
@@ -132,11 +144,11 @@
 			event.StoreReachable.Log(f.Logger).Str("table", f.Table).Int64("version", next).Send()
 		}
 		backoff = minBackoff
+		f.version.Store(next)
 		if version >= 0 && next > version && f.Pause > 0 {
 			delay.Sleep(ctx, f.Pause)
 		}
 		version = next
-		f.version.Store(version)
 	}
 	return nil
 }
@@ -152,10 +164,10 @@
 	if version < 0 {
 		return f.readAll(ctx)
 	}
-	wait, margin := f.feedTimes()
-	ctx, cancel := context.WithTimeout(ctx, wait+margin)
-	defer cancel()
-	result, err := f.Store.Feed(ctx, f.Table, version, wait)
+	result, err := f.feed(ctx, version)
+	if errors.Is(err, errInterrupted) {
+		return version, nil
+	}
 	if err != nil {
 		return version, err
 	}
@@ -172,6 +184,29 @@
 	return max(result.Version, version), nil
 }
 
+// feed makes a feed call. The error is errInterrupted if the call was given up.
+func (f *Follower) feed(ctx context.Context, version int64) (Result, error) {
+	wait, margin := f.feedTimes()
+	ctx, cancel := context.WithTimeout(ctx, wait+margin)
+	defer cancel()
+	call := &feedCall{cancel: cancel}
+	f.feedCall.Store(call)
+	defer f.feedCall.Store(nil)
+	result, err := f.Store.Feed(ctx, f.Table, version, wait)
+	if err != nil && call.interrupted.Load() {
+		return Result{}, errInterrupted
+	}
+	return result, err
+}
+
+// interrupt makes the follower give up a feed call in progress and make another one at once.
+func (f *Follower) interrupt() {
+	if call := f.feedCall.Load(); call != nil {
+		call.interrupted.Store(true)
+		call.cancel()
+	}
+}
+
 // feedTimes returns for how long the store may hold a feed call, and how much longer its answer may take.
 func (f *Follower) feedTimes() (wait, margin time.Duration) {
 	wait, margin = cmp.Or(f.Wait, feedWait), feedTimeoutMargin
