Take an account's total from the configuration in force

Requests of an account whose prepaid amount had been raised were refused with 402 for as long as no further configuration came (CONFIG, DENIED).

Cause: a reservation brought the total of the configuration with which its request began, and the ledger stored it under the version in force. A request of an exhausted account waits for about 50 ms; if the configuration changed meanwhile, the old total hid the new one for good, also in the budget row.

Total and version now come from the same configuration, so a version never has another total than its own.

--- a/internal/prepaid/heartbeat.go
+++ b/internal/prepaid/heartbeat.go
@@ -258,14 +258,8 @@
 	if l.storeStatus.age(now) > AutonomyDelay {
 		return // Writes would fail. A request that waits for tokens starts a writer itself.
 	}
-	if directory := l.Directory(); directory != nil {
-		for _, budget := range directory.Budgets {
-			if a := l.accounts[budget.Account]; a != nil {
-				l.applyTotal(a, budget.Tokens)
-			}
-		}
-	}
 	for _, a := range l.accounts {
+		l.applyTotal(a)
 		if now.After(a.idleRetryAt) {
 			l.startWriterIfGranted(a)
 		}
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -213,7 +213,7 @@
 	tokens := int64(request.Tokens)
 	l.mu.Lock()
 	a := l.accountByName(request.Account)
-	l.applyTotal(a, request.Total)
+	l.applyTotal(a)
 	a.grantDemand.add(float64(tokens), l.Now())
 	if a.used()+tokens <= l.spendLimit(a) {
 		a.reserved += tokens
@@ -293,12 +293,15 @@
 	return a
 }
 
-// applyTotal sets an account's total if the configuration in force is newer than the account's. The caller holds the
-// lock.
-func (l *Ledger) applyTotal(a *account, total inventory.Tokens) {
-	if directory := l.Directory(); directory != nil && directory.Version > a.totalVersion {
-		a.totalVersion = directory.Version
-		a.total = total
+// applyTotal sets an account's total to that of the configuration in force, which may be newer than the one with which a
+// request began. An account that is no longer configured keeps its total. The caller holds the lock.
+func (l *Ledger) applyTotal(a *account) {
+	directory := l.Directory()
+	if directory == nil || directory.Version <= a.totalVersion {
+		return
+	}
+	if total, ok := directory.Budget(a.name); ok {
+		a.totalVersion, a.total = directory.Version, total
 	}
 }
 
--- a/internal/prepaid/prepaid_test.go
+++ b/internal/prepaid/prepaid_test.go
@@ -413,6 +413,42 @@
 	})
 }
 
+// Guards against a raised budget that never takes effect: requests that began with the configuration before still wait for
+// tokens while the new one comes into force.
+func TestRequestOfOldConfigurationDoesNotHideRaisedBudget(t *testing.T) {
+	withFleet(t, 2, total, func(t *testing.T, is *is.I, f *fleet) {
+		old := dispatch.ReservationRequest{Account: account, Total: total, Tokens: 8000}
+		for {
+			reservation, _ := f.routers[0].ledger.Load().Reserve(t.Context(), old)
+			if reservation == nil {
+				break
+			}
+			reservation.Settle(8000)
+		}
+		var group sync.WaitGroup
+		for i := range 40 {
+			group.Go(func() {
+				if reservation, _ := f.routers[i%2].ledger.Load().Reserve(t.Context(), old); reservation != nil {
+					reservation.Settle(0)
+				}
+			})
+			if i == 20 {
+				f.directory.Store(directory(2, 2*total))
+			}
+			time.Sleep(3 * time.Millisecond)
+		}
+		group.Wait()
+		time.Sleep(2 * time.Second)
+		for _, r := range f.routers {
+			reservation, refusal := r.ledger.Load().Reserve(t.Context(), dispatch.ReservationRequest{Account: account, Total: 2 * total, Tokens: 8000})
+			if reservation == nil {
+				t.Fatalf("refused after the budget was raised: %v", refusal)
+			}
+			reservation.Settle(8000)
+		}
+	})
+}
+
 // Guards against refusals while the store is unreachable for nine seconds and most of the budget is left.
 func TestBudgetOutlastsStoreOutage(t *testing.T) {
 	withFleet(t, 6, 10*total, func(t *testing.T, is *is.I, f *fleet) {
