Take an answer that goes on as the proof of harmless parts, not its first event

Cause: the first event of an answer counted as the proof that all parts of its request are harmless, and a crash after it blamed the whole request only. No two of these requests are alike.

TestPartThatCrashesServersAfterFirstEventIsFound failed before.

The proof now needs events 0.3 s after the first one, or a complete success; a server's own error is no proof.

--- a/internal/caller/crash.go
+++ b/internal/caller/crash.go
@@ -46,11 +46,11 @@
 	return &failed{outcome: routing.Cancelled{}, refusal: refusal, final: true}
 }
 
-// recordAnswerBegun records that a backend server has begun to answer.
-func (c *call) recordAnswerBegun(a *attempt) {
-	a.answerBegun = true
+// recordAnswerSound records that a backend server has gone on with its answer, or has completed it.
+func (c *call) recordAnswerSound(a *attempt) {
+	a.answerSound = true
 	if c.front.Crashes != nil {
-		c.front.Crashes.RecordBegun(c.content)
+		c.front.Crashes.RecordSound(c.content)
 	}
 }
 
@@ -61,6 +61,6 @@
 	}
 	server := a.choice.Server
 	process := crash.Process{Server: server.Name, ID: server.Name + "/" + a.serverProcess, Address: server.Address}
-	c.front.Crashes.AddSuspect(c.content, process, a.answerBegun)
+	c.front.Crashes.AddSuspect(c.content, process, a.answerSound)
 	c.front.Crashes.RecordServerDown(server.Name)
 }
--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"citronslip/internal/crash"
 	"citronslip/internal/memory"
 	"citronslip/internal/sse"
 	"citronslip/internal/wire"
@@ -54,6 +55,8 @@
 		forwardUsage        bool          // Whether the caller receives the usage event.
 		continues           bool          // Whether the caller received the start of the stream from an earlier response.
 		onFirstEvent        func()        // Called once, before the first event.
+		onSound             func()        // Called once, when events still come crash.SoundAfter after the first one, or at the end marker.
+		firstEventAt        time.Time     // Time of the first event.
 		contentEvents       int           // Number of content events relayed.
 		lastEventAt         time.Time     // Time of the latest content event.
 		maxGap              time.Duration // Longest time between two content events.
@@ -85,6 +88,19 @@
 	}
 }
 
+// reportProgress calls the functions that wait for the first event and for an answer that goes on.
+func (r *relay) reportProgress() {
+	if r.onFirstEvent != nil {
+		r.onFirstEvent()
+		r.onFirstEvent = nil
+		r.firstEventAt = time.Now()
+	}
+	if r.onSound != nil && (r.endMarkerSeen || time.Since(r.firstEventAt) >= crash.SoundAfter) {
+		r.onSound()
+		r.onSound = nil
+	}
+}
+
 // forward sends an event to the caller.
 func (r *relay) forward(event []byte) error {
 	data := sse.Data(event)
@@ -107,10 +123,7 @@
 			return errBackendLost
 		}
 	}
-	if r.onFirstEvent != nil {
-		r.onFirstEvent()
-		r.onFirstEvent = nil
-	}
+	r.reportProgress()
 	if r.capture != nil {
 		// A capture keeps data in memory and does not fail.
 		_, _ = r.capture.Write(event)
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -100,8 +100,8 @@
 	if c.capture != nil {
 		c.relay.capture = c.capture
 	}
+	c.relay.onSound = func() { c.recordAnswerSound(a) }
 	c.relay.onFirstEvent = func() {
-		c.recordAnswerBegun(a)
 		a.firstByteAt = time.Now()
 		a.choice.FirstByte()
 		if c.headerSent {
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -33,6 +33,9 @@
 	// maxAnswered is the number of features for which it is known when a server last answered a request with them, in each
 	// of two generations.
 	maxAnswered = 4096
+	// SoundAfter is the time for which a server must go on with an answer after its first event until the parts of the request
+	// count as harmless. A server that crashes as it begins to write may still get the first bytes out.
+	SoundAfter = 300 * time.Millisecond
 	// addressCheckTimeout is the timeout of the check whether a server refuses connections.
 	addressCheckTimeout = time.Second
 )
@@ -113,7 +116,7 @@
 	suspect struct {
 		request Request
 		process Process
-		begun   bool // Whether the server had begun to answer.
+		sound   bool // Whether the server had gone on with its answer.
 		lostAt  time.Time
 		clock   time.Duration // Store clock at lostAt.
 	}
@@ -202,8 +205,9 @@
 	}
 }
 
-// RecordBegun records that a server has begun to answer a request. That proves its parts harmless.
-func (t *Tracker) RecordBegun(r Request) {
+// RecordSound records that a server has gone on with the answer to a request for SoundAfter, or has completed it with success.
+// That proves its parts harmless.
+func (t *Tracker) RecordSound(r Request) {
 	features := r.features()
 	t.recordAnswer(features[:len(r.Parts)])
 }
@@ -257,9 +261,9 @@
 	return 0, false
 }
 
-// AddSuspect records that the answer to a request was lost when the connection to its server broke. begun reports whether
-// the server had begun to answer. If the server refuses connections, its process has crashed.
-func (t *Tracker) AddSuspect(r Request, p Process, begun bool) {
+// AddSuspect records that the answer to a request was lost when the connection to its server broke. sound reports whether
+// RecordSound was called for the answer. If the server refuses connections, its process has crashed.
+func (t *Tracker) AddSuspect(r Request, p Process, sound bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.suspects == nil {
@@ -269,7 +273,7 @@
 	if t.suspectCount >= maxSuspects {
 		return
 	}
-	t.suspects[p.Server] = append(t.suspects[p.Server], suspect{request: r, process: p, begun: begun, lostAt: t.Now(), clock: t.Clock()})
+	t.suspects[p.Server] = append(t.suspects[p.Server], suspect{request: r, process: p, sound: sound, lostAt: t.Now(), clock: t.Clock()})
 	t.suspectCount++
 	if t.Refuses != nil && !t.checking[p.Server] {
 		t.checkAddress(p)
@@ -316,11 +320,11 @@
 // addCrash records that a server crashed while it ran the request, and queues the row of the store. The caller holds the
 // lock.
 func (t *Tracker) addCrash(s suspect) {
-	r := record{process: s.process.ID, fingerprint: s.request.Fingerprint, parts: s.request.Parts, begun: s.begun, clock: s.clock, own: true}
+	r := record{process: s.process.ID, fingerprint: s.request.Fingerprint, parts: s.request.Parts, begun: s.sound, clock: s.clock, own: true}
 	if !t.evidence.add(r) {
 		return
 	}
-	event.CrashRecorded.Log(t.Logger).Str("print", r.fingerprint).Strs("parts", r.parts).Str("process", r.process).Bool("begun", s.begun).Send()
+	event.CrashRecorded.Log(t.Logger).Str("print", r.fingerprint).Strs("parts", r.parts).Str("process", r.process).Bool("begun", s.sound).Send()
 	t.count("recorded")
 	t.enqueue(r.put())
 }
--- a/internal/crash/evidence.go
+++ b/internal/crash/evidence.go
@@ -11,7 +11,7 @@
 	// crashThreshold is the number of crashes from which on content counts as their cause. Harmless content can meet
 	// two crashes by chance.
 	crashThreshold = 3
-	// provenThreshold is the same for content that servers have begun to answer before, counted from the latest answer. It
+	// provenThreshold is the same for content that servers have answered before, counted from the latest answer. It
 	// may have become harmful by a change of the server's software, or do harm late.
 	provenThreshold = 6
 	// minRequests is the number of different requests with a part that must have met crashes: a single request meets
@@ -41,7 +41,7 @@
 		process     string // Server process.
 		fingerprint string
 		parts       []string
-		begun       bool          // Whether the server had begun to answer, so that no part can be the cause.
+		begun       bool          // Whether the server had gone on with its answer, so that no part can be the cause.
 		clock       time.Duration // Store clock of the crash.
 		own         bool          // Whether this router has written the record.
 	}
@@ -67,7 +67,7 @@
 		records   []record
 		events    map[int]bool    // Crashes, those within burstWindow counted once.
 		processes map[string]bool // Server processes.
-		unbegun   map[string]bool // Server processes that had not begun to answer.
+		unbegun   map[string]bool // Server processes that had not gone on with their answers.
 		requests  map[string]bool // Fingerprints.
 	}
 
@@ -130,7 +130,7 @@
 	delete(e.records, oldest)
 }
 
-// prove records that a server began to answer a request with the feature, and reports whether that is news.
+// prove records that a server answered a request with the feature, and reports whether that is news.
 func (e *evidence) prove(f feature, clock time.Duration) bool {
 	if known, ok := e.proofs[f]; ok && known >= clock {
 		return false
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -76,6 +76,8 @@
 		endWatch        func()        // Ends the watch of the current attempt.
 		raced           bool          // Whether an attempt was made that could be hedged.
 		answerBegun     bool          // Whether the server of the current attempt has begun to answer.
+		answerBegunAt   time.Time     // When it began.
+		answerSound     bool          // Whether it has gone on with the answer, which proves the request harmless.
 		reservation     Reservation
 		places          []string   // Data centres in the home regions of the request; nil if it has none.
 		triedServers    []string   // Names of the servers that received the request.
@@ -335,7 +337,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	c.answerBegun = false
+	c.forgetAnswer()
 	c.endWatch = c.Crashes.Watch(c.content, func() { c.withdraw(server, cancel) })
 	defer c.endWatch()
 	choice.Started()
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"citronslip/internal/crash"
 	"citronslip/internal/event"
@@ -26,19 +27,31 @@
 func (c *call) recordSuspect(ctx context.Context, server *Server) {
 	if ctx.Err() == nil {
 		process := crash.Process{Server: server.Name, ID: server.process().String(), Address: server.Address}
-		c.Crashes.AddSuspect(c.content, process, c.answerBegun)
+		c.Crashes.AddSuspect(c.content, process, c.answerSound)
+		c.trial = false // Another attempt would crash another server.
 	}
 }
 
-// recordAnswerBegun records that the server of the current attempt has begun to answer.
+// recordAnswerBegun records that the server of the current attempt has begun to answer, or goes on with the answer.
 func (c *call) recordAnswerBegun() {
-	if !c.answerBegun {
-		c.answerBegun = true
+	switch {
+	case !c.answerBegun:
+		c.answerBegun, c.answerBegunAt = true, time.Now()
 		c.endWatch()
-		c.Crashes.RecordBegun(c.content)
+	case !c.answerSound && time.Since(c.answerBegunAt) >= crash.SoundAfter:
+		c.recordAnswerSound()
 	}
 }
 
+// recordAnswerSound records that the server of the current attempt survives its answer.
+func (c *call) recordAnswerSound() {
+	c.answerSound = true
+	c.Crashes.RecordSound(c.content)
+}
+
+// forgetAnswer prepares for the answer to another attempt.
+func (c *call) forgetAnswer() { c.answerBegun, c.answerSound = false, false }
+
 // withdraw ends the current attempt because the content of the request crashes servers.
 func (c *call) withdraw(server *Server, cancel context.CancelFunc) {
 	event.RequestWithdrawn.Log(c.Logger).Str("request", c.request.ID).Str("server", server.Name).Strs("parts", c.content.Parts).Send()
--- a/internal/dispatch/crash_fleet_test.go
+++ b/internal/dispatch/crash_fleet_test.go
@@ -37,6 +37,8 @@
 		routers []*testDispatcher
 		random  *rand.Rand // Chooses the requests.
 		begin   time.Time
+		// crashLate makes a server crash after the first event of its answer.
+		crashLate bool
 
 		mu        sync.Mutex
 		workTimes *rand.Rand
@@ -141,6 +143,11 @@
 		return dispatch.NoResponse{Reset: true, Err: errReset}
 	case <-time.After(work):
 	}
+	if harmful && f.crashLate {
+		body := streamUntil(ctx, down)
+		time.AfterFunc(time.Millisecond, func() { f.crash(server) })
+		return dispatch.Answered{Success: true, Length: -1, Body: body}
+	}
 	if harmful {
 		f.crash(server)
 		return dispatch.NoResponse{Reset: true, Err: errReset}
@@ -284,6 +291,17 @@
 // Guards against requests that share one harmful prompt part and crash one server after the other, each of them new, and
 // against sound requests with the same first part that are refused for them.
 func TestPartThatCrashesServersIsFoundAmongSoundOnes(t *testing.T) {
+	testHarmfulPartIsFound(t, false)
+}
+
+// Guards against a part that is never blocked, because the servers that crash on it send the first event of their answer before.
+func TestPartThatCrashesServersAfterFirstEventIsFound(t *testing.T) {
+	testHarmfulPartIsFound(t, true)
+}
+
+// testHarmfulPartIsFound plays a fleet and checks how many harmful requests reach servers and how many sound ones are served.
+func testHarmfulPartIsFound(t *testing.T, crashLate bool) {
+	t.Helper()
 	for _, c := range []struct {
 		routers, servers int
 		share            float64
@@ -292,6 +310,7 @@
 			t.Run(fmt.Sprintf("%d-routers-%v-seed-%d", c.routers, c.share, seed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					f := newCrashFleet(t, &store.Memory{}, seed, c.routers, c.servers)
+					f.crashLate = crashLate
 					f.play(t, 30*time.Second, 40, c.share)
 					if late := f.lateArrivals(); late > maxLateArrivals {
 						t.Errorf("%d harmful requests reached servers %v after the fifth crash, %d servers crashed", late, newsDelay, len(f.crashes))
--- a/internal/dispatch/race.go
+++ b/internal/dispatch/race.go
@@ -62,7 +62,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c.raced = true
-	c.answerBegun = false
+	c.forgetAnswer()
 	c.Hedges.CountRequest()
 	r := &race{call: c, ended: make(chan *leg, 2)}
 	r.first = r.start(ctx, server, choice, true)
