Refuse as unreachable, not as exhausted, what tokens at a lost host would cover

Cause: the grant of a router that does not come back stays granted, since a router that is only cut off may spend it. A refusal as exhausted was checked against the grant rows only if a lender had not answered, and a router that is gone is not asked.

--- a/internal/prepaid/borrow.go
+++ b/internal/prepaid/borrow.go
@@ -27,9 +27,10 @@
 	earlySettlementTTL = 10 * time.Second
 	// exhaustedTTL is how long the store's confirmation that no tokens are available is relied on.
 	exhaustedTTL = 300 * time.Millisecond
-	// grantRowsTTL is how long the sum of the grant rows of an account is relied on, so that requests of an exhausted account
-	// do not each read them.
-	grantRowsTTL = time.Second
+	// minGrantRowsTTL is how long the sum of the grant rows of an account is relied on, so that requests of an exhausted account
+	// do not each read them. In a larger fleet it is grantRowsTTLPerRouter for each router, which bounds the calls of all.
+	minGrantRowsTTL       = time.Second
+	grantRowsTTLPerRouter = 20 * time.Millisecond
 	// maxLentReservations is the maximum number of reservations for other routers, and also that of remembered early
 	// settlements.
 	maxLentReservations = 4096
@@ -125,13 +126,18 @@
 	return nil, outcome
 }
 
+// grantRowsTTL returns how long the sum of the grant rows of an account is relied on.
+func (m *membership) grantRowsTTL() time.Duration {
+	return max(minGrantRowsTTL, time.Duration(m.count())*grantRowsTTLPerRouter)
+}
+
 // isCoveredElsewhere reports whether the budget covers the request, although the store has no tokens left to grant and some
-// routers did not answer: by the grant rows the others hold tokens that they have not opened, and so have not spent while the
-// store answers them.
+// routers did not answer or are gone: by the grant rows the others hold tokens that they have not opened, and so have not spent
+// while the store answered them.
 func (l *Ledger) isCoveredElsewhere(ctx context.Context, request dispatch.ReservationRequest) bool {
 	l.mu.Lock()
 	a := l.accountByName(request.Account)
-	isRecent := !a.elsewhereAt.IsZero() && l.Now().Sub(a.elsewhereAt) < grantRowsTTL
+	isRecent := !a.elsewhereAt.IsZero() && l.Now().Sub(a.elsewhereAt) < l.membership.grantRowsTTL()
 	unopened := a.unopened
 	l.mu.Unlock()
 	if isRecent {
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -152,7 +152,7 @@
 			return local, dispatch.Refusal{}
 		}
 	}
-	if exhausted && lenderFailed && l.isCoveredElsewhere(ctx, request) {
+	if exhausted && (lenderFailed || l.hasLostRouters()) && l.isCoveredElsewhere(ctx, request) {
 		exhausted = false
 	}
 	l.logShortage(request, exhausted)
@@ -180,8 +180,8 @@
 	defer l.mu.Unlock()
 	a, silence := l.accountByName(request.Account), l.storeStatus.age(l.Now())
 	switch {
-	case silence < storeWaitTimeout && l.Now().Sub(a.elsewhereAt) < grantRowsTTL:
-		return minRetryAfter // Routers that cannot be reached hold the tokens.
+	case silence < storeWaitTimeout && l.Now().Sub(a.elsewhereAt) < l.membership.grantRowsTTL():
+		return minRetryAfter // Routers that cannot be reached, or are gone, hold the tokens.
 	case silence < storeWaitTimeout:
 		return 0
 	case a.used()+int64(request.Tokens) <= int64(a.grant.Amount):
--- a/internal/prepaid/members.go
+++ b/internal/prepaid/members.go
@@ -37,6 +37,7 @@
 		addresses  map[string]string // By host.
 		known      bool              // Whether a view was read or written.
 		generation int               // Incremented with each change of the set of routers.
+		lost       int               // Number of routers that do not run and may have left grants.
 		view       view
 	}
 
@@ -153,6 +154,9 @@
 		l.membership.view.observed = nil
 	}
 	l.membership.view.leader = stored.Keeper
+	if stored.Lost != nil {
+		l.membership.lost = *stored.Lost
+	}
 	if len(stored.Routers) == 0 {
 		return // A leader that knows no routers yet claims the view first and lists them with its next write.
 	}
@@ -198,17 +202,18 @@
 		return // The heartbeat logs an unreachable store.
 	}
 	l.mu.Lock()
-	addresses := l.liveRouters(result.Rows)
+	addresses, lost := l.liveRouters(result.Rows)
+	l.membership.lost = lost
 	l.mu.Unlock()
 	_ = l.writeView(ctx, addresses) // The next read shows whether this router is still the leader.
 }
 
-// liveRouters returns the addresses, by host, of the routers whose heartbeat rows have changed within
-// memberTTLIntervals. The caller holds the lock.
-func (l *Ledger) liveRouters(rows []store.Row) map[string]string {
+// liveRouters returns the addresses, by host, of the routers whose heartbeat rows have changed within memberTTLIntervals, and the
+// number of the others that held grants. The caller holds the lock.
+func (l *Ledger) liveRouters(rows []store.Row) (addresses map[string]string, lost int) {
 	now := l.Now()
 	observed := make(map[string]observedHeartbeat, len(rows))
-	addresses := make(map[string]string, len(rows))
+	addresses = make(map[string]string, len(rows))
 	for _, row := range rows {
 		var value wire.PrepaidAlive
 		if err := decode(row, &value); err != nil {
@@ -226,19 +231,25 @@
 			observation = observedHeartbeat{version: row.Version, changedAt: now}
 		}
 		observed[row.Name] = observation
-		if value.Address != "" && now.Sub(observation.changedAt) < memberTTLIntervals*l.membership.interval() {
+		switch {
+		case now.Sub(observation.changedAt) >= memberTTLIntervals*l.membership.interval():
+			if len(value.Accounts) > 0 {
+				lost++
+			}
+		case value.Address != "":
 			addresses[row.Name] = value.Address
 		}
 	}
 	l.membership.view.observed = observed
-	return addresses
+	return addresses, lost
 }
 
 // writeView writes the view, provided that no other router has written it since it was read. If addresses is nil, it
 // writes the known ones, which makes this router the leader.
 func (l *Ledger) writeView(ctx context.Context, addresses map[string]string) error {
 	l.mu.Lock()
-	next := wire.PrepaidView{Keeper: l.Instance, Routers: []wire.PrepaidRouter{}, Era: int(l.storeStatus.era)}
+	lost := l.membership.lost
+	next := wire.PrepaidView{Keeper: l.Instance, Routers: []wire.PrepaidRouter{}, Lost: &lost, Era: int(l.storeStatus.era)}
 	published := addresses
 	if published == nil {
 		published = l.membership.addresses
@@ -274,6 +285,13 @@
 	return nil
 }
 
+// hasLostRouters reports whether routers that do not run have left grants.
+func (l *Ledger) hasLostRouters() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.membership.lost > 0
+}
+
 // RouterCount returns the number of running routers by the membership view, at least one.
 func (l *Ledger) RouterCount() int {
 	l.mu.Lock()
--- a/internal/prepaid/stranded_test.go
+++ b/internal/prepaid/stranded_test.go
@@ -157,6 +157,33 @@
 	})
 }
 
+// Guards against requests that are refused as exhausted, for good, because a router that does not come back holds the tokens.
+func TestTokensOfLostRouterDoNotCountAsUsed(t *testing.T) {
+	for _, routers := range []int{3, 6, 60} {
+		t.Run(fmt.Sprintf("%d-routers", routers), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(routers, strandedTotal)
+				f.roundTrip = 4 * time.Millisecond
+				f.start(t.Context())
+				defer f.stop()
+				c := crowd{fleet: f, total: strandedTotal}
+				random := rand.New(rand.NewPCG(1, uint64(routers)))
+				c.run(t, random, 15*time.Second)
+				for range max(1, routers/6) {
+					f.routers[0].kill()
+					f.routers = f.routers[1:]
+				}
+				c.run(t, random, 75*time.Second)
+				c.all.Wait()
+				is := is.New(t)
+				is.True(c.served < c.sent) // The rest of the budget is used up.
+				is.Equal(c.falselyEnded, 0)
+				is.True(c.spent <= strandedTotal)
+			})
+		})
+	}
+}
+
 // Shows that no more than Spendable may be returned of the grant of a dead router that was cut off from everything: its rows
 // stay as they were, whether it spends all that it can or nothing, so that the same is charged.
 func TestRowsDoNotTellAutonomousSpending(t *testing.T) {
--- a/internal/wire/prepaid.go
+++ b/internal/wire/prepaid.go
@@ -158,6 +158,10 @@
 	// Instance of the router that wrote the row.
 	Keeper string `json:"keeper"`
 
+	// Number of routers that do not run and have left grants. Missing in rows of
+	// earlier releases.
+	Lost *int `json:"lost,omitempty,omitzero"`
+
 	// Running routers: those whose heartbeat rows the keeper has recently seen
 	// change.
 	Routers []PrepaidRouter `json:"routers"`
