Bound the prefix hashes of a prompt

One request whose prompt names a part of 2^35 tokens took a router to over 500 MB of 134 MB; one at each machine ended the fleet.

Cause: prefixHashes appended a hash for each 1,024 tokens that a part claims.

A prompt has at most 1,024 hashes, for a million tokens; shorter prompts have the same hashes as before.

--- a/internal/dispatch/prompt.go
+++ b/internal/dispatch/prompt.go
@@ -10,6 +10,9 @@
 	// PrefixBlockTokens is the number of prompt tokens for each prefix hash. The field Block of routing.Picker must be
 	// the same.
 	PrefixBlockTokens = 1024
+	// maxPrefixHashes is the maximum number of hashes of a prompt. A caller may claim any number of tokens for a part; a million
+	// tokens are more than the context of a model.
+	maxPrefixHashes = 1024
 
 	// Parameters of the 64-bit FNV-1a hash.
 	fnvOffset = 14695981039346656037
@@ -50,7 +53,7 @@
 }
 
 // prefixHashes returns the cumulative hashes of the prompt's blocks. A part is hashed once for each block that it
-// fills, so that two prompts share as many hashes as blocks.
+// fills, so that two prompts share as many hashes as blocks. Blocks beyond maxPrefixHashes have none.
 func (p *Prompt) prefixHashes() []uint64 {
 	var hashes []uint64
 	hash := uint64(fnvOffset)
@@ -61,7 +64,8 @@
 		}
 		hash = (hash ^ part.ID) * fnvPrime
 		tokens += part.Tokens
-		for int64(len(hashes)) < (tokens+PrefixBlockTokens/2)/PrefixBlockTokens {
+		blocks := min((tokens+PrefixBlockTokens/2)/PrefixBlockTokens, maxPrefixHashes)
+		for int64(len(hashes)) < blocks {
 			hash = (hash ^ uint64(len(hashes))) * fnvPrime
 			hashes = append(hashes, hash)
 		}
