Keep the pause that a server asked for while its entry is missing

Cause: the picker dropped the pause with the server.

Pauses of removed servers are kept until they end and apply to the same process.

--- a/internal/routing/busy.go
+++ b/internal/routing/busy.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"citronslip/pkg/inventory"
 )
 
 const (
@@ -12,9 +14,17 @@
 	maxBusyTime = time.Minute
 	// busyJitter is the largest random extension of a busy time, relative to it.
 	busyJitter = 0.1
+	// anyProcess stands for each process of a server.
+	anyProcess = -1
 )
 
 type (
+	// pause is the time until which a server process wants no new work.
+	pause struct {
+		born  int64
+		until time.Time
+	}
+
 	// BusyError is returned when servers that have loaded what the request needs are otherwise healthy, but have asked
 	// for no new work until a later time. It wraps ErrUnavailable.
 	BusyError struct {
@@ -34,7 +44,10 @@
 	defer p.mu.Unlock()
 	if s := p.servers[name]; s != nil {
 		p.setBusy(s, duration, p.now())
+		return
 	}
+	// The server was removed while the request ran. Whichever process of it comes back waits.
+	p.setBusy(&server{config: &Server{BackendServer: inventory.BackendServer{Name: name}, Born: anyProcess}}, duration, p.now())
 }
 
 // BusyTime returns for how long the server still wants no new work, or zero if it takes some.
@@ -56,6 +69,20 @@
 	if until := now.Add(duration); until.After(s.busyUntil) {
 		s.busyUntil = until
 	}
+	if p.servers[s.config.Name] != s {
+		p.keepPause(s, now) // The server was removed while the request ran.
+	}
+}
+
+// keepPause remembers for how long a removed server wants no new work: its entry may have expired although it runs.
+func (p *Picker) keepPause(s *server, now time.Time) {
+	if !now.Before(s.busyUntil) {
+		return
+	}
+	if p.pauses == nil {
+		p.pauses = make(map[string]pause)
+	}
+	p.pauses[s.config.Name] = pause{born: s.config.Born, until: s.busyUntil}
 }
 
 // timeUntilFree returns the time until the first of the servers that are excluded only because they are busy accepts
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -45,13 +46,14 @@
 		prefixes              prefixIndex
 		fleetSpeed            speed // Mean over all servers, used for servers without samples.
 		workShare             workShare
-		transferCredit        float64   // Prefix transfers that the limit allows now.
-		lastOpened            time.Time // Time at which a circuit last opened.
-		pollRound             uint64    // Number of polling rounds so far.
-		nextReport            time.Time // Earliest time of the next request that asks for a load report.
-		expectedCached        []int64   // Scratch space by server.index: prompt tokens that its cache should hold.
-		expectedCachedIndexes []int32   // Scratch space: indexes of the servers with a value in expectedCached.
-		donors                []*server // Scratch space: servers from which the request's prefix could be fetched.
+		transferCredit        float64          // Prefix transfers that the limit allows now.
+		lastOpened            time.Time        // Time at which a circuit last opened.
+		pauses                map[string]pause // Of servers that were removed while they wanted no new work, by name.
+		pollRound             uint64           // Number of polling rounds so far.
+		nextReport            time.Time        // Earliest time of the next request that asks for a load report.
+		expectedCached        []int64          // Scratch space by server.index: prompt tokens that its cache should hold.
+		expectedCachedIndexes []int32          // Scratch space: indexes of the servers with a value in expectedCached.
+		donors                []*server        // Scratch space: servers from which the request's prefix could be fetched.
 	}
 
 	// counters are the picker's metrics.
@@ -122,8 +124,10 @@
 		if s.unlisted {
 			delete(p.servers, name)
 			p.serversByIndex[s.index] = nil
+			p.keepPause(s, now)
 		}
 	}
+	maps.DeleteFunc(p.pauses, func(_ string, kept pause) bool { return !now.Before(kept.until) })
 	p.rebuildGroups()
 }
 
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -21,6 +21,9 @@
 		if !initial && !isNewProcess {
 			s.slowStartBegin = now
 		}
+		if kept := p.pauses[config.Name]; kept.born == config.Born || kept.born == anyProcess {
+			s.busyUntil = kept.until
+		}
 	}
 	if s.config != nil && s.config.Evacuated && !config.Evacuated {
 		s.slowStartBegin = now
