--- a/internal/prepaid/late_writes_test.go
+++ b/internal/prepaid/late_writes_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -60,10 +61,10 @@
 		}
 		first, second := f.routers[0], f.routers[1]
 		if random.IntN(2) == 0 {
-			f.loseAnswers()
+			f.loseAnswers(random.Uint64())
 		}
 		use(first, inventory.Tokens(16_000+random.IntN(7_000)), inventory.Tokens(100+random.IntN(500)))
-		f.loseAnswers()
+		f.loseAnswers(random.Uint64())
 		time.AfterFunc(lossTime, func() { f.lateBy.Store(nil) })
 		for range 1 + random.IntN(4) {
 			time.Sleep(time.Duration(200+random.IntN(1300)) * time.Millisecond)
@@ -83,12 +84,16 @@
 }
 
 // loseAnswers makes the store lose the answers to some of the writes.
-func (f *fleet) loseAnswers() {
+func (f *fleet) loseAnswers(seed uint64) {
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(seed, 1))
 	lateBy := func(store.Write) time.Duration {
-		if rand.Float64() >= lostShare {
+		mu.Lock()
+		defer mu.Unlock()
+		if random.Float64() >= lostShare {
 			return 0
 		}
-		return minLate + rand.N(maxLate-minLate)
+		return minLate + time.Duration(random.Int64N(int64(maxLate-minLate)))
 	}
 	f.lateBy.Store(&lateBy)
 }
