Check refusals also while a lost host is still in a large fleet's view

Cause: a lost host stays in the membership view for four of its intervals, 36 s there, and a router that does not answer is asked only after the others, so that no call failed.

Evidence: TestTokensOfLostRouterDoNotCountAsUsed with 300 routers, 50 of them lost: 195 of 3,600 requests falsely refused before, 0 after; with 2, 3, 6 and 60 routers 0 before and after.

The grant rows are also checked while a router in the view did not answer its last call.

--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -152,7 +152,7 @@
 			return local, dispatch.Refusal{}
 		}
 	}
-	if exhausted && (lenderFailed || l.hasLostRouters()) && l.isCoveredElsewhere(ctx, request) {
+	if exhausted && (lenderFailed || l.mayHaveLostRouters()) && l.isCoveredElsewhere(ctx, request) {
 		exhausted = false
 	}
 	l.logShortage(request, exhausted)
--- a/internal/prepaid/members.go
+++ b/internal/prepaid/members.go
@@ -285,11 +285,15 @@
 	return nil
 }
 
-// hasLostRouters reports whether routers that do not run have left grants.
-func (l *Ledger) hasLostRouters() bool {
+// mayHaveLostRouters reports whether routers that do not run have left grants, or one in the membership view did not answer its last
+// call: a router that is gone stays in the view of a large fleet for a while, and is then asked only after the others.
+func (l *Ledger) mayHaveLostRouters() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.membership.lost > 0
+	return l.membership.lost > 0 || slices.ContainsFunc(l.addresses(), func(address string) bool {
+		_, failed := l.peerState.failedAt[address]
+		return failed
+	})
 }
 
 // RouterCount returns the number of running routers by the membership view, at least one.
--- a/internal/prepaid/stranded_test.go
+++ b/internal/prepaid/stranded_test.go
@@ -159,7 +159,7 @@
 
 // Guards against requests that are refused as exhausted, for good, because a router that does not come back holds the tokens.
 func TestTokensOfLostRouterDoNotCountAsUsed(t *testing.T) {
-	for _, routers := range []int{3, 6, 60} {
+	for _, routers := range []int{2, 3, 6, 60, 300} {
 		t.Run(fmt.Sprintf("%d-routers", routers), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(routers, strandedTotal)
