Name the progress of an answer, and pauses without a made-up server

Read again as a newcomer: 'sound' and 'begun' said what their comments had to explain. They are 'progress' now (RecordProgress, MinProgress); the field of the stored row keeps its name. MarkBusy no longer makes up a server to keep the pause of a removed one. No behaviour changes: the tests of crash, caller, dispatch and routing pass.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -62,7 +62,7 @@
 		pathLost      bool // Whether it broke off because another router ended.
 		startedAt     time.Time
 		firstByteAt   time.Time // Time of the first byte; zero if none came or a chat answer is not streamed.
-		answerSound   bool      // Whether the server has gone on with its answer.
+		progressed    bool      // Whether the server has gone on with its answer.
 	}
 )
 
@@ -311,7 +311,7 @@
 	if err != nil || len(body) > maxAnswerBytes {
 		return c.handleRequestError(ctx, a, fmt.Errorf("%w: %v", engine.ErrConnectionLost, err))
 	}
-	c.recordAnswerSound(a)
+	c.recordProgress(a)
 	used, ok := parseUsage(body)
 	if !ok {
 		used = c.fetchUsage(ctx, a)
--- a/internal/caller/crash.go
+++ b/internal/caller/crash.go
@@ -46,11 +46,11 @@
 	return &failed{outcome: routing.Cancelled{}, refusal: refusal, final: true}
 }
 
-// recordAnswerSound records that a backend server has gone on with its answer, or has completed it.
-func (c *call) recordAnswerSound(a *attempt) {
-	a.answerSound = true
+// recordProgress records that a backend server has gone on with its answer, or has completed it.
+func (c *call) recordProgress(a *attempt) {
+	a.progressed = true
 	if c.front.Crashes != nil {
-		c.front.Crashes.RecordSound(c.content)
+		c.front.Crashes.RecordProgress(c.content)
 	}
 }
 
@@ -61,6 +61,6 @@
 	}
 	server := a.choice.Server
 	process := crash.Process{Server: server.Name, ID: server.Name + "/" + a.serverProcess, Address: server.Address}
-	c.front.Crashes.AddSuspect(c.content, process, a.answerSound)
+	c.front.Crashes.AddSuspect(c.content, process, a.progressed)
 	c.front.Crashes.RecordServerDown(server.Name)
 }
--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -55,7 +55,7 @@
 		forwardUsage        bool          // Whether the caller receives the usage event.
 		continues           bool          // Whether the caller received the start of the stream from an earlier response.
 		onFirstEvent        func()        // Called once, before the first event.
-		onSound             func()        // Called once, when events still come crash.SoundAfter after the first one, or at the end marker.
+		onProgress          func()        // Called once, when events still come crash.MinProgress after the first one, or at the end marker.
 		firstEventAt        time.Time     // Time of the first event.
 		contentEvents       int           // Number of content events relayed.
 		lastEventAt         time.Time     // Time of the latest content event.
@@ -95,9 +95,9 @@
 		r.onFirstEvent = nil
 		r.firstEventAt = time.Now()
 	}
-	if r.onSound != nil && (r.endMarkerSeen || time.Since(r.firstEventAt) >= crash.SoundAfter) {
-		r.onSound()
-		r.onSound = nil
+	if r.onProgress != nil && (r.endMarkerSeen || time.Since(r.firstEventAt) >= crash.MinProgress) {
+		r.onProgress()
+		r.onProgress = nil
 	}
 }
 
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -100,7 +100,7 @@
 	if c.capture != nil {
 		c.relay.capture = c.capture
 	}
-	c.relay.onSound = func() { c.recordAnswerSound(a) }
+	c.relay.onProgress = func() { c.recordProgress(a) }
 	c.relay.onFirstEvent = func() {
 		a.firstByteAt = time.Now()
 		a.choice.FirstByte()
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -33,9 +33,8 @@
 	// maxAnswered is the number of features for which it is known when a server last answered a request with them, in each
 	// of two generations.
 	maxAnswered = 4096
-	// SoundAfter is the time for which a server must go on with an answer after its first event until the parts of the request
-	// count as harmless. A server that crashes as it begins to write may still get the first bytes out.
-	SoundAfter = 300 * time.Millisecond
+	// MinProgress is the time for which events must come after the first one until the parts of the request count as harmless. A server that crashes as it begins to write may still get the first bytes out.
+	MinProgress = 300 * time.Millisecond
 	// addressCheckTimeout is the timeout of the check whether a server refuses connections.
 	addressCheckTimeout = time.Second
 )
@@ -114,11 +113,11 @@
 
 	// suspect is a request whose answer was lost when the connection to its server broke.
 	suspect struct {
-		request Request
-		process Process
-		sound   bool // Whether the server had gone on with its answer.
-		lostAt  time.Time
-		clock   time.Duration // Store clock at lostAt.
+		request    Request
+		process    Process
+		progressed bool // Whether the server had gone on with its answer.
+		lostAt     time.Time
+		clock      time.Duration // Store clock at lostAt.
 	}
 
 	// sentRequest is a request that was sent to a server.
@@ -205,9 +204,9 @@
 	}
 }
 
-// RecordSound records that a server has gone on with the answer to a request for SoundAfter, or has completed it with success.
+// RecordProgress records that a server has gone on with the answer to a request for MinProgress, or has completed it with success.
 // That proves its parts harmless.
-func (t *Tracker) RecordSound(r Request) {
+func (t *Tracker) RecordProgress(r Request) {
 	features := r.features()
 	t.recordAnswer(features[:len(r.Parts)])
 }
@@ -261,9 +260,9 @@
 	return 0, false
 }
 
-// AddSuspect records that the answer to a request was lost when the connection to its server broke. sound reports whether
-// RecordSound was called for the answer. If the server refuses connections, its process has crashed.
-func (t *Tracker) AddSuspect(r Request, p Process, sound bool) {
+// AddSuspect records that the answer to a request was lost when the connection to its server broke. progressed reports whether
+// RecordProgress was called for the answer. If the server refuses connections, its process has crashed.
+func (t *Tracker) AddSuspect(r Request, p Process, progressed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.suspects == nil {
@@ -273,7 +272,7 @@
 	if t.suspectCount >= maxSuspects {
 		return
 	}
-	t.suspects[p.Server] = append(t.suspects[p.Server], suspect{request: r, process: p, sound: sound, lostAt: t.Now(), clock: t.Clock()})
+	t.suspects[p.Server] = append(t.suspects[p.Server], suspect{request: r, process: p, progressed: progressed, lostAt: t.Now(), clock: t.Clock()})
 	t.suspectCount++
 	if t.Refuses != nil && !t.checking[p.Server] {
 		t.checkAddress(p)
@@ -320,11 +319,11 @@
 // addCrash records that a server crashed while it ran the request, and queues the row of the store. The caller holds the
 // lock.
 func (t *Tracker) addCrash(s suspect) {
-	r := record{process: s.process.ID, fingerprint: s.request.Fingerprint, parts: s.request.Parts, begun: s.sound, clock: s.clock, own: true}
+	r := record{process: s.process.ID, fingerprint: s.request.Fingerprint, parts: s.request.Parts, progressed: s.progressed, clock: s.clock, own: true}
 	if !t.evidence.add(r) {
 		return
 	}
-	event.CrashRecorded.Log(t.Logger).Str("print", r.fingerprint).Strs("parts", r.parts).Str("process", r.process).Bool("begun", s.sound).Send()
+	event.CrashRecorded.Log(t.Logger).Str("print", r.fingerprint).Strs("parts", r.parts).Str("process", r.process).Bool("begun", s.progressed).Send()
 	t.count("recorded")
 	t.enqueue(r.put())
 }
--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -124,7 +124,7 @@
 		is := is.New(t)
 		tracker := newTracker(&store.Memory{})
 		for i := range 3 {
-			tracker.RecordSound(crash.Request{Fingerprint: "sound", Parts: []string{"common"}})
+			tracker.RecordProgress(crash.Request{Fingerprint: "sound", Parts: []string{"common"}})
 			time.Sleep(time.Millisecond)
 			crashWith(tracker, i, []string{"common", "harmful"}, []string{"common", "other"}, []string{"common", fmt.Sprint("rare", i)})
 		}
@@ -144,7 +144,7 @@
 		}
 		is.True(blocked(tracker, "new", "first", "harmful"))
 		is.True(!blocked(tracker, "new", "first", "other"))
-		tracker.RecordSound(crash.Request{Fingerprint: "new", Parts: []string{"first", "other"}})
+		tracker.RecordProgress(crash.Request{Fingerprint: "new", Parts: []string{"first", "other"}})
 		is.True(blocked(tracker, "another", "second", "harmful"))
 		is.True(!blocked(tracker, "another", "first"))
 	})
@@ -209,7 +209,7 @@
 		time.Sleep(30 * time.Second)
 		tried = trials()
 		is.Equal(len(tried), 1)
-		tried[0].RecordSound(crash.Request{Fingerprint: "new", Parts: []string{"harmful"}})
+		tried[0].RecordProgress(crash.Request{Fingerprint: "new", Parts: []string{"harmful"}})
 		time.Sleep(time.Second)
 		is.Equal(len(trials()), 15)
 	})
@@ -223,7 +223,7 @@
 		witness, other := newTracker(s), newTracker(s)
 		run(t, witness)
 		run(t, other)
-		witness.RecordSound(crash.Request{Fingerprint: "sound", Parts: []string{"common"}})
+		witness.RecordProgress(crash.Request{Fingerprint: "sound", Parts: []string{"common"}})
 		for i := range 3 {
 			time.Sleep(time.Second)
 			crashWith(other, i, []string{"common", fmt.Sprint("x", i)}, []string{"common", fmt.Sprint("y", i)})
--- a/internal/crash/evidence.go
+++ b/internal/crash/evidence.go
@@ -41,7 +41,7 @@
 		process     string // Server process.
 		fingerprint string
 		parts       []string
-		begun       bool          // Whether the server had gone on with its answer, so that no part can be the cause.
+		progressed  bool          // Whether the server had gone on with its answer, so that no part can be the cause.
 		clock       time.Duration // Store clock of the crash.
 		own         bool          // Whether this router has written the record.
 	}
@@ -67,7 +67,7 @@
 		records   []record
 		events    map[int]bool    // Crashes, those within burstWindow counted once.
 		processes map[string]bool // Server processes.
-		unbegun   map[string]bool // Server processes that had not gone on with their answers.
+		early     map[string]bool // Server processes that crashed before they had gone on with their answers.
 		requests  map[string]bool // Fingerprints.
 	}
 
@@ -97,7 +97,7 @@
 
 // features returns what may have caused the crash.
 func (r record) features() []feature {
-	if r.begun {
+	if r.progressed {
 		return []feature{requestFeature(r.fingerprint)}
 	}
 	return Request{Fingerprint: r.fingerprint, Parts: r.parts}.features()
@@ -252,15 +252,15 @@
 			if c == nil {
 				c = &candidate{
 					feature: f, proven: proven, events: make(map[int]bool), processes: make(map[string]bool),
-					unbegun: make(map[string]bool), requests: make(map[string]bool),
+					early: make(map[string]bool), requests: make(map[string]bool),
 				}
 				result[f] = c
 			}
 			c.records = append(c.records, r)
 			c.events[events[r.process]] = true
 			c.processes[r.process] = true
-			if !r.begun {
-				c.unbegun[r.process] = true
+			if !r.progressed {
+				c.early[r.process] = true
 			}
 			c.requests[r.fingerprint] = true
 		}
@@ -271,7 +271,7 @@
 // isSufficient reports whether the crashes are enough for a verdict.
 func (c *candidate) isSufficient() bool {
 	if !c.feature.isPart() {
-		return len(c.unbegun) >= crashThreshold || len(c.processes) >= provenThreshold
+		return len(c.early) >= crashThreshold || len(c.processes) >= provenThreshold
 	}
 	threshold := crashThreshold
 	if c.proven {
--- a/internal/crash/record_test.go
+++ b/internal/crash/record_test.go
@@ -40,7 +40,7 @@
 		run(t, tracker)
 		for i := range 3 {
 			crashWith(tracker, i, []string{"common", "harmful"}, []string{"common", "other"})
-			tracker.RecordSound(crash.Request{Fingerprint: "sound", Parts: []string{"common"}})
+			tracker.RecordProgress(crash.Request{Fingerprint: "sound", Parts: []string{"common"}})
 			time.Sleep(time.Second)
 		}
 		tracker.AddSuspect(crash.Request{Fingerprint: "begun"}, process("i-9", 1), true)
--- a/internal/crash/rows.go
+++ b/internal/crash/rows.go
@@ -55,13 +55,13 @@
 	storedRow struct {
 		Clock int64    `json:"clock"` // Store clock in milliseconds of the crash or the answer.
 		Parts []string `json:"parts,omitempty"`
-		Begun bool     `json:"begun,omitempty"` // Whether the server had begun to answer.
+		Begun bool     `json:"begun,omitempty"` // Whether the server had gone on with its answer.
 	}
 )
 
 // put returns the row of a record.
 func (r record) put() store.Put {
-	return newPut(r.fingerprint+separator+r.process, storedRow{Clock: r.clock.Milliseconds(), Parts: r.parts, Begun: r.begun})
+	return newPut(r.fingerprint+separator+r.process, storedRow{Clock: r.clock.Milliseconds(), Parts: r.parts, Begun: r.progressed})
 }
 
 // newPut returns a row of Table. It panics on an error: the value holds only numbers and strings, which always encode.
@@ -163,7 +163,7 @@
 		return t.evidence.prove(feature(text), clock)
 	}
 	fingerprint, process, ok := strings.Cut(name, separator)
-	return ok && t.evidence.add(record{process: process, fingerprint: fingerprint, parts: value.Parts, begun: value.Begun, clock: clock})
+	return ok && t.evidence.add(record{process: process, fingerprint: fingerprint, parts: value.Parts, progressed: value.Begun, clock: clock})
 }
 
 // markPublished records that the store has a proof. The caller holds the lock.
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -77,7 +77,7 @@
 		raced           bool          // Whether an attempt was made that could be hedged.
 		answerBegun     bool          // Whether the server of the current attempt has begun to answer.
 		answerBegunAt   time.Time     // When it began.
-		answerSound     bool          // Whether it has gone on with the answer, which proves the request harmless.
+		progressed      bool          // Whether it has gone on with the answer, which proves the request harmless.
 		reservation     Reservation
 		places          []string   // Data centres in the home regions of the request; nil if it has none.
 		triedServers    []string   // Names of the servers that received the request.
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -27,7 +27,7 @@
 func (c *call) recordSuspect(ctx context.Context, server *Server) {
 	if ctx.Err() == nil {
 		process := crash.Process{Server: server.Name, ID: server.process().String(), Address: server.Address}
-		c.Crashes.AddSuspect(c.content, process, c.answerSound)
+		c.Crashes.AddSuspect(c.content, process, c.progressed)
 		c.trial = false // Another attempt would crash another server.
 	}
 }
@@ -38,19 +38,19 @@
 	case !c.answerBegun:
 		c.answerBegun, c.answerBegunAt = true, time.Now()
 		c.endWatch()
-	case !c.answerSound && time.Since(c.answerBegunAt) >= crash.SoundAfter:
-		c.recordAnswerSound()
+	case !c.progressed && time.Since(c.answerBegunAt) >= crash.MinProgress:
+		c.recordProgress()
 	}
 }
 
-// recordAnswerSound records that the server of the current attempt survives its answer.
-func (c *call) recordAnswerSound() {
-	c.answerSound = true
-	c.Crashes.RecordSound(c.content)
+// recordProgress records that the server of the current attempt survives its answer.
+func (c *call) recordProgress() {
+	c.progressed = true
+	c.Crashes.RecordProgress(c.content)
 }
 
 // forgetAnswer prepares for the answer to another attempt.
-func (c *call) forgetAnswer() { c.answerBegun, c.answerSound = false, false }
+func (c *call) forgetAnswer() { c.answerBegun, c.progressed = false, false }
 
 // withdraw ends the current attempt because the content of the request crashes servers.
 func (c *call) withdraw(server *Server, cancel context.CancelFunc) {
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -149,7 +149,7 @@
 // finishResponse ends a complete response. An error of a server does not prove that it would survive an answer.
 func (c *call) finishResponse(success bool) {
 	if success {
-		c.recordAnswerSound()
+		c.recordProgress()
 	}
 	c.Crashes.RecordFinished(c.content)
 	if err := c.response.End(); err != nil {
--- a/internal/routing/busy.go
+++ b/internal/routing/busy.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"time"
-
-	"citronslip/pkg/inventory"
 )
 
 const (
@@ -42,12 +40,13 @@
 func (p *Picker) MarkBusy(name string, duration time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := p.now()
 	if s := p.servers[name]; s != nil {
-		p.setBusy(s, duration, p.now())
+		p.setBusy(s, duration, now)
 		return
 	}
 	// The server was removed while the request ran. Whichever process of it comes back waits.
-	p.setBusy(&server{config: &Server{BackendServer: inventory.BackendServer{Name: name}, Born: anyProcess}}, duration, p.now())
+	p.keepPause(name, pause{born: anyProcess, until: p.busyEnd(duration, now)}, now)
 }
 
 // BusyTime returns for how long the server still wants no new work, or zero if it takes some.
@@ -61,28 +60,32 @@
 	return max(s.busyUntil.Sub(p.now()), 0)
 }
 
-// setBusy withholds new work from the server for the duration, but at most maxBusyTime, plus jitter. The jitter keeps
-// many routers from returning to the server at the same moment.
+// setBusy withholds new work from the server for the duration.
 func (p *Picker) setBusy(s *server, duration time.Duration, now time.Time) {
-	duration = min(duration, maxBusyTime)
-	duration += time.Duration(p.random() * busyJitter * float64(duration))
-	if until := now.Add(duration); until.After(s.busyUntil) {
+	if until := p.busyEnd(duration, now); until.After(s.busyUntil) {
 		s.busyUntil = until
 	}
-	if p.servers[s.config.Name] != s {
-		p.keepPause(s, now) // The server was removed while the request ran.
+	if p.servers[s.config.Name] != s { // It was removed while the request ran.
+		p.keepPause(s.config.Name, pause{born: s.config.Born, until: s.busyUntil}, now)
 	}
 }
 
-// keepPause remembers for how long a removed server wants no new work: its entry may have expired although it runs.
-func (p *Picker) keepPause(s *server, now time.Time) {
-	if !now.Before(s.busyUntil) {
+// busyEnd returns the end of a busy time, which is at most maxBusyTime long, plus jitter. The jitter keeps many routers from
+// returning to the server at the same moment.
+func (p *Picker) busyEnd(duration time.Duration, now time.Time) time.Time {
+	duration = min(duration, maxBusyTime)
+	return now.Add(duration + time.Duration(p.random()*busyJitter*float64(duration)))
+}
+
+// keepPause remembers until when a removed server wants no new work: its entry may have expired although it runs.
+func (p *Picker) keepPause(name string, kept pause, now time.Time) {
+	if !now.Before(kept.until) {
 		return
 	}
 	if p.pauses == nil {
 		p.pauses = make(map[string]pause)
 	}
-	p.pauses[s.config.Name] = pause{born: s.config.Born, until: s.busyUntil}
+	p.pauses[name] = kept
 }
 
 // timeUntilFree returns the time until the first of the servers that are excluded only because they are busy accepts
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -124,7 +124,7 @@
 		if s.unlisted {
 			delete(p.servers, name)
 			p.serversByIndex[s.index] = nil
-			p.keepPause(s, now)
+			p.keepPause(name, pause{born: s.config.Born, until: s.busyUntil}, now)
 		}
 	}
 	maps.DeleteFunc(p.pauses, func(_ string, kept pause) bool { return !now.Before(kept.until) })
