Reserve the entries of lists in heads

Callers saw a router that ended: a lawful head of 14.5 KB with a dozen lines took four times what was reserved for it.

Cause: net/http splits the value of Trailer into a map with an entry for each name. The estimate counted bytes and lines, so a line with 4,600 names cost as much as any other line. Evidence: TestReservedMemoryCoversAnyHead draws heads (lines, names, lists, folded lines, targets) and compares what the guard reserves with the live bytes and with all bytes that decoding allocates.

--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -19,7 +19,7 @@
 	// maxUnsizedBytes is the size limit of a response body without a declared length.
 	maxUnsizedBytes = 8 << 20
 	// unreservedBytes is the part of it that needs no reservation, and all that is buffered if the router has no memory.
-	// The cost of a head (memory.HeadCost) contains it.
+	// The cost of a head (memory.Head.Cost) contains it.
 	unreservedBytes = 16 << 10
 	// memoryWait is how long a response waits for memory before only unreservedBytes of it are buffered.
 	memoryWait = time.Second
--- a/internal/memory/conn.go
+++ b/internal/memory/conn.go
@@ -50,8 +50,7 @@
 		lineEmpty  bool  // Whether they are at most one carriage return.
 		remaining  int64 // Bytes of the body or the chunk that are still to come.
 		digits     int   // Digits of the chunk size so far.
-		headBytes  int64 // Bytes and lines of the current head or trailer.
-		headLines  int64
+		head       Head  // Size of the current head or trailer.
 		reading    int64 // Bytes reserved for the head that is being read,
 		ready      int64 // for the one that net/http decodes,
 		serving    int64 // and for the one whose request is served.
@@ -71,12 +70,6 @@
 	}
 )
 
-// HeadCost returns an upper estimate of the memory of a request with a head of the given size until its end, without
-// its body. docs/design/memory-limits.md has the measurements.
-func HeadCost(size, lines int64) int64 {
-	return requestBytes + size*headByteFactor + lines*headLineBytes
-}
-
 // NetConn returns the connection below.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
@@ -137,18 +130,18 @@
 		return false
 	case c.phase == inTrailer:
 		return c.chargeTrailer()
-	case c.phase != inHead && c.phase != headEnded || c.inProgress > 0 || c.headBytes == 0:
+	case c.phase != inHead && c.phase != headEnded || c.inProgress > 0 || c.head.Bytes == 0:
 		// A byte of the next head that arrives while a request is served is counted with those that follow.
 		return true
 	}
-	need := HeadCost(c.headBytes, c.headLines)
+	need := c.head.Cost()
 	if !c.guard.Budget.Reserve(need - c.reading) {
 		return false
 	}
 	c.reading = need
 	if c.phase == headEnded {
 		c.guard.Budget.Release(c.ready) // Of a head that net/http has answered without a handler.
-		c.ready, c.reading, c.headBytes, c.headLines = c.reading, 0, 0, 0
+		c.ready, c.reading, c.head = c.reading, 0, Head{}
 	}
 	return true
 }
@@ -158,7 +151,7 @@
 	if c.closed {
 		return false
 	}
-	need := c.headBytes*headByteFactor + c.headLines*headLineBytes
+	need := c.head.decodedBytes()
 	if !c.guard.Budget.Reserve(need - c.reading) {
 		return false
 	}
@@ -264,7 +257,7 @@
 	c.mu.Lock()
 	closed, answers := c.closed, c.inProgress == 0
 	response := c.guard.unavailable()
-	if !c.guard.Budget.CanFit(connBytes + HeadCost(c.headBytes, c.headLines)) {
+	if !c.guard.Budget.CanFit(connBytes + c.head.Cost()) {
 		response = c.guard.tooLarge()
 	}
 	c.mu.Unlock()
@@ -327,9 +320,9 @@
 	defer c.mu.Unlock()
 	if c.above != nil {
 		c.above.mu.Lock()
-		begun = c.above.headBytes > 0 || c.above.ready > 0 || c.above.inProgress > 0
+		begun = c.above.head.Bytes > 0 || c.above.ready > 0 || c.above.inProgress > 0
 		c.above.mu.Unlock()
 		return c.lastRead, begun, c.closable()
 	}
-	return c.lastRead, c.headBytes > 0 || c.ready > 0 || c.inProgress > 0, c.closable()
+	return c.lastRead, c.head.Bytes > 0 || c.ready > 0 || c.inProgress > 0, c.closable()
 }
--- a/internal/memory/cost_test.go
+++ b/internal/memory/cost_test.go
@@ -62,7 +62,7 @@
 		}
 		taken := (heapInUse() - before) / measuredHeads
 		runtime.KeepAlive(kept)
-		cost := memory.HeadCost(int64(len(head)), lines)
+		cost := memory.Head{Bytes: int64(len(head)), Lines: lines}.Cost()
 		t.Logf("%s: %d lines, %d bytes, live %d bytes, estimate %d", kind, lines, len(head), taken, cost)
 		is.True(taken <= cost)
 	}
--- a/internal/memory/guard.go
+++ b/internal/memory/guard.go
@@ -27,14 +27,6 @@
 	HTTP2ReceiveBytes = 256 << 10
 	// encryptedConnBytes is what a connection with TLS takes in addition.
 	encryptedConnBytes = 40 << 10
-	// requestBytes is that of a request in progress beyond its headers: stacks of its goroutines, the connection to the
-	// backend server and copy buffers.
-	requestBytes = 48 << 10
-	// headByteFactor is how many copies of the bytes of a head are there while it is served.
-	headByteFactor = 4
-	// headLineBytes is what a header line takes beyond its bytes: an entry of net/http's map, which has up to twice the
-	// room while it grows, one of the copy for an attempt, and one of the list that net/http sorts when it sends them.
-	headLineBytes = 400
 	// maxRefusing limits the connections without a place whose first request is read to be refused.
 	maxRefusing = 32
 	// refusalReadTimeout limits the time for that, and refusalBufferBytes is the buffer.
@@ -244,7 +236,7 @@
 			c.addInProgress(1)
 			defer c.addInProgress(-1)
 		}
-		need := decodedCost(r)
+		need := decodedHead(r).Cost()
 		if !g.Budget.Reserve(need) {
 			g.countHead()
 			w.Header().Set("Retry-After", "1")
@@ -256,18 +248,6 @@
 	})
 }
 
-// decodedCost returns the cost of a head that was not scanned.
-func decodedCost(r *http.Request) int64 {
-	size, lines := int64(len(r.RequestURI)), int64(1)
-	for name, values := range r.Header {
-		for _, value := range values {
-			size += int64(len(name) + len(value))
-			lines++
-		}
-	}
-	return HeadCost(size, lines)
-}
-
 // Unwrap returns the guarded connection in or below another one, or nil if there is none.
 func Unwrap(conn net.Conn) *Conn {
 	for conn != nil {
--- a/internal/memory/scan.go
+++ b/internal/memory/scan.go
@@ -12,6 +12,8 @@
 var (
 	// http2Preface is the first head of a connection over HTTP/2.
 	http2Preface = []byte("PRI * HTTP/2.0\r\n\r\n")
+	// listSeparator separates the entries of a value that is a list.
+	listSeparator = []byte(",")
 )
 
 // scan returns how many bytes of data belong to the current phase and those that net/http reads together with it. The
@@ -54,7 +56,7 @@
 			n += used
 			if ended {
 				c.starved = !c.chargeTrailer()
-				c.phase, c.reading, c.headBytes, c.headLines = headEnded, 0, 0, 0
+				c.phase, c.reading, c.head = headEnded, 0, Head{}
 				return n
 			}
 		default:
@@ -71,7 +73,7 @@
 	}
 	c.first = append(c.first, part...)
 	if bytes.Equal(c.first, http2Preface) {
-		c.phase, c.headBytes, c.headLines = opaque, 0, 0
+		c.phase, c.head = opaque, Head{}
 		c.guard.Budget.Release(c.reading)
 		c.reading = 0
 		c.starved = !c.reserveExtra(http2ConnBytes)
@@ -92,13 +94,13 @@
 		}
 		c.addToLine(line[:end])
 		used += end + 1
-		c.headBytes++
+		c.head.Bytes++
 		empty := c.lineBytes == 0 || c.lineEmpty
 		c.lineBytes, c.lineEmpty = 0, false
 		if empty {
 			return used, true
 		}
-		c.headLines++
+		c.head.Lines++
 	}
 	return used, false
 }
@@ -109,7 +111,8 @@
 	}
 	c.lineEmpty = c.lineBytes == 0 && len(part) == 1 && part[0] == '\r'
 	c.lineBytes += len(part)
-	c.headBytes += int64(len(part))
+	c.head.Bytes += int64(len(part))
+	c.head.Separators += int64(bytes.Count(part, listSeparator))
 }
 
 // scanChunk scans the first bytes of data within the chunks of a body and returns how many it has scanned. What it takes
