Keep a part of the memory for ordinary requests

Callers with ordinary requests got 503 while a crowd with costly heads or long bodies held the whole budget.

Cause: all requests drew on one budget, first come, first served. Change: a reservation above 192 KiB is costly, and all costly ones together may take 0.7 of the budget, unless there is only one: a single request inside the limits is served as before. A reservation is classed by its size when it changes, so that no caller of the budget has to say what it is. The buffers of one body are one reservation for that.

--- a/internal/dispatch/bodies.go
+++ b/internal/dispatch/bodies.go
@@ -51,7 +51,8 @@
 	if length > 0 {
 		reserved = min(length, maxInitialBufferBytes)
 	}
-	if !b.Budget.Reserve(reserved) {
+	held := &memory.Hold{Budget: b.Budget}
+	if !held.Reserve(reserved) {
 		return nil, nil, OutOfMemory
 	}
 	data := make([]byte, 0, reserved)
@@ -59,7 +60,7 @@
 		n, err := body.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
 		if err == io.EOF || err == nil && int64(len(data)) == length {
-			return data, func() { b.Budget.Release(reserved) }, ""
+			return data, held.End, ""
 		}
 		reason := Reason("")
 		switch {
@@ -75,16 +76,16 @@
 			if length > 0 {
 				next = min(next, length)
 			}
-			if !b.Budget.Reserve(next) {
+			if !held.Reserve(next) {
 				reason = OutOfMemory
 				break
 			}
 			data = append(make([]byte, 0, next), data...)
-			b.Budget.Release(reserved)
+			held.Release(reserved)
 			reserved = next
 		}
 		if reason != "" {
-			b.Budget.Release(reserved)
+			held.End()
 			return nil, nil, reason
 		}
 	}
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -23,6 +22,10 @@
 	// budgetShare is the share of the soft limit that is the budget. The rest is for the router's own state and for garbage
 	// that is not collected yet.
 	budgetShare = 0.4
+	// ordinaryBytes is the largest reservation of an ordinary request. It covers a head of 16 KB with 50 lines.
+	ordinaryBytes = 192 << 10
+	// costlyShare is the share of the budget for larger reservations together. The rest stays free for ordinary requests.
+	costlyShare = 0.7
 	// metricsInterval is the time between two updates of the metrics.
 	metricsInterval = time.Second
 	// reliefInterval is the least time between two searches for stalled connections.
@@ -40,17 +43,18 @@
 )
 
 type (
-	// Budget is the memory that all callers together may use. The zero value has no limit. It is safe for concurrent use.
+	// Budget is the memory that all callers together may use. A reservation above ordinaryBytes is costly; all of these
+	// together may take costlyShare of the budget, unless there is only one. The zero value has no limit. It is safe for
+	// concurrent use.
 	Budget struct {
 		Limit int64 // In bytes; zero means unlimited. Set before first use.
 
-		used    atomic.Int64
-		waiting atomic.Int32 // Number of calls of Wait that wait.
-		mu      sync.Mutex
-		freed   chan struct{} // Closed at the next release; nil if nobody waits.
-
-		guards   []*Guard  // Those that can make room.
-		relieved time.Time // When they last began to.
+		mu       sync.Mutex
+		used     int64         // Bytes that are reserved.
+		costly   int64         // Part of them in costly reservations.
+		freed    chan struct{} // Closed at the next release; nil if nobody waits.
+		guards   []*Guard      // Those that can make room.
+		relieved time.Time     // When they last began to.
 	}
 
 	// Hold is the part of a budget that one request uses. It is released as a whole. It is safe for concurrent use. A nil
@@ -58,7 +62,8 @@
 	Hold struct {
 		Budget *Budget
 
-		used atomic.Int64
+		mu   sync.Mutex
+		used int64
 	}
 )
 
@@ -86,24 +91,60 @@
 }
 
 // Reserve takes a number of bytes from the budget and reports whether there were as many.
-func (b *Budget) Reserve(n int64) bool {
-	for {
-		used := b.used.Load()
-		if b.Limit > 0 && n > 0 && used+n > b.Limit {
-			b.relieve()
-			return false
-		}
-		if b.used.CompareAndSwap(used, used+n) {
-			return true
-		}
+func (b *Budget) Reserve(n int64) bool { return b.Resize(0, n) }
+
+// Release gives back a reservation of a number of bytes.
+func (b *Budget) Release(n int64) { b.Resize(n, 0) }
+
+// Resize changes a reservation to another number of bytes and reports whether there were as many. A smaller number always
+// fits.
+func (b *Budget) Resize(from, to int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.resize(from, to) {
+		b.relieve()
+		return false
 	}
+	return true
+}
+
+// resize is Resize without making room. The caller holds the lock.
+func (b *Budget) resize(from, to int64) bool {
+	if to > from && !b.fits(from, to) {
+		return false
+	}
+	b.used += to - from
+	b.costly += costlyPart(to) - costlyPart(from)
+	if to < from && b.freed != nil {
+		close(b.freed)
+		b.freed = nil
+	}
+	return true
+}
+
+// fits reports whether a reservation can grow now. The caller holds the lock.
+func (b *Budget) fits(from, to int64) bool {
+	if b.Limit <= 0 {
+		return true
+	}
+	if b.used+to-from > b.Limit {
+		return false
+	}
+	others := b.costly - costlyPart(from)
+	return costlyPart(to) == 0 || others == 0 || float64(others+to) <= costlyShare*float64(b.Limit)
+}
+
+// costlyPart returns the part of a reservation that counts as costly: all or nothing.
+func costlyPart(n int64) int64 {
+	if n <= ordinaryBytes {
+		return 0
+	}
+	return n
 }
 
 // relieve closes connections whose request has stalled before it was complete, since they would keep their memory until
-// their time is over. It does so in the background, as the caller may hold locks of a guard.
+// their time is over. It does so in the background, as the caller may hold locks of a guard, and holds that of the budget.
 func (b *Budget) relieve() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	now := time.Now()
 	if now.Sub(b.relieved) < reliefInterval {
 		return
@@ -116,7 +157,9 @@
 
 // HasRoom reports whether a number of bytes could be reserved now.
 func (b *Budget) HasRoom(n int64) bool {
-	if b.Limit <= 0 || b.Used()+n <= b.Limit {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.fits(0, n) {
 		return true
 	}
 	b.relieve()
@@ -129,38 +172,24 @@
 	b.guards = append(b.guards, g)
 }
 
-// Release gives a number of bytes back.
-func (b *Budget) Release(n int64) {
-	if n == 0 {
-		return
-	}
-	b.used.Add(-n)
-	if b.waiting.Load() == 0 {
-		return
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.freed != nil {
-		close(b.freed)
-		b.freed = nil
-	}
-}
-
 // Wait is like Reserve and waits until there are as many bytes, the timeout is over or the context ends.
 func (b *Budget) Wait(ctx context.Context, n int64, timeout time.Duration) bool {
-	if b.Reserve(n) {
+	return b.WaitResize(ctx, 0, n, timeout)
+}
+
+// WaitResize is like Resize and waits likewise.
+func (b *Budget) WaitResize(ctx context.Context, from, to int64, timeout time.Duration) bool {
+	if b.Resize(from, to) {
 		return true
 	}
-	if !b.CanFit(n) {
+	if !b.CanFit(to) {
 		return false
 	}
-	b.waiting.Add(1)
-	defer b.waiting.Add(-1)
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	for {
 		freed := b.nextRelease()
-		if b.Reserve(n) {
+		if b.Resize(from, to) {
 			return true
 		}
 		select {
@@ -177,14 +206,26 @@
 func (b *Budget) CanFit(n int64) bool { return b.Limit <= 0 || n <= b.Limit }
 
 // Used returns the bytes that are reserved.
-func (b *Budget) Used() int64 { return b.used.Load() }
+func (b *Budget) Used() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used
+}
 
-// Report sets the metrics reserved and limit until the context ends.
+// Costly returns the part of them in costly reservations.
+func (b *Budget) Costly() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.costly
+}
+
+// Report sets the metrics reserved, costly and limit until the context ends.
 func (b *Budget) Report(ctx context.Context, scope tally.Scope) error {
 	scope.Gauge("limit").Update(float64(b.Limit))
-	reserved := scope.Gauge("reserved")
+	reserved, costly := scope.Gauge("reserved"), scope.Gauge("costly")
 	for delay.Sleep(ctx, metricsInterval) {
 		reserved.Update(float64(b.Used()))
+		costly.Update(float64(b.Costly()))
 	}
 	return nil
 }
@@ -203,10 +244,12 @@
 	if h == nil || h.Budget == nil {
 		return true
 	}
-	if !h.Budget.Reserve(n) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.Budget.Resize(h.used, h.used+n) {
 		return false
 	}
-	h.used.Add(n)
+	h.used += n
 	return true
 }
 
@@ -215,10 +258,12 @@
 	if h == nil || h.Budget == nil {
 		return true
 	}
-	if !h.Budget.Wait(ctx, n, timeout) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.Budget.WaitResize(ctx, h.used, h.used+n, timeout) {
 		return false
 	}
-	h.used.Add(n)
+	h.used += n
 	return true
 }
 
@@ -227,13 +272,19 @@
 	if h == nil || h.Budget == nil {
 		return
 	}
-	h.used.Add(-n)
-	h.Budget.Release(n)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.Budget.Resize(h.used, h.used-n)
+	h.used -= n
 }
 
 // End gives all bytes back.
 func (h *Hold) End() {
-	if h != nil && h.Budget != nil {
-		h.Budget.Release(h.used.Swap(0))
+	if h == nil || h.Budget == nil {
+		return
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.Budget.Release(h.used)
+	h.used = 0
 }
--- a/internal/memory/conn.go
+++ b/internal/memory/conn.go
@@ -135,7 +135,7 @@
 		return true
 	}
 	need := c.head.Cost()
-	if !c.guard.Budget.Reserve(need - c.reading) {
+	if !c.guard.Budget.Resize(c.reading, need) {
 		return false
 	}
 	c.reading = need
@@ -152,11 +152,11 @@
 		return false
 	}
 	need := c.head.decodedBytes()
-	if !c.guard.Budget.Reserve(need - c.reading) {
+	grown := c.serving + need - c.reading
+	if !c.guard.Budget.Resize(c.serving, grown) {
 		return false
 	}
-	c.serving += need - c.reading
-	c.reading = need
+	c.serving, c.reading = grown, need
 	return true
 }
 
@@ -207,7 +207,7 @@
 
 // reserveExtra reserves memory for the connection itself.
 func (c *Conn) reserveExtra(n int64) bool {
-	if !c.guard.Budget.Reserve(n) {
+	if !c.guard.Budget.Resize(c.extra, c.extra+n) {
 		return false
 	}
 	c.extra += n
@@ -236,7 +236,8 @@
 		return
 	}
 	c.closed = true
-	c.guard.Budget.Release(c.ready + c.extra)
+	c.guard.Budget.Release(c.ready)
+	c.guard.Budget.Release(c.extra)
 	if c.phase != inTrailer {
 		c.guard.Budget.Release(c.reading)
 	}
