Close requests that make no progress when memory is short

Callers with ordinary requests got 503 for as long as a crowd sent bodies or trailers a few bytes at a time.

Cause: only connections of which nothing had arrived for 3 s made room. A slow request kept its memory for up to 15 s and 1 s for each 32 KiB that it might send (143 s with bodies of 4 MB). Change: when the budget is used up, connections whose request is incomplete, 3 s old and arrived at less than 32 KiB a second are closed as well. An incomplete head reserves what its lines take, not what serving it will take. A complete head of ordinary cost waits up to 250 ms for memory.

--- a/internal/memory/conn.go
+++ b/internal/memory/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -27,9 +28,13 @@
 	// refusal. lingerBytes limits what is read.
 	lingerTime  = 200 * time.Millisecond
 	lingerBytes = 64 << 10
-	// stalledTime is how long nothing has to arrive of a body before its connection may be closed to make room. A request
-	// whose body is incomplete would otherwise keep its place.
+	// stalledTime is how long nothing has to arrive of a request, or how old one has to be that arrives at less than
+	// minRate, before its connection may be closed to make room. It would otherwise keep its place while it is incomplete.
 	stalledTime = 3 * time.Second
+	minRate     = 32 << 10 // In bytes per second.
+	// headWait is how long the complete head of an ordinary request waits for memory. maxHeadWaits limits how many do.
+	headWait     = 250 * time.Millisecond
+	maxHeadWaits = 64
 )
 
 type (
@@ -57,6 +62,8 @@
 		inProgress int   // Requests that are served.
 		pending    []byte
 		lastRead   time.Time // When the last bytes arrived or the last request ended.
+		begun      time.Time // When the first bytes of the current request were passed on.
+		received   int64     // Bytes of it that were passed on.
 		starved    bool      // Whether the memory for a trailer, or for HTTP/2, was not there.
 		extra      int64     // Bytes reserved for the connection beyond connBytes.
 		first      []byte    // Start of the connection, as long as it may be that of HTTP/2.
@@ -85,7 +92,7 @@
 			n, refused = c.admit(p[:n], true)
 		}
 	}
-	if refused {
+	if refused && !c.awaitRoom() {
 		c.refuse(p)
 		return 0, io.EOF
 	}
@@ -107,10 +114,15 @@
 func (c *Conn) admit(data []byte, arrived bool) (n int, refused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := time.Now()
 	if arrived {
-		c.lastRead = time.Now()
+		c.lastRead = now
+	}
+	if c.betweenRequests() {
+		c.begun, c.received = now, 0
 	}
 	n = c.scan(data)
+	c.received += int64(n)
 	switch {
 	case !arrived:
 		c.pending = c.pending[n:]
@@ -123,6 +135,11 @@
 	return n, !c.charge()
 }
 
+// betweenRequests reports whether the next byte begins a request. The caller holds the lock.
+func (c *Conn) betweenRequests() bool {
+	return (c.phase == inHead || c.phase == headEnded) && c.head.Bytes == 0 && c.inProgress == 0
+}
+
 // charge reserves the memory for what was scanned. The caller holds the lock.
 func (c *Conn) charge() bool {
 	switch {
@@ -134,18 +151,54 @@
 		// A byte of the next head that arrives while a request is served is counted with those that follow.
 		return true
 	}
-	need := c.head.Cost()
+	need := c.head.decodedBytes()
+	if c.phase == headEnded {
+		need = c.head.Cost()
+	}
 	if !c.guard.Budget.Resize(c.reading, need) {
 		return false
 	}
 	c.reading = need
 	if c.phase == headEnded {
-		c.guard.Budget.Release(c.ready) // Of a head that net/http has answered without a handler.
-		c.ready, c.reading, c.head = c.reading, 0, Head{}
+		c.completeHead()
 	}
 	return true
 }
 
+// completeHead keeps the memory for a complete head until it is decoded. The caller holds the lock.
+func (c *Conn) completeHead() {
+	c.guard.Budget.Release(c.ready) // Of a head that net/http has answered without a handler.
+	c.ready, c.reading, c.head = c.reading, 0, Head{}
+}
+
+// awaitRoom waits for the memory for a head that was not admitted, and reports whether there was room in the end. Only
+// complete heads of ordinary requests wait: incomplete ones would wait for each other.
+func (c *Conn) awaitRoom() bool {
+	c.mu.Lock()
+	held, need := c.reading, c.head.Cost()
+	waits := !c.closed && !c.starved && c.phase == headEnded && need <= ordinaryBytes
+	c.mu.Unlock()
+	if !waits {
+		return false
+	}
+	defer c.guard.waiting.Add(-1)
+	if c.guard.waiting.Add(1) > maxHeadWaits {
+		return false
+	}
+	if !c.guard.Budget.WaitResize(context.Background(), held, need, headWait) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		c.guard.Budget.Resize(need, held) // What was held has been released.
+		return false
+	}
+	c.reading = need
+	c.completeHead()
+	return true
+}
+
 // chargeTrailer reserves the memory for the lines after a body. The caller holds the lock.
 func (c *Conn) chargeTrailer() bool {
 	if c.closed {
@@ -292,15 +345,20 @@
 }
 
 // evict closes the connection unless a request is served on it, and reports whether it did.
-func (c *Conn) evict() bool {
+func (c *Conn) evict() bool { return c.closeIf(c.closable) }
+
+// evictStalled closes the connection if its request has stalled, and reports whether it did.
+func (c *Conn) evictStalled() bool { return c.closeIf(c.stalled) }
+
+// closeIf closes the connection if the condition holds, and reports whether it did.
+func (c *Conn) closeIf(condition func() bool) bool {
 	c.mu.Lock()
-	closable := c.closable()
+	closes := !c.closed && condition()
 	c.mu.Unlock()
-	if !closable {
-		return false
+	if closes {
+		_ = c.Close() // Nothing was written that the close could lose.
 	}
-	_ = c.Close() // Nothing was written that the close could lose.
-	return true
+	return closes
 }
 
 // closable reports whether the connection may be closed to make room. The caller holds the lock.
@@ -310,8 +368,24 @@
 		defer c.above.mu.Unlock()
 		return !c.closed && c.above.closable()
 	}
-	incomplete := c.phase >= inBody && c.phase <= inTrailer
-	return !c.closed && (c.inProgress == 0 || incomplete && time.Since(c.lastRead) >= stalledTime)
+	return !c.closed && (c.inProgress == 0 || c.stalled())
+}
+
+// stalled reports whether the connection has an incomplete request of which nothing has arrived for stalledTime, or that
+// arrives too slowly. The caller holds the lock.
+func (c *Conn) stalled() bool {
+	if c.above != nil {
+		c.above.mu.Lock()
+		defer c.above.mu.Unlock()
+		return c.above.stalled()
+	}
+	incomplete := c.phase >= inBody && c.phase <= inTrailer || c.phase == inHead && c.head.Bytes > 0 && c.inProgress == 0
+	if !incomplete {
+		return false
+	}
+	now := time.Now()
+	age := now.Sub(c.begun)
+	return now.Sub(c.lastRead) >= stalledTime || age >= stalledTime && float64(c.received) < minRate*age.Seconds()
 }
 
 // idleSince returns since when nothing has arrived, whether a request has been begun, and whether the connection may be
--- a/internal/memory/guard.go
+++ b/internal/memory/guard.go
@@ -49,6 +49,7 @@
 		Metrics  tally.Scope // Optional.
 
 		refusing atomic.Int32 // Connections without a place whose first request is read.
+		waiting  atomic.Int32 // Connections whose head waits for memory.
 
 		mu     sync.Mutex
 		conns  map[*Conn]struct{}
@@ -101,11 +102,10 @@
 	}
 }
 
-// evictStalled closes the connections with an incomplete request of which nothing has arrived for stalledTime.
+// evictStalled closes the connections whose request has stalled before it was complete.
 func (g *Guard) evictStalled() {
 	for _, c := range g.openConns() {
-		since, begun, closable := c.idleSince()
-		if closable && begun && time.Since(since) >= stalledTime && c.evict() {
+		if c.evictStalled() {
 			g.count(func(r *report) { r.evicted++ }, "connections_evicted")
 		}
 	}
