Retry long error responses and count them as failures

Callers got 500 again and again although other servers were sound.

Cause: an error response was retried, and counted as a failure of its server, only if all of it was buffered. One beyond the buffer, or any beyond 16 KB while the router has no memory, was passed on, and counted as a success when its caller had read it. Change: it is retried like a short one, within the same retry budget, and counts as a failure then. It is not kept: if no other server answers, the caller gets 502. Without a retry it is passed on as before. Evidence: TestLongErrorResponseIsRetried failed before (1 request sent, 2 expected).

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -18,6 +18,7 @@
 	"citronslip/internal/board"
 	"citronslip/internal/crash"
 	"citronslip/internal/dispatch"
+	"citronslip/internal/memory"
 	"citronslip/internal/ratelimit"
 	"citronslip/internal/routing"
 	"citronslip/internal/store"
@@ -316,6 +317,37 @@
 	is.Equal(a.body.String(), "error of the server")
 }
 
+// Guards against a server whose error responses do not count as failures since they are long, or since the router has no
+// memory to hold them back: it got one request after the other, and its errors went to the callers.
+func TestLongErrorResponseIsRetried(t *testing.T) {
+	for name, test := range map[string]struct {
+		length int
+		memory *memory.Budget
+	}{
+		"long":      {length: 300 << 10},
+		"no memory": {length: 40 << 10, memory: &memory.Budget{Limit: 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			text := strings.Repeat("x", test.length)
+			b := newTestDispatcher(func(_ context.Context, number int, _ dispatch.Attempt) dispatch.Outcome {
+				if number > 1 {
+					return completeAnswer("whole answer")
+				}
+				failed, _ := completeAnswer(text).(dispatch.Answered)
+				failed.Success = false
+				return failed
+			})
+			b.Memory = test.memory
+			a := b.serve("/safe/1")
+			is.Equal(len(b.sends), 2)
+			is.Equal(a.body.String(), "whole answer")
+			b.sends = nil
+			is.True(b.serve("/once/1").body.String() == text) // A request that may run only once gets the error.
+		})
+	}
+}
+
 // Guards against events that are lost or duplicated when a stream moves to another server, also if it broke off within
 // an event.
 func TestStreamResumesAfterLastEvent(t *testing.T) {
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -48,10 +48,10 @@
 		c.logNoResponse(server, false, err)
 		return c.allowRetry(ctx)
 	}
-	if !o.Success && len(buffered) < maxBuffered {
+	if !o.Success {
 		if retry, _ := c.allowRetry(ctx); retry {
 			choice.Done(routing.Broken{})
-			c.errorResponse = &errorResponse{head: o.Head, body: buffered}
+			c.holdBack(buffered, maxBuffered, o)
 			return true, ServerError
 		}
 	}
@@ -79,6 +79,22 @@
 	return false, ""
 }
 
+// holdBack keeps an error response while the request is retried, unless it is too long.
+func (c *call) holdBack(buffered []byte, maxBuffered int, o Answered) {
+	if len(buffered) < maxBuffered {
+		c.errorResponse = &errorResponse{head: o.Head, body: buffered}
+		return
+	}
+	c.releaseStart(buffered)
+}
+
+// releaseStart releases the memory of the buffered start of a response.
+func (c *call) releaseStart(buffered []byte) {
+	if cap(buffered) > unreservedBytes {
+		c.held.Release(int64(cap(buffered)))
+	}
+}
+
 // readStart reads the start of a response of at most the given number of bytes. It returns that number, or a smaller one if
 // the router has no memory for more. The response is shorter if the start has fewer bytes.
 func (c *call) readStart(ctx context.Context, o Answered, most int) ([]byte, int, error) {
@@ -94,9 +110,7 @@
 		case errors.Is(err, io.EOF):
 			return data, most, nil
 		case err != nil:
-			if cap(data) > unreservedBytes {
-				c.held.Release(int64(cap(data)))
-			}
+			c.releaseStart(data)
 			return nil, most, err
 		case len(data) < cap(data):
 			continue
@@ -107,9 +121,7 @@
 		if next > unreservedBytes && !c.held.Wait(ctx, int64(next), memoryWait) {
 			return data, len(data), nil
 		}
-		if cap(data) > unreservedBytes {
-			c.held.Release(int64(cap(data)))
-		}
+		c.releaseStart(data)
 		data = append(make([]byte, 0, next), data...)
 	}
 }
@@ -122,9 +134,7 @@
 	if len(buffered) < maxBuffered {
 		return nil
 	}
-	if len(buffered) > unreservedBytes {
-		c.held.Release(int64(cap(buffered)))
-	}
+	c.releaseStart(buffered)
 	buffer := make([]byte, copyBufferBytes)
 	total := len(buffered)
 	for {
