Count buffers of responses as costly

Callers that do not read their responses kept up to 128 KiB of buffers each as ordinary reservations, and could use up the memory for all requests.

Cause: the buffered start of a response is held until its first write is through. Change: its reservation is costly whatever its size. Without memory a response is forwarded with less of it buffered, as before. Evidence: TestUnreadResponsesLeaveMemoryForRequests failed before (an ordinary reservation beside 30 unread responses of 100 KiB).

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -66,7 +66,8 @@
 		*Dispatcher
 		request         *Request
 		response        Response
-		held            *memory.Hold // Memory of the response.
+		held            *memory.Hold // Memory of the events of a stream.
+		heldStart       *memory.Hold // Memory of the buffered start of another response.
 		directory       *inventory.Directory
 		route           *inventory.Route
 		account         *inventory.ClientAccount
@@ -106,6 +107,9 @@
 	c := &call{Dispatcher: d, request: request, response: response, directory: d.Directory.Load()}
 	c.held = &memory.Hold{Budget: d.Memory}
 	defer c.held.End()
+	// A caller that does not read keeps the buffer from others, and the response can be forwarded with less of it.
+	c.heldStart = &memory.Hold{Budget: d.Memory, Costly: true}
+	defer c.heldStart.End()
 	defer c.logRequest()
 	if reason := c.resolve(); reason != "" {
 		c.refuse(reason, c.retryAfter)
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -91,7 +91,7 @@
 // releaseStart releases the memory of the buffered start of a response.
 func (c *call) releaseStart(buffered []byte) {
 	if cap(buffered) > unreservedBytes {
-		c.held.Release(int64(cap(buffered)))
+		c.heldStart.Release(int64(cap(buffered)))
 	}
 }
 
@@ -118,7 +118,7 @@
 			return data, most, nil
 		}
 		next := min(2*cap(data), most)
-		if next > unreservedBytes && !c.held.Wait(ctx, int64(next), memoryWait) {
+		if next > unreservedBytes && !c.heldStart.Wait(ctx, int64(next), memoryWait) {
 			return data, len(data), nil
 		}
 		c.releaseStart(data)
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -57,10 +57,17 @@
 		relieved time.Time     // When they last began to.
 	}
 
+	// change is the change of a reservation from one number of bytes to another, and of what counts as costly.
+	change struct {
+		from, to             int64
+		costlyFrom, costlyTo int64
+	}
+
 	// Hold is the part of a budget that one request uses. It is released as a whole. It is safe for concurrent use. A nil
 	// Hold has no limit.
 	Hold struct {
 		Budget *Budget
+		Costly bool // Whether it is costly whatever its size. Set before first use.
 
 		mu   sync.Mutex
 		used int64
@@ -98,24 +105,18 @@
 
 // Resize changes a reservation to another number of bytes and reports whether there were as many. A smaller number always
 // fits.
-func (b *Budget) Resize(from, to int64) bool {
+func (b *Budget) Resize(from, to int64) bool { return b.resize(newChange(from, to, false)) }
+
+func (b *Budget) resize(c change) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.resize(from, to) {
+	if c.to > c.from && !b.fits(c) {
 		b.relieve()
 		return false
 	}
-	return true
-}
-
-// resize is Resize without making room. The caller holds the lock.
-func (b *Budget) resize(from, to int64) bool {
-	if to > from && !b.fits(from, to) {
-		return false
-	}
-	b.used += to - from
-	b.costly += costlyPart(to) - costlyPart(from)
-	if to < from && b.freed != nil {
+	b.used += c.to - c.from
+	b.costly += c.costlyTo - c.costlyFrom
+	if c.to < c.from && b.freed != nil {
 		close(b.freed)
 		b.freed = nil
 	}
@@ -123,23 +124,27 @@
 }
 
 // fits reports whether a reservation can grow now. The caller holds the lock.
-func (b *Budget) fits(from, to int64) bool {
+func (b *Budget) fits(c change) bool {
 	if b.Limit <= 0 {
 		return true
 	}
-	if b.used+to-from > b.Limit {
+	if b.used+c.to-c.from > b.Limit {
 		return false
 	}
-	others := b.costly - costlyPart(from)
-	return costlyPart(to) == 0 || others == 0 || float64(others+to) <= costlyShare*float64(b.Limit)
+	others := b.costly - c.costlyFrom
+	return c.costlyTo == 0 || others == 0 || float64(others+c.costlyTo) <= costlyShare*float64(b.Limit)
 }
 
-// costlyPart returns the part of a reservation that counts as costly: all or nothing.
-func costlyPart(n int64) int64 {
-	if n <= ordinaryBytes {
-		return 0
+// newChange returns the change of a reservation, which is costly above ordinaryBytes, or whatever its size.
+func newChange(from, to int64, costly bool) change {
+	c := change{from: from, to: to}
+	if costly || from > ordinaryBytes {
+		c.costlyFrom = from
 	}
-	return n
+	if costly || to > ordinaryBytes {
+		c.costlyTo = to
+	}
+	return c
 }
 
 // relieve closes connections whose request has stalled before it was complete, since they would keep their memory until
@@ -159,7 +164,7 @@
 func (b *Budget) HasRoom(n int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.fits(0, n) {
+	if b.fits(newChange(0, n, false)) {
 		return true
 	}
 	b.relieve()
@@ -179,17 +184,21 @@
 
 // WaitResize is like Resize and waits likewise.
 func (b *Budget) WaitResize(ctx context.Context, from, to int64, timeout time.Duration) bool {
-	if b.Resize(from, to) {
+	return b.await(ctx, newChange(from, to, false), timeout)
+}
+
+func (b *Budget) await(ctx context.Context, c change, timeout time.Duration) bool {
+	if b.resize(c) {
 		return true
 	}
-	if !b.CanFit(to) {
+	if !b.CanFit(c.to) {
 		return false
 	}
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	for {
 		freed := b.nextRelease()
-		if b.Resize(from, to) {
+		if b.resize(c) {
 			return true
 		}
 		select {
@@ -246,7 +255,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.Budget.Resize(h.used, h.used+n) {
+	if !h.Budget.resize(newChange(h.used, h.used+n, h.Costly)) {
 		return false
 	}
 	h.used += n
@@ -260,7 +269,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.Budget.WaitResize(ctx, h.used, h.used+n, timeout) {
+	if !h.Budget.await(ctx, newChange(h.used, h.used+n, h.Costly), timeout) {
 		return false
 	}
 	h.used += n
@@ -274,7 +283,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.Budget.Resize(h.used, h.used-n)
+	h.Budget.resize(newChange(h.used, h.used-n, h.Costly))
 	h.used -= n
 }
 
@@ -285,6 +294,6 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.Budget.Release(h.used)
+	h.Budget.resize(newChange(h.used, 0, h.Costly))
 	h.used = 0
 }
