Show the first 256 bytes of a request's ID in log lines

An ID may be as long as a head, and a log line took up to six times its bytes after escaping, for each of the lines of a request. No crowd with long IDs exceeded its memory; they came near it.

Change: all log lines of both routers show at most 256 bytes of it. Evidence: TestLongRequestIDIsClippedInLog failed before (an ID of 14,000 bytes, more than 8 KiB of log).

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -54,6 +54,6 @@
 
 // withdraw ends the current attempt because the content of the request crashes servers.
 func (c *call) withdraw(server *Server, cancel context.CancelFunc) {
-	event.RequestWithdrawn.Log(c.Logger).Str("request", c.request.ID).Str("server", server.Name).Strs("parts", c.content.Parts).Send()
+	event.RequestWithdrawn.Log(c.Logger).Str("request", event.ClipID(c.request.ID)).Str("server", server.Name).Strs("parts", c.content.Parts).Send()
 	cancel()
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -575,3 +576,22 @@
 	is.True(a.body.Len() <= 8<<20)
 	is.Equal(len(b.sends), 1) // The caller has received a part of it.
 }
+
+// Guards against log lines that take many times the memory of a request with a long ID.
+func TestLongRequestIDIsClippedInLog(t *testing.T) {
+	const (
+		idBytes     = 14_000
+		maxLogBytes = 8 << 10 // A few lines.
+	)
+	is := is.New(t)
+	b := newTestDispatcher(func(context.Context, int, dispatch.Attempt) dispatch.Outcome { return completeAnswer("whole answer") })
+	var log bytes.Buffer
+	logger := zerolog.New(&log)
+	b.Logger = &logger
+	r := request("/safe/1")
+	r.ID = "some" + strings.Repeat("\x01", idBytes)
+	b.Serve(context.Background(), r, &callerResponse{})
+	is.True(strings.Contains(log.String(), `"request":"some`))
+	is.True(log.Len() <= maxLogBytes)
+	is.Equal(b.sends[0].Request.ID, r.ID) // The server gets all of it.
+}
--- a/internal/dispatch/log.go
+++ b/internal/dispatch/log.go
@@ -31,7 +31,7 @@
 
 // logEvent starts a log line about the request.
 func (c *call) logEvent(e event.Event) *zerolog.Event {
-	return e.Log(c.Logger).Str("request", c.request.ID)
+	return e.Log(c.Logger).Str("request", event.ClipID(c.request.ID))
 }
 
 // logSent logs the selected server and the estimates that led to the selection.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -7,6 +7,12 @@
 	"github.com/rs/zerolog"
 )
 
+const (
+	// maxIDBytes limits the ID of a request in a log line. Callers choose IDs as long as a header, and an escaped byte takes
+	// up to six.
+	maxIDBytes = 256
+)
+
 var (
 	catalogue []Event
 )
@@ -29,6 +35,9 @@
 	return logger.WithLevel(e.Level).Int("event", e.Number).Str(zerolog.MessageFieldName, e.Text)
 }
 
+// ClipID returns the start of the ID of a request, as long as log lines show it.
+func ClipID(id string) string { return id[:min(len(id), maxIDBytes)] }
+
 // Catalogue returns all events, sorted by number.
 func Catalogue() []Event {
 	events := slices.Clone(catalogue)
--- a/internal/prepaid/borrow.go
+++ b/internal/prepaid/borrow.go
@@ -109,14 +109,14 @@
 		cancelAttempt()
 		l.recordPeerResult(ctx, address, err)
 		if reserved {
-			event.PrepaidReservedRemotely.Log(l.Logger).Str("request", request.Request).Str("account", request.Account).Str("peer", address).
+			event.PrepaidReservedRemotely.Log(l.Logger).Str("request", event.ClipID(request.Request)).Str("account", request.Account).Str("peer", address).
 				Int64("tokens", int64(request.Tokens)).Send()
 			return reservation, borrowOutcome{}
 		}
 		if err != nil {
 			outcome.failed = true
 			outcome.timedOut = outcome.timedOut || errors.Is(err, ErrPeerTimeout)
-			event.PrepaidRemoteFailed.Log(l.Logger).Str("request", request.Request).Str("account", request.Account).Str("peer", address).Err(err).Send()
+			event.PrepaidRemoteFailed.Log(l.Logger).Str("request", event.ClipID(request.Request)).Str("account", request.Account).Str("peer", address).Err(err).Send()
 			reservation.Settle(0) // Releases the tokens in case that router reserved them.
 		}
 		if ctx.Err() != nil {
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -197,7 +197,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.accountByName(request.Account)
-	logEvent := event.PrepaidUnavailable.Log(l.Logger).Str("request", request.Request).Str("account", request.Account).
+	logEvent := event.PrepaidUnavailable.Log(l.Logger).Str("request", event.ClipID(request.Request)).Str("account", request.Account).
 		Int64("tokens", int64(request.Tokens)).
 		Int64("total", int64(request.Total)).Int64("used", a.used()).Int("opened", a.grant.Opened).Int("amount", a.grant.Amount).
 		Int64("free", a.budget.available()).Bool("exhausted", exhausted).Dur("store_age", l.storeStatus.age(l.Now()))
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -172,7 +172,7 @@
 }
 
 func (h *Handler) log(r *http.Request, result outcome, status int, err error) {
-	event.RequestCarried.Log(h.Paths.Logger).Str("request", r.Header.Get(headerRequest)).Str("peer", r.RemoteAddr).
+	event.RequestCarried.Log(h.Paths.Logger).Str("request", event.ClipID(r.Header.Get(headerRequest))).Str("peer", r.RemoteAddr).
 		Str("address", r.Header.Get(headerAddress)).Str("outcome", string(result)).Int("status", status).Err(err).Send()
 	h.Paths.counter("carried")
 }
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -155,7 +155,7 @@
 func (t *Transport) sendThrough(request *http.Request, address string, w through) (*http.Response, error) {
 	ctx := request.Context()
 	t.Paths.counter("sent")
-	event.RequestProxied.Log(t.Paths.Logger).Str("request", callOf(ctx).Request).Str("peer", w.peer).Str("address", address).Send()
+	event.RequestProxied.Log(t.Paths.Logger).Str("request", event.ClipID(callOf(ctx).Request)).Str("peer", w.peer).Str("address", address).Send()
 	response, _, err := send(t.Routers, t.proxied(request, address, w))
 	if err == nil {
 		response, err = decode(response)
@@ -191,7 +191,7 @@
 
 // logFailure logs that a router did not send a request, or lost it.
 func (t *Transport) logFailure(ctx context.Context, address string, w through, err error) {
-	event.ProxyFailed.Log(t.Paths.Logger).Str("request", callOf(ctx).Request).Str("peer", w.peer).Str("address", address).Err(err).Send()
+	event.ProxyFailed.Log(t.Paths.Logger).Str("request", event.ClipID(callOf(ctx).Request)).Str("peer", w.peer).Str("address", address).Err(err).Send()
 	t.Paths.counter("failed")
 }
 
