Close connections over HTTP/2 whose refusals are not read

Cause: a head over HTTP/2 is counted after it was decoded. If it does not fit, the answer 503 waits for a caller that may not read, and keeps the decoded head, for which nothing is reserved: up to 250 of them a connection. Change: at most 32 such answers wait at a time; beyond that the connection is closed. The decoded lines are dropped before the answer is written.

--- a/internal/memory/guard.go
+++ b/internal/memory/guard.go
@@ -27,7 +27,8 @@
 	HTTP2ReceiveBytes = 256 << 10
 	// encryptedConnBytes is what a connection with TLS takes in addition.
 	encryptedConnBytes = 40 << 10
-	// maxRefusing limits the connections without a place whose first request is read to be refused.
+	// maxRefusing limits the connections without a place whose first request is read to be refused, and the requests over
+	// HTTP/2 whose refusal is not written yet.
 	maxRefusing = 32
 	// refusalReadTimeout limits the time for that, and refusalBufferBytes is the buffer.
 	refusalReadTimeout = time.Second
@@ -48,7 +49,7 @@
 		Logger   *zerolog.Logger
 		Metrics  tally.Scope // Optional.
 
-		refusing atomic.Int32 // Connections without a place whose first request is read.
+		refusing atomic.Int32 // Connections without a place whose first request is read, and refusals over HTTP/2 not yet written.
 		waiting  atomic.Int32 // Connections whose head waits for memory.
 
 		mu     sync.Mutex
@@ -238,9 +239,7 @@
 		}
 		need := decodedHead(r).Cost()
 		if !g.Budget.Reserve(need) {
-			g.countHead()
-			w.Header().Set("Retry-After", "1")
-			w.WriteHeader(http.StatusServiceUnavailable)
+			g.refuseDecoded(w, r, c)
 			return
 		}
 		defer g.Budget.Release(need)
@@ -248,6 +247,23 @@
 	})
 }
 
+// refuseDecoded answers a request whose head was decoded and does not fit into the budget. If many such answers are not
+// read, it closes the connection, since they keep what was decoded.
+func (g *Guard) refuseDecoded(w http.ResponseWriter, r *http.Request, c *Conn) {
+	g.countHead()
+	defer g.refusing.Add(-1)
+	if g.refusing.Add(1) > maxRefusing && c != nil {
+		_ = c.Close() // The request has not run; its caller may not read that.
+		panic(http.ErrAbortHandler)
+	}
+	r.Header, r.Trailer = nil, nil // The answer may wait long for its caller.
+	w.Header().Set("Retry-After", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	if flusher, ok := w.(http.Flusher); ok {
+		flusher.Flush()
+	}
+}
+
 // Unwrap returns the guarded connection in or below another one, or nil if there is none.
 func Unwrap(conn net.Conn) *Conn {
 	for conn != nil {
