Bound the memory and connections of calls between routers

Cause: the listener for calls between routers was outside all limits: 1,024 connections whatever the file descriptors, each with an incomplete message of up to 1 MiB for as long as it liked. Change: messages have a budget of their own while they are read (0.1 of the soft limit, from 16 KiB of each on) and 10 s each, and there are at most 0.1 of the descriptors beyond 200, or 64, connections. The memory of callers cannot take that of messages.

--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -17,6 +17,7 @@
 	"citronslip/internal/delay"
 	"citronslip/internal/dial"
 	"citronslip/internal/event"
+	"citronslip/internal/memory"
 	"citronslip/internal/peer"
 	"citronslip/internal/prepaid"
 	"citronslip/internal/store"
@@ -311,8 +312,10 @@
 			Take:  r.limiter.Take, Limit: r.limiter.Report, Cold: r.cold.Take, Keep: r.keepForPeer, Find: r.findForPeer,
 			Reach: r.Paths.Reach,
 		},
-		Timeout: peerTimeout,
-		Logger:  r.Logger,
+		Connections: memory.MessageConns(r.Settings.Descriptors),
+		Memory:      &memory.Budget{Limit: memory.MessageBudgetOf(r.Settings.Memory)},
+		Timeout:     peerTimeout,
+		Logger:      r.Logger,
 	}
 	return server.Run(ctx)
 }
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -26,6 +26,8 @@
 	ordinaryBytes = 192 << 10
 	// costlyShare is the share of the budget for larger reservations together. The rest stays free for ordinary requests.
 	costlyShare = 0.7
+	// messageShare is the share of the soft limit for messages of other routers while they are read.
+	messageShare = 0.1
 	// metricsInterval is the time between two updates of the metrics.
 	metricsInterval = time.Second
 	// reliefInterval is the least time between two searches for stalled connections.
@@ -38,6 +40,10 @@
 	// other routers. Each of them may need one to a backend server.
 	callerConnShare  = 0.35
 	carriedConnShare = 0.15
+	// messageConnShare is that for the connections of calls of other routers; minMessageConns of them are among
+	// reservedDescriptors.
+	messageConnShare = 0.1
+	minMessageConns  = 64
 	// minConns is the limit of connections if the settings leave fewer.
 	minConns = 8
 )
@@ -84,12 +90,25 @@
 	return int64(budgetShare * float64(SoftLimit(machineBytes)))
 }
 
+// MessageBudgetOf returns the limit of the memory for messages of other routers likewise.
+func MessageBudgetOf(machineBytes int64) int64 {
+	return int64(messageShare * float64(SoftLimit(machineBytes)))
+}
+
 // CallerConns returns the limit of the connections of callers for a number of file descriptors; zero if that is zero.
 func CallerConns(descriptors int) int { return connLimit(callerConnShare, descriptors) }
 
 // CarriedConns returns the limit of the connections of other routers likewise.
 func CarriedConns(descriptors int) int { return connLimit(carriedConnShare, descriptors) }
 
+// MessageConns returns the limit of the connections for calls of other routers likewise.
+func MessageConns(descriptors int) int {
+	if descriptors == 0 {
+		return 0
+	}
+	return max(connLimit(messageConnShare, descriptors), minMessageConns)
+}
+
 func connLimit(share float64, descriptors int) int {
 	if descriptors == 0 {
 		return 0
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -276,7 +276,7 @@
 		methods = &Methods{}
 	}
 	rc := &rpcConn{methods: methods, timeout: cmp.Or(c.Timeout, DefaultTimeout), dialed: true}
-	rc.start(context.Background(), conn, cmp.Or(c.Limit, DefaultMaxMessageBytes), cmp.Or(c.Calls, DefaultMaxCalls), c.Logger)
+	rc.start(context.Background(), conn, cmp.Or(c.Limit, DefaultMaxMessageBytes), cmp.Or(c.Calls, DefaultMaxCalls), nil, c.Logger)
 	expiry := closeAtExpiry(conn, rc)
 	go func() {
 		<-rc.rpc.DisconnectNotify()
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -17,6 +17,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"citronslip/internal/event"
+	"citronslip/internal/memory"
 	"citronslip/internal/wire"
 )
 
@@ -27,6 +28,12 @@
 	DefaultMaxCalls = 256
 	// DefaultTimeout is the default timeout of a call, a handshake and a write.
 	DefaultTimeout = 2 * time.Second
+	// messageTimeout limits the time for reading a message whose length has arrived.
+	messageTimeout = 10 * time.Second
+	// unknownLength makes memory.ReadAll begin with a small buffer.
+	unknownLength = -1
+	// unreservedBytes is the part of a message for which no memory is reserved.
+	unreservedBytes = 16 << 10
 )
 
 var (
@@ -56,9 +63,10 @@
 	stream struct {
 		conn     net.Conn
 		reader   *bufio.Reader
-		limit    int           // Maximum size of a message in bytes.
-		timeout  time.Duration // Bounds a write.
-		received atomic.Int64  // Number of messages read.
+		limit    int            // Maximum size of a message in bytes.
+		timeout  time.Duration  // Bounds a write.
+		memory   *memory.Budget // Memory for messages that are read; unlimited if nil.
+		received atomic.Int64   // Number of messages read.
 
 		mu sync.Mutex // Serializes writes.
 	}
@@ -92,7 +100,9 @@
 
 // ReadObject implements jsonrpc2.ObjectStream. It returns errTooLarge or errMalformed for an invalid message.
 func (s *stream) ReadObject(v any) error {
-	data, err := readFrame(s.reader, s.limit)
+	held := &memory.Hold{Budget: s.memory}
+	defer held.End()
+	data, err := s.readFrame(held)
 	if err != nil {
 		return err
 	}
@@ -132,28 +142,37 @@
 }
 
 // readFrame reads one length and a message of that length. Memory grows with the bytes received rather than with the
-// announced length, so that a false length does not exhaust it.
-func readFrame(r *bufio.Reader, limit int) ([]byte, error) {
-	size, err := binary.ReadUvarint(r)
+// announced length, so that a false length does not exhaust it, and is reserved before.
+func (s *stream) readFrame(held *memory.Hold) ([]byte, error) {
+	size, err := binary.ReadUvarint(s.reader)
 	if err != nil {
 		return nil, err
 	}
-	if size > uint64(limit) {
+	if size > uint64(s.limit) {
 		return nil, errTooLarge
 	}
-	data, err := io.ReadAll(io.LimitReader(r, int64(size)))
+	if err := s.conn.SetReadDeadline(time.Now().Add(messageTimeout)); err != nil {
+		return nil, err
+	}
+	reserve := func(n int64) bool { return n <= unreservedBytes || held.Reserve(n) }
+	release := func(n int64) {
+		if n > unreservedBytes {
+			held.Release(n)
+		}
+	}
+	data, err := memory.ReadAll(io.LimitReader(s.reader, int64(size)), unknownLength, reserve, release)
 	if err != nil {
 		return nil, err
 	}
 	if len(data) < int(size) {
 		return nil, io.ErrUnexpectedEOF
 	}
-	return data, nil
+	return data, s.conn.SetReadDeadline(time.Time{})
 }
 
 // start begins to handle incoming calls on the connection.
-func (c *rpcConn) start(ctx context.Context, conn net.Conn, limit, calls int, logger *zerolog.Logger) {
-	c.stream = &stream{conn: conn, reader: bufio.NewReader(conn), limit: limit, timeout: c.timeout}
+func (c *rpcConn) start(ctx context.Context, conn net.Conn, limit, calls int, budget *memory.Budget, logger *zerolog.Logger) {
+	c.stream = &stream{conn: conn, reader: bufio.NewReader(conn), limit: limit, timeout: c.timeout, memory: budget}
 	c.callSlots = make(chan struct{}, calls)
 	c.handlerSlots = make(chan struct{}, calls)
 	c.markUsed()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"citronslip/internal/event"
+	"citronslip/internal/memory"
 )
 
 const (
@@ -44,6 +45,8 @@
 		Limit       int
 		Calls       int
 		Connections int
+		// Memory is the memory for messages while they are read; unlimited if nil.
+		Memory *memory.Budget
 		// Timeout bounds a handler, a handshake and a write; 0 means DefaultTimeout.
 		Timeout time.Duration
 		// Traffic, if set, counts the bytes of all connections.
@@ -111,7 +114,7 @@
 	}
 	s.scope().Counter("accepted").Inc(1)
 	rc := &rpcConn{methods: s.Methods, client: s.Client, timeout: timeout}
-	rc.start(ctx, secured, cmp.Or(s.Limit, DefaultMaxMessageBytes), cmp.Or(s.Calls, DefaultMaxCalls), s.Logger)
+	rc.start(ctx, secured, cmp.Or(s.Limit, DefaultMaxMessageBytes), cmp.Or(s.Calls, DefaultMaxCalls), s.Memory, s.Logger)
 	expiry := closeAtExpiry(secured, rc)
 	defer expiry.Stop()
 	<-rc.rpc.DisconnectNotify()
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -13,6 +13,7 @@
 	"citronslip/internal/claim"
 	"citronslip/internal/config"
 	"citronslip/internal/hosts"
+	"citronslip/internal/memory"
 	"citronslip/internal/peer"
 	"citronslip/internal/wire"
 	"citronslip/pkg/inventory"
@@ -89,13 +90,15 @@
 		Call:     r.callBudgetMethod,
 	}
 	r.peerServer = &peer.Server{
-		Address: r.Settings.Peer,
-		TLS:     security,
-		Methods: r.peerMethods,
-		Client:  r.peerClient,
-		Traffic: &r.traffic,
-		Logger:  r.Logger,
-		Metrics: r.scope.SubScope("peer"),
+		Address:     r.Settings.Peer,
+		TLS:         security,
+		Methods:     r.peerMethods,
+		Client:      r.peerClient,
+		Connections: memory.MessageConns(r.Settings.Descriptors),
+		Memory:      &memory.Budget{Limit: memory.MessageBudgetOf(int64(r.Settings.Memory) * bytesPerMB)},
+		Traffic:     &r.traffic,
+		Logger:      r.Logger,
+		Metrics:     r.scope.SubScope("peer"),
 	}
 }
 
