Close connections of callers that do not read when memory is short

Cause: a response that is not read keeps the memory of its request until the write ends after 10 s, or the setting idle on the product's front end. Callers that come back at once could hold the whole budget. Change: a connection whose write has been in progress for 3 s counts as one without progress: it is closed when the budget is used up. Evidence: TestUnreadResponseGivesMemoryBack failed before.

--- a/internal/memory/conn.go
+++ b/internal/memory/conn.go
@@ -28,8 +28,8 @@
 	// refusal. lingerBytes limits what is read.
 	lingerTime  = 200 * time.Millisecond
 	lingerBytes = 64 << 10
-	// stalledTime is how long nothing has to arrive of a request, or how old one has to be that arrives at less than
-	// minRate, before its connection may be closed to make room. It would otherwise keep its place while it is incomplete.
+	// stalledTime is how long nothing has to arrive of a request, or to be read of a response, or how old a request has to be
+	// that arrives at less than minRate, before its connection may be closed to make room. It would otherwise keep its place.
 	stalledTime = 3 * time.Second
 	minRate     = 32 << 10 // In bytes per second.
 	// headWait is how long the complete head of an ordinary request waits for memory. maxHeadWaits limits how many do.
@@ -64,6 +64,7 @@
 		lastRead   time.Time // When the last bytes arrived or the last request ended.
 		begun      time.Time // When the first bytes of the current request were passed on.
 		received   int64     // Bytes of it that were passed on.
+		writing    time.Time // When the write in progress began; zero if there is none.
 		starved    bool      // Whether the memory for a trailer, or for HTTP/2, was not there.
 		extra      int64     // Bytes reserved for the connection beyond connBytes.
 		first      []byte    // Start of the connection, as long as it may be that of HTTP/2.
@@ -99,6 +100,19 @@
 	return n, err
 }
 
+// Write writes to the connection, and records how long that takes.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.setWriting(time.Now())
+	defer c.setWriting(time.Time{})
+	return c.Conn.Write(p)
+}
+
+func (c *Conn) setWriting(begin time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = begin
+}
+
 // readPending reads bytes that arrived together with those of another phase.
 func (c *Conn) readPending(p []byte) (n int, refused bool) {
 	c.mu.Lock()
@@ -356,7 +370,7 @@
 	closes := !c.closed && condition()
 	c.mu.Unlock()
 	if closes {
-		_ = c.Close() // Nothing was written that the close could lose.
+		_ = c.Close() // Its caller sends or reads nothing.
 	}
 	return closes
 }
@@ -372,8 +386,11 @@
 }
 
 // stalled reports whether the connection has an incomplete request of which nothing has arrived for stalledTime, or that
-// arrives too slowly. The caller holds the lock.
+// arrives too slowly, or a response of which nothing has been read for so long. The caller holds the lock.
 func (c *Conn) stalled() bool {
+	if !c.writing.IsZero() && time.Since(c.writing) >= stalledTime {
+		return true
+	}
 	if c.above != nil {
 		c.above.mu.Lock()
 		defer c.above.mu.Unlock()
--- a/internal/memory/slow_test.go
+++ b/internal/memory/slow_test.go
@@ -99,3 +99,45 @@
 		is.Equal(time.Since(begin), time.Duration(0)) // A costly head does not wait.
 	})
 }
+
+// blockedConn is a connection whose other end sends a request and reads nothing.
+type blockedConn struct {
+	parts
+}
+
+func (c *blockedConn) Write([]byte) (int, error) {
+	<-c.closed
+	return 0, net.ErrClosed
+}
+
+// Guards against callers that do not read their responses and keep the memory of their requests from others.
+func TestUnreadResponseGivesMemoryBack(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		budget := &memory.Budget{Limit: budgetBytes}
+		closed := make(chan struct{})
+		unread := &blockedConn{parts{data: [][]byte{[]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n")}, closed: closed}}
+		conn := (&memory.Guard{Budget: budget}).Admit(unread)
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		is.NoErr(err)
+		conn.Begin(request)
+		go func() { _, _ = io.WriteString(conn, "response") }() // Ends when the connection is closed.
+		time.Sleep(2500 * time.Millisecond)
+		is.True(!budget.Reserve(budgetBytes))
+		synctest.Wait()
+		select {
+		case <-closed:
+			t.Fatal("closed before it had stalled")
+		default:
+		}
+		time.Sleep(time.Second)
+		is.True(!budget.Reserve(budgetBytes))
+		synctest.Wait()
+		select {
+		case <-closed:
+		default:
+			t.Fatal("an unread response keeps its memory")
+		}
+	})
+}
