Give readiness checks memory of their own

A router answered its readiness checks with 503, or not at all, while a crowd used up the memory for requests. The load balancer would send no new callers there.

Cause: readiness checks drew on the budget of callers. Change: 2 MiB of their own, outside the budget.

--- a/internal/entry/guards.go
+++ b/internal/entry/guards.go
@@ -10,6 +10,8 @@
 const (
 	// maxInternalConns limits the connections of readiness checks, and those of readers of the metrics.
 	maxInternalConns = 16
+	// readinessBytes is the memory for readiness checks, which the requests of callers cannot use up.
+	readinessBytes = 2 << 20
 
 	// Limits of the listeners for readiness checks and metrics.
 	internalHeaderTimeout = 3 * time.Second
@@ -25,7 +27,8 @@
 	}
 )
 
-// buildGuards creates the memory budget and the guards of the listeners, which share it.
+// buildGuards creates the memory budget and the guards of the listeners, which share it. Readiness checks have a budget of their
+// own, so that a crowd does not keep callers away from the router.
 func (r *Router) buildGuards() {
 	r.memory = &memory.Budget{Limit: memory.BudgetOf(r.Settings.Memory)}
 	newGuard := func(name string, maxConns int) *memory.Guard {
@@ -37,6 +40,7 @@
 		readiness: newGuard("ready", maxInternalConns),
 		metrics:   newGuard("metrics", maxInternalConns),
 	}
+	r.guards.readiness.Budget = &memory.Budget{Limit: readinessBytes}
 	r.guards.carrier.Refusal = proxy.UnsentResponse
 	r.guards.carrier.TooLarge = proxy.UnsentResponse
 }
